--- /dev/null
+++ b/api/control.go
@@ -0,0 +1,148 @@
+package api
+
+import "github.com/zinniapier/zinniapier/errkind"
+
+// AssignmentState says how far an assignment is in its life.
+type AssignmentState string
+
+// States of an assignment. The zero value means that nobody owns the partition.
+const (
+	Unassigned AssignmentState = ""
+	Granted    AssignmentState = "granted"
+	Releasing  AssignmentState = "releasing"
+)
+
+// Assignment is the ownership of one partition.
+type Assignment struct {
+	State   AssignmentState `json:"state,omitempty"`
+	Target  TargetID        `json:"target,omitempty"`
+	Session SessionID       `json:"session,omitempty"`
+	Epoch   Epoch           `json:"epoch,omitempty"`
+}
+
+// PartitionRef names a partition of a service. Partitions at and above the service's
+// number of partitions are the overrides of single hot keys, in the order of Overrides.
+type PartitionRef struct {
+	Service   string `json:"service"`
+	Partition int    `json:"partition"`
+}
+
+// Override gives a single hot key its own partition.
+type Override struct {
+	Service   string `json:"service"`
+	Key       string `json:"key"`
+	Partition int    `json:"partition"`
+}
+
+// Configuration is what operators decide. Version is the log index of the last accepted change.
+type Configuration struct {
+	Version       uint64            `json:"version"`
+	Services      Services          `json:"services"`
+	Organisations []Organisation    `json:"organisations"`
+	Keys          []OrganisationKey `json:"keys"`
+	ZonesOut      []string          `json:"zones_out"`
+	TargetsOut    []TargetID        `json:"targets_out"`
+	Overrides     []Override        `json:"overrides"`
+}
+
+// Assignments maps each service divided by key to its partitions.
+type Assignments map[string][]Assignment
+
+// ControlState is an immutable snapshot of the replicated state.
+type ControlState struct {
+	// Index is the log index of the last applied entry.
+	Index         uint64        `json:"index"`
+	Configuration Configuration `json:"configuration"`
+	Assignments   Assignments   `json:"assignments"`
+	// MapVersion is the log index of the last change of Assignments.
+	MapVersion uint64 `json:"map_version"`
+}
+
+// ChangeKind names an operator change.
+type ChangeKind string
+
+// Operator changes. Each uses the fields of Change that its comment names.
+const (
+	ApplyServices      ChangeKind = "apply-services"      // Services
+	PutOrganisation    ChangeKind = "put-organisation"    // Organisation
+	RemoveOrganisation ChangeKind = "remove-organisation" // Name
+	GrantKey           ChangeKind = "grant-key"           // Key
+	WithdrawKey        ChangeKind = "withdraw-key"        // Name: id of the organisation key
+	ZoneOut            ChangeKind = "zone-out"            // Name
+	ZoneIn             ChangeKind = "zone-in"             // Name
+	TargetOut          ChangeKind = "target-out"          // Name: target id
+	TargetIn           ChangeKind = "target-in"           // Name: target id
+	AddOverride        ChangeKind = "add-override"        // Override, without Partition
+)
+
+// Change is an operator's change to the configuration.
+type Change struct {
+	// ID is chosen by the operator's tool; a resend carries the same one.
+	ID string `json:"id"`
+	// BaseVersion is the configuration version that the change was based on.
+	BaseVersion  uint64           `json:"base_version"`
+	Kind         ChangeKind       `json:"kind"`
+	Name         string           `json:"name,omitempty"`
+	Services     *Services        `json:"services,omitempty"`
+	Organisation *Organisation    `json:"organisation,omitempty"`
+	Key          *OrganisationKey `json:"key,omitempty"`
+	Override     *Override        `json:"override,omitempty"`
+}
+
+// ChangeResult is the answer to a Change.
+type ChangeResult struct {
+	// Version is the version that the change created, or the current one when it was refused.
+	Version uint64         `json:"version"`
+	Error   *errkind.Error `json:"error,omitempty"`
+}
+
+// Status is the answer of a control member to GET /v1/status.
+type Status struct {
+	Member        string            `json:"member"`
+	Leader        string            `json:"leader"`
+	LeaderAddress string            `json:"leader_address"`
+	Term          uint64            `json:"term"`
+	Index         uint64            `json:"index"`
+	Version       uint64            `json:"version"`
+	MapVersion    uint64            `json:"map_version"`
+	Members       []MemberStatus    `json:"members"`
+	Nodes         []NodeStatus      `json:"nodes"`
+	ZonesOut      []string          `json:"zones_out"`
+	Services      []ServiceStatus   `json:"services"`
+	Organisations []OrgTokensStatus `json:"organisations"`
+}
+
+// MemberStatus describes one control member.
+type MemberStatus struct {
+	Name    string `json:"name"`
+	ID      uint64 `json:"id"`
+	Address string `json:"address"`
+	Voter   bool   `json:"voter"`
+	Match   uint64 `json:"match"`
+}
+
+// NodeStatus describes one node with a live session; known to the leader only.
+type NodeStatus struct {
+	Session       SessionID      `json:"session"`
+	Name          string         `json:"name"`
+	Zone          string         `json:"zone"`
+	InternalAddr  string         `json:"internal_addr"`
+	ConfigVersion uint64         `json:"config_version"`
+	MapVersion    uint64         `json:"map_version"`
+	Targets       []TargetReport `json:"targets"`
+}
+
+// ServiceStatus counts the partitions of a service by state.
+type ServiceStatus struct {
+	Name       string           `json:"name"`
+	Partitions int              `json:"partitions"`
+	Granted    int              `json:"granted"`
+	Owned      map[TargetID]int `json:"owned"`
+}
+
+// OrgTokensStatus describes the token bucket of an organisation at the leader.
+type OrgTokensStatus struct {
+	ID          OrganisationID `json:"id"`
+	Level       float64        `json:"level"`
+	Outstanding float64        `json:"outstanding"`
+}
--- /dev/null
+++ b/api/heartbeat.go
@@ -0,0 +1,138 @@
+package api
+
+import "time"
+
+// TargetState is the node's view of one of its targets.
+type TargetState string
+
+// States of a target as its node reports them.
+const (
+	TargetServing  TargetState = "serving"
+	TargetDraining TargetState = "draining" // asked to leave; gets no new grants
+	TargetLost     TargetState = "lost"     // process gone, or not answering orders
+)
+
+// TargetReport describes a target in a heartbeat.
+type TargetReport struct {
+	ID      TargetID    `json:"id"`
+	Service string      `json:"service"`
+	Zone    string      `json:"zone"`
+	Slots   int         `json:"slots"`
+	State   TargetState `json:"state"`
+	// Cold says that the target is still in its cold-start ramp.
+	Cold bool `json:"cold"`
+	// Load is the moving average of requests in progress at the gate.
+	Load float64 `json:"load"`
+	// PartitionLoad is the recent requests per second by partition; idle partitions are left out.
+	PartitionLoad map[int]float64 `json:"partition_load,omitempty"`
+	// HotKeys are single keys with a large share of the load of their partition.
+	HotKeys []HotKey `json:"hot_keys,omitempty"`
+}
+
+// HotKey is a single key with its recent load in requests per second.
+type HotKey struct {
+	Key  string  `json:"key"`
+	Load float64 `json:"load"`
+}
+
+// Released reports that a grant has ended: nothing runs under it and the target has
+// acknowledged the revoke or its grant has expired.
+type Released struct {
+	PartitionRef
+	Epoch Epoch `json:"epoch"`
+}
+
+// TokenReport is a node's account for one organisation. All counts are cumulative over
+// the session, so that a lost message is healed by the next.
+type TokenReport struct {
+	Issued   int64 `json:"issued"`   // the greatest Issued that the node has received
+	Settled  int64 `json:"settled"`  // tokens spent for good
+	Returned int64 `json:"returned"` // tokens given back unused
+	// Demand is the number of tokens that the node wants to hold now.
+	Demand int64 `json:"demand"`
+}
+
+// HeartbeatRequest renews the session of a node.
+type HeartbeatRequest struct {
+	Session SessionID
+	// Sequence grows by one with each heartbeat of the session.
+	Sequence      uint64
+	Name          string
+	Zone          string
+	InternalAddr  string // request hop, host:port
+	FateAddr      string // net/rpc service of the node, host:port
+	CallerAddr    string // caller listener, host:port
+	ConfigVersion uint64
+	MapVersion    uint64
+	// PeersVersion is the version of the list of nodes that the node holds.
+	PeersVersion uint64
+	Targets      []TargetReport
+	Released     []Released
+	Tokens       map[OrganisationID]TokenReport
+	// Leaving says that the node is shutting down: its targets get no new grants and
+	// its session ends with the first heartbeat that carries Final.
+	Leaving bool
+	// Final ends the session at once: the node admits nothing any more and all its grants are released.
+	Final bool
+}
+
+// Peer is another node as the control leader knows it.
+type Peer struct {
+	Session      SessionID
+	Name         string
+	Zone         string
+	InternalAddr string
+	FateAddr     string
+	CallerAddr   string
+	Targets      []PeerTarget
+}
+
+// PeerTarget is a target behind a peer that may receive requests.
+type PeerTarget struct {
+	ID      TargetID
+	Service string
+	Slots   int
+	State   TargetState
+	// Out says that operators took the target or its zone out.
+	Out bool
+}
+
+// HeartbeatReply answers a heartbeat.
+type HeartbeatReply struct {
+	// Term is the raft term of the answering leader; the node ignores lower ones.
+	Term uint64
+	// Lease is counted by the node from the moment it sent the heartbeat.
+	Lease time.Duration
+	// Configuration is set when the node's version differs from the current one.
+	Configuration *Configuration
+	ConfigVersion uint64
+	// Map is a full copy when MapFull is set, else the entries changed since the node's version.
+	Map        []AssignmentUpdate
+	MapFull    bool
+	MapVersion uint64
+	// Peers is set when the node's PeersVersion differs from the current one. Versions are
+	// comparable only under one term.
+	Peers        []Peer
+	PeersVersion uint64
+	PeersChanged bool
+	// Issued is the cumulative number of tokens issued to the session by organisation.
+	Issued map[OrganisationID]int64
+	// Members are the addresses of the control members' rpc listeners.
+	Members []string
+}
+
+// AssignmentUpdate is one changed assignment.
+type AssignmentUpdate struct {
+	PartitionRef
+	Assignment
+}
+
+// FateRequest asks the owner's node what became of an attempt.
+type FateRequest struct {
+	Attempt string
+}
+
+// FateReply answers a FateRequest. When Started is false the attempt has been barred for good.
+type FateReply struct {
+	Started bool
+}
--- /dev/null
+++ b/api/view.go
@@ -0,0 +1,102 @@
+package api
+
+import "time"
+
+// View is the immutable snapshot that the session of a node publishes and that
+// traffic goroutines read. Nothing in it is changed after publication.
+type View struct {
+	Session SessionID
+	Zone    string
+	// LeaseUntil is the end of the session lease; the zero time before the first heartbeat.
+	LeaseUntil    time.Time
+	Term          uint64
+	Configuration *Configuration
+	MapVersion    uint64
+	Assignments   Assignments
+	Peers         []Peer
+	PeersVersion  uint64
+	// Index holds look-ups derived from the fields above.
+	Index *ViewIndex
+}
+
+// ViewIndex holds the look-ups of a View.
+type ViewIndex struct {
+	Organisations map[OrganisationID]*Organisation
+	KeysByDigest  map[KeyDigest]*OrganisationKey
+	Peers         map[SessionID]*Peer
+	// Overrides maps service and key to the partition of a single hot key.
+	Overrides map[string]map[string]int
+	// TargetsByService lists the targets that may receive requests.
+	TargetsByService map[string][]TargetAt
+}
+
+// TargetAt is a target and the node that it is reached through.
+type TargetAt struct {
+	Target PeerTarget
+	Peer   *Peer
+}
+
+// LeaseValid says whether the session lease covers now. A nil view has none.
+func (v *View) LeaseValid(now time.Time) bool {
+	return v != nil && now.Before(v.LeaseUntil)
+}
+
+// NewViewIndex derives the look-ups of v.
+func NewViewIndex(v *View) *ViewIndex {
+	x := &ViewIndex{
+		Organisations:    make(map[OrganisationID]*Organisation),
+		KeysByDigest:     make(map[KeyDigest]*OrganisationKey),
+		Peers:            make(map[SessionID]*Peer),
+		Overrides:        make(map[string]map[string]int),
+		TargetsByService: make(map[string][]TargetAt),
+	}
+	if v.Configuration != nil {
+		x.addConfiguration(v.Configuration)
+	}
+	for i := range v.Peers {
+		x.addPeer(&v.Peers[i])
+	}
+	return x
+}
+
+func (x *ViewIndex) addConfiguration(c *Configuration) {
+	for i := range c.Organisations {
+		x.Organisations[c.Organisations[i].ID] = &c.Organisations[i]
+	}
+	for i := range c.Keys {
+		x.KeysByDigest[c.Keys[i].Digest] = &c.Keys[i]
+	}
+	for _, o := range c.Overrides {
+		if x.Overrides[o.Service] == nil {
+			x.Overrides[o.Service] = make(map[string]int)
+		}
+		x.Overrides[o.Service][o.Key] = o.Partition
+	}
+}
+
+func (x *ViewIndex) addPeer(p *Peer) {
+	x.Peers[p.Session] = p
+	for _, t := range p.Targets {
+		if t.Out || t.State != TargetServing {
+			continue
+		}
+		x.TargetsByService[t.Service] = append(x.TargetsByService[t.Service], TargetAt{Target: t, Peer: p})
+	}
+}
+
+// Partition returns the partition of a key of a service divided by key.
+func (v *View) Partition(s *Service, key string) int {
+	if p, ok := v.Index.Overrides[s.Name][key]; ok {
+		return p
+	}
+	return PartitionOf(key, s.Partitions)
+}
+
+// Owner returns the assignment of a partition; its state is Unassigned when nobody owns it.
+func (v *View) Owner(ref PartitionRef) Assignment {
+	list := v.Assignments[ref.Service]
+	if ref.Partition < 0 || ref.Partition >= len(list) {
+		return Assignment{}
+	}
+	return list[ref.Partition]
+}
