raft: deterministic core with pre-vote, learners, leases and a schedule test

The core keeps no clock, disk, network or goroutine; it hands out the work through Ready. The schedule test checks the safety properties of Raft and that no two members hold a lease at once.

--- /dev/null
+++ b/raft/election.go
@@ -0,0 +1,127 @@
+package raft
+
+import "time"
+
+// campaign asks all voters for their vote. The pre-vote changes no state of anyone; it
+// keeps a member that cannot win from raising the term.
+func (r *Raft) campaign(now time.Duration, pre bool) {
+	r.leader = 0
+	r.votes = map[uint64]bool{r.cfg.ID: true}
+	request := Message{Type: PreVote, Term: r.term + 1, Index: r.log.lastIndex(), LogTerm: r.log.lastTerm()}
+	r.role = PreCandidate
+	if !pre {
+		r.role = Candidate
+		r.term++
+		r.vote = r.cfg.ID
+		request.Type = Vote
+		r.resetElection(now)
+	}
+	for _, id := range r.members.current().Voters {
+		if id != r.cfg.ID {
+			request.To = id
+			r.send(request)
+		}
+	}
+	r.countVotes(now)
+}
+
+// countVotes moves a candidate on once a majority of the voters has granted.
+func (r *Raft) countVotes(now time.Duration) {
+	granted := 0
+	voters := r.members.current().Voters
+	for _, id := range voters {
+		if r.votes[id] {
+			granted++
+		}
+	}
+	if granted <= len(voters)/2 {
+		return
+	}
+	if r.role == PreCandidate {
+		r.campaign(now, false)
+		return
+	}
+	r.becomeLeader(now)
+}
+
+func (r *Raft) onVoteRequest(now time.Duration, m Message) {
+	response := Message{Type: VoteResponse, To: m.From}
+	if m.Type == PreVote {
+		response.Type = PreVoteResponse
+	}
+	if m.Term < r.term {
+		response.Reject = true
+		r.send(response)
+		return
+	}
+	// Leases rest on this rule: no vote while a leader may hold a lease that counts this member.
+	if r.role == Leader || now < r.contact+r.cfg.ElectionMin {
+		return
+	}
+	if m.Type == Vote && m.Term > r.term {
+		r.becomeFollower(now, m.Term, 0)
+	}
+	if !r.mayVote(m) {
+		response.Reject = true
+		r.send(response)
+		return
+	}
+	if m.Type == Vote {
+		r.vote = m.From
+		r.resetElection(now)
+	}
+	response.Term = m.Term
+	r.send(response)
+}
+
+func (r *Raft) mayVote(m Message) bool {
+	if !r.log.upToDate(m.Index, m.LogTerm) {
+		return false
+	}
+	if m.Type == PreVote {
+		return m.Term > r.term
+	}
+	return r.vote == 0 || r.vote == m.From
+}
+
+func (r *Raft) onVoteResponse(now time.Duration, m Message) {
+	if m.Reject && m.Term > r.term {
+		r.becomeFollower(now, m.Term, 0)
+		return
+	}
+	if m.Reject {
+		return
+	}
+	pre := m.Type == PreVoteResponse && r.role == PreCandidate && m.Term == r.term+1
+	real := m.Type == VoteResponse && r.role == Candidate && m.Term == r.term
+	if pre || real {
+		r.votes[m.From] = true
+		r.countVotes(now)
+	}
+}
+
+func (r *Raft) becomeLeader(now time.Duration) {
+	r.role, r.leader = Leader, r.cfg.ID
+	r.votes = nil
+	r.leaderSince = now
+	r.peers = make(map[uint64]*progress)
+	r.syncPeers()
+	// Entries of earlier terms count as committed only below an entry of this term.
+	r.appendOwn(Entry{Type: Noop})
+	r.round(now)
+}
+
+// syncPeers adds progress for new members and drops that of removed ones.
+func (r *Raft) syncPeers() {
+	members := r.members.current()
+	for id := range r.peers {
+		if !members.IsVoter(id) && !members.IsLearner(id) {
+			delete(r.peers, id)
+		}
+	}
+	for _, id := range members.all() {
+		if _, known := r.peers[id]; !known && id != r.cfg.ID {
+			r.peers[id] = &progress{next: r.log.lastIndex() + 1, probing: true, acked: never, lastSend: never}
+		}
+	}
+}
--- /dev/null
+++ b/raft/follower.go
@@ -0,0 +1,102 @@
+package raft
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+)
+
+func (r *Raft) onLeaderMessage(now time.Duration, m Message) error {
+	response := Message{Type: AppendResponse, To: m.From, SentAt: m.SentAt, Index: m.Index}
+	if m.Type == Heartbeat {
+		response.Type = HeartbeatResponse
+	}
+	if m.Term < r.term {
+		// The higher term in the answer makes a leader of an older term step down.
+		response.Reject = true
+		r.send(response)
+		return nil
+	}
+	if r.role == Leader && m.Term == r.term {
+		return errors.Errorf("two leaders in term %d: %x and %x", m.Term, r.cfg.ID, m.From)
+	}
+	r.becomeFollower(now, m.Term, m.From)
+	r.contact = now
+	switch m.Type {
+	case Heartbeat:
+		r.commitTo(min(m.Commit, r.log.lastIndex()))
+	case Append:
+		if err := r.onAppend(m, &response); err != nil {
+			return err
+		}
+	case InstallSnapshot:
+		if m.Snapshot == nil {
+			return errors.Errorf("snapshot message from %x without snapshot", m.From)
+		}
+		response.Index = r.onSnapshot(*m.Snapshot)
+	}
+	r.send(response)
+	return nil
+}
+
+func (r *Raft) onAppend(m Message, response *Message) error {
+	last := m.Index + uint64(len(m.Entries))
+	if last <= r.log.commit {
+		response.Index = r.log.commit
+		return nil
+	}
+	if m.Index < r.log.baseIndex {
+		skip := r.log.baseIndex - m.Index
+		m.Entries = m.Entries[skip:]
+	} else if !r.log.matches(m.Index, m.LogTerm) {
+		response.Reject = true
+		response.Hint = r.log.hint(m.Index)
+		return nil
+	}
+	fresh := m.Entries[r.log.conflict(m.Entries):]
+	if err := r.adopt(fresh); err != nil {
+		return err
+	}
+	r.commitTo(min(m.Commit, last))
+	response.Index = last
+	return nil
+}
+
+// adopt replaces the end of the log by entries of the leader.
+func (r *Raft) adopt(entries []Entry) error {
+	if len(entries) == 0 {
+		return nil
+	}
+	if entries[0].Index <= r.log.commit {
+		return errors.Errorf("entry %d conflicts with a committed one", entries[0].Index)
+	}
+	members := r.members.truncated(entries[0].Index)
+	members = members[:len(members):len(members)]
+	var err error
+	for _, e := range entries {
+		if members, err = members.added(e); err != nil {
+			return err
+		}
+	}
+	r.members = members
+	r.log.append(entries...)
+	return nil
+}
+
+func (r *Raft) commitTo(index uint64) { r.log.commit = max(r.log.commit, index) }
+
+// onSnapshot takes over a snapshot unless the log already holds its last entry, and
+// returns the index up to which this log then agrees with the leader's.
+func (r *Raft) onSnapshot(s Snapshot) uint64 {
+	if s.Index <= r.log.commit {
+		return r.log.commit
+	}
+	if r.log.matches(s.Index, s.Term) {
+		r.commitTo(s.Index)
+		return s.Index
+	}
+	r.log.reset(s)
+	r.members = memberships{{index: s.Index, Membership: s.Membership}}
+	r.install = &s
+	return s.Index
+}
--- /dev/null
+++ b/raft/log.go
@@ -0,0 +1,140 @@
+package raft
+
+import "github.com/juju/errors"
+
+// raftLog is the log in memory. Entries follow base, which is at or before the snapshot.
+type raftLog struct {
+	snap      Snapshot
+	baseIndex uint64
+	baseTerm  uint64
+	entries   []Entry
+	stable    uint64 // last index known to be synced
+	commit    uint64
+	applied   uint64
+}
+
+func newLog(snap Snapshot, entries []Entry, commit uint64) (*raftLog, error) {
+	l := &raftLog{snap: snap, baseIndex: snap.Index, baseTerm: snap.Term}
+	for i, e := range entries {
+		if e.Index != snap.Index+1+uint64(i) {
+			return nil, errors.Annotatef(ErrInvalidState, "entry %d follows %d", e.Index, snap.Index+uint64(i))
+		}
+	}
+	l.entries = append(l.entries, entries...)
+	l.stable = l.lastIndex()
+	l.commit = min(max(commit, snap.Index), l.lastIndex())
+	l.applied = snap.Index
+	return l, nil
+}
+
+func (l *raftLog) firstIndex() uint64 { return l.baseIndex + 1 }
+
+func (l *raftLog) lastIndex() uint64 { return l.baseIndex + uint64(len(l.entries)) }
+
+func (l *raftLog) lastTerm() uint64 {
+	term, _ := l.term(l.lastIndex())
+	return term
+}
+
+// term returns the term of the entry at index, and whether the log still knows it.
+func (l *raftLog) term(index uint64) (uint64, bool) {
+	switch {
+	case index == l.baseIndex:
+		return l.baseTerm, true
+	case index < l.baseIndex || index > l.lastIndex():
+		return 0, false
+	default:
+		return l.entries[index-l.baseIndex-1].Term, true
+	}
+}
+
+func (l *raftLog) matches(index, term uint64) bool {
+	have, ok := l.term(index)
+	return ok && have == term
+}
+
+// slice returns a copy of the entries in [from, to], cut off after limit bytes but
+// never before the first entry.
+func (l *raftLog) slice(from, to uint64, limit int) []Entry {
+	if from > to {
+		return nil
+	}
+	part := l.entries[from-l.baseIndex-1 : to-l.baseIndex]
+	size := 0
+	for i, e := range part {
+		size += len(e.Data)
+		if i > 0 && limit > 0 && size > limit {
+			part = part[:i]
+			break
+		}
+	}
+	return append([]Entry(nil), part...)
+}
+
+// append adds entries, replacing all entries at and after the first one's index.
+func (l *raftLog) append(entries ...Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	at := entries[0].Index
+	// Overwriting in place is safe: slice hands out copies only.
+	l.entries = append(l.entries[:at-l.baseIndex-1], entries...)
+	l.stable = min(l.stable, at-1)
+}
+
+// extend adds entries at the end.
+func (l *raftLog) extend(e Entry) { l.entries = append(l.entries, e) }
+
+// conflict returns the position of the first of the entries that the log lacks or
+// holds with another term, or len(entries).
+func (l *raftLog) conflict(entries []Entry) int {
+	for i, e := range entries {
+		if !l.matches(e.Index, e.Term) {
+			return i
+		}
+	}
+	return len(entries)
+}
+
+// hint returns the index after which the sender may match a log that failed at index.
+func (l *raftLog) hint(index uint64) uint64 {
+	if index > l.lastIndex() {
+		return l.lastIndex()
+	}
+	bad, ok := l.term(index)
+	if !ok {
+		return l.commit
+	}
+	for index > l.commit {
+		if term, ok := l.term(index); !ok || term != bad {
+			break
+		}
+		index--
+	}
+	return index
+}
+
+// reset replaces the whole log by a snapshot.
+func (l *raftLog) reset(s Snapshot) {
+	l.snap = s
+	l.baseIndex, l.baseTerm = s.Index, s.Term
+	l.entries = nil
+	l.stable, l.commit, l.applied = s.Index, s.Index, s.Index
+}
+
+// compact notes a snapshot of applied state and drops the entries well before it.
+func (l *raftLog) compact(s Snapshot) {
+	l.snap = s
+	if s.Index <= l.baseIndex+trailingEntries {
+		return
+	}
+	cut := s.Index - trailingEntries
+	term, _ := l.term(cut)
+	l.entries = append([]Entry(nil), l.entries[cut-l.baseIndex:]...)
+	l.baseIndex, l.baseTerm = cut, term
+}
+
+func (l *raftLog) upToDate(index, term uint64) bool {
+	last := l.lastTerm()
+	return term > last || (term == last && index >= l.lastIndex())
+}
--- /dev/null
+++ b/raft/sim_test.go
@@ -0,0 +1,360 @@
+package raft
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// simNode is a member with its disk; entries not yet synced are lost in a crash.
+type simNode struct {
+	id       uint64
+	core     *Raft
+	hs       HardState
+	snap     Snapshot
+	disk     []Entry
+	started  time.Duration // true time of the process start
+	rate     float64       // speed of the local clock
+	down     bool
+	frozen   bool
+	restarts int64
+	applied  uint64
+}
+
+// sim runs members over an unreliable network and checks the safety properties.
+type sim struct {
+	t         *rapid.T
+	random    *rand.Rand
+	now       time.Duration
+	nodes     []*simNode
+	network   []Message
+	cut       map[uint64]bool // members on the smaller side of a partition
+	loss      float64
+	committed []Entry // by index; position 0 is unused
+	leaders   map[uint64]uint64
+	proposals int
+}
+
+func newSim(t *rapid.T, size int) *sim {
+	s := &sim{
+		t: t, random: rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed"))),
+		cut: map[uint64]bool{}, leaders: map[uint64]uint64{}, committed: make([]Entry, 2),
+	}
+	var m Membership
+	for id := uint64(1); id <= uint64(size); id++ {
+		m.Voters = append(m.Voters, id)
+	}
+	first := Snapshot{Index: 1, Term: 1, Membership: m}
+	for id := 1; id <= size; id++ {
+		s.add(HardState{Term: 1, Commit: 1}, first)
+	}
+	return s
+}
+
+func (s *sim) add(hs HardState, snap Snapshot) *simNode {
+	n := &simNode{id: uint64(len(s.nodes) + 1), hs: hs, snap: snap, rate: 0.96 + 0.08*s.random.Float64()}
+	s.nodes = append(s.nodes, n)
+	s.start(n)
+	return n
+}
+
+func (s *sim) start(n *simNode) {
+	n.restarts++
+	n.down, n.frozen, n.started, n.applied = false, false, s.now, n.snap.Index
+	cfg := Config{
+		ID: n.id, ElectionMin: 150 * time.Millisecond, ElectionMax: 300 * time.Millisecond,
+		Heartbeat: 30 * time.Millisecond, Seed: int64(n.id)*1000 + n.restarts,
+	}
+	core, err := New(cfg, 0, n.hs, n.snap, n.disk)
+	s.check(err == nil, "restart of %d: %v", n.id, err)
+	n.core = core
+}
+
+func (s *sim) check(ok bool, format string, args ...any) {
+	if !ok {
+		s.t.Fatalf("at %v: %s", s.now, fmt.Sprintf(format, args...))
+	}
+}
+
+func (n *simNode) clock(now time.Duration) time.Duration {
+	return time.Duration(float64(now-n.started) * n.rate)
+}
+
+func (n *simNode) runs() bool { return !n.down && !n.frozen }
+
+// work does the Ready work of a member; it may crash before or after the sync.
+func (s *sim) work(n *simNode, crash float64) {
+	for n.runs() {
+		rd := n.core.Ready()
+		if rd.Empty() {
+			return
+		}
+		if s.random.Float64() < crash {
+			n.down = true
+			return
+		}
+		s.store(n, rd)
+		if s.random.Float64() < crash {
+			n.down = true
+			return
+		}
+		s.network = append(s.network, rd.Messages...)
+		for _, e := range rd.Committed {
+			s.apply(n, e)
+		}
+		n.core.Advance(rd)
+		s.checkLeader(n)
+	}
+}
+
+func (s *sim) store(n *simNode, rd Ready) {
+	if rd.Snapshot != nil {
+		n.snap, n.disk, n.applied = *rd.Snapshot, nil, rd.Snapshot.Index
+	}
+	if rd.MustSync {
+		n.hs = rd.HardState
+	}
+	if len(rd.Entries) > 0 {
+		keep := int(rd.Entries[0].Index - n.snap.Index - 1)
+		n.disk = append(slices.Clone(n.disk[:keep]), rd.Entries...)
+	}
+}
+
+// apply checks state-machine safety: no two members apply different entries at an index.
+func (s *sim) apply(n *simNode, e Entry) {
+	s.check(e.Index == n.applied+1, "%d applies %d after %d", n.id, e.Index, n.applied)
+	n.applied = e.Index
+	if e.Index == uint64(len(s.committed)) {
+		s.committed = append(s.committed, e)
+	}
+	s.check(same(s.committed[e.Index], e), "%d applies another entry at %d", n.id, e.Index)
+}
+
+func same(a, b Entry) bool {
+	return a.Index == b.Index && a.Term == b.Term && a.Type == b.Type && bytes.Equal(a.Data, b.Data)
+}
+
+// checkLeader checks election safety and leader completeness.
+func (s *sim) checkLeader(n *simNode) {
+	if n.down || n.core.role != Leader {
+		return
+	}
+	term := n.core.term
+	if known, ok := s.leaders[term]; ok {
+		s.check(known == n.id, "%d and %d lead in term %d", known, n.id, term)
+		return
+	}
+	s.leaders[term] = n.id
+	for _, e := range s.committed[2:] {
+		if e.Term < term && e.Index > n.core.log.baseIndex {
+			s.check(n.core.log.matches(e.Index, e.Term), "leader %d lacks committed entry %d", n.id, e.Index)
+		}
+	}
+}
+
+// checkLeases counts the members that would believe in a lease now, frozen ones included.
+func (s *sim) checkLeases() {
+	var holders []uint64
+	for _, n := range s.nodes {
+		if !n.down && n.core.HoldsLease(n.clock(s.now)) {
+			holders = append(holders, n.id)
+		}
+	}
+	s.check(len(holders) <= 1, "leases held by %v", holders)
+}
+
+// checkLogs checks log matching: where two logs agree on a term, they agree before it.
+func (s *sim) checkLogs() {
+	for i, a := range s.nodes {
+		for _, b := range s.nodes[:i] {
+			first := max(a.core.log.firstIndex(), b.core.log.firstIndex())
+			agreed := false
+			for at := min(a.core.log.lastIndex(), b.core.log.lastIndex()); at >= first; at-- {
+				x, y := a.core.log.entries[at-a.core.log.firstIndex()], b.core.log.entries[at-b.core.log.firstIndex()]
+				agreed = agreed || x.Term == y.Term
+				s.check(!agreed || same(x, y), "logs of %d and %d differ at %d", a.id, b.id, at)
+			}
+		}
+	}
+}
+
+// run passes true time in steps of about a tick, delivering messages in random order.
+func (s *sim) run(d time.Duration, crash float64) {
+	for end := s.now + d; s.now < end; {
+		s.now += time.Duration(2+s.random.Intn(12)) * time.Millisecond
+		s.checkLeases()
+		s.deliver(crash)
+		for _, n := range s.nodes {
+			if n.runs() && s.random.Float64() < 0.9 {
+				n.core.Tick(n.clock(s.now))
+				s.work(n, crash)
+			}
+			s.checkLeases()
+		}
+	}
+	s.checkLogs()
+}
+
+func (s *sim) deliver(crash float64) {
+	pending := s.network
+	s.network = nil
+	s.random.Shuffle(len(pending), func(i, j int) {
+		if s.random.Float64() < 0.3 { // mostly in order
+			pending[i], pending[j] = pending[j], pending[i]
+		}
+	})
+	for _, m := range pending {
+		n := s.nodes[m.To-1]
+		switch {
+		case n.down || s.cut[m.From] != s.cut[m.To] || s.random.Float64() < s.loss:
+			continue
+		case n.frozen || s.random.Float64() < 0.1:
+			s.network = append(s.network, m) // arrives later
+			continue
+		case s.random.Float64() < 0.05:
+			s.network = append(s.network, m) // arrives twice
+		}
+		err := n.core.Step(n.clock(s.now), m)
+		s.check(err == nil, "step of %d: %v", n.id, err)
+		s.checkLeases()
+		if s.random.Float64() < 0.7 { // else the work is done for several messages at once
+			s.work(n, crash)
+		}
+	}
+	if len(s.network) > 5000 {
+		s.network = s.network[len(s.network)-5000:]
+	}
+}
+
+func (s *sim) leader() *simNode {
+	var best *simNode
+	for _, n := range s.nodes {
+		if n.runs() && n.core.role == Leader && (best == nil || n.core.term > best.core.term) {
+			best = n
+		}
+	}
+	return best
+}
+
+func (s *sim) any() *simNode { return s.nodes[s.random.Intn(len(s.nodes))] }
+
+func (s *sim) propose() {
+	for _, n := range s.nodes {
+		if n.runs() && n.core.role == Leader {
+			s.proposals++
+			_, _, err := n.core.Propose(n.clock(s.now), fmt.Appendf(nil, "%d by %d", s.proposals, n.id))
+			s.check(err == nil, "propose: %v", err)
+			s.work(n, 0)
+		}
+	}
+}
+
+func (s *sim) changeMembership() {
+	n := s.leader()
+	if n == nil {
+		return
+	}
+	m := n.core.members.current().Membership
+	next := m.Without(m.all()[s.random.Intn(len(m.all()))])
+	switch {
+	case len(m.Learners) > 0 && s.random.Float64() < 0.7:
+		next = m.WithPromoted(m.Learners[0])
+	case len(m.Voters) < 3 || (s.random.Float64() < 0.5 && len(s.nodes) < 8):
+		next = m.WithLearner(s.add(HardState{}, Snapshot{}).id)
+	}
+	_, _, _ = n.core.ProposeMembership(n.clock(s.now), next) // refusals are part of the schedule
+	s.work(n, 0)
+}
+
+func (s *sim) compact() {
+	n := s.any()
+	if n.down || n.applied <= n.snap.Index {
+		return
+	}
+	at := n.applied
+	ms := n.core.members
+	for len(ms) > 1 && ms.current().index > at {
+		ms = ms[:len(ms)-1]
+	}
+	snap := Snapshot{Index: at, Term: s.committed[at].Term, Membership: ms.current().Membership}
+	s.check(n.core.Compact(snap) == nil, "compact at %d", at)
+	// Without trailing entries, peers that are behind need the snapshot.
+	n.core.log.entries = slices.Clone(n.core.log.entries[at-n.core.log.baseIndex:])
+	n.core.log.baseIndex, n.core.log.baseTerm = at, snap.Term
+	n.disk = slices.Clone(n.disk[at-n.snap.Index:])
+	n.snap = snap
+}
+
+// recover heals everything; a leader must then commit and reach every member.
+func (s *sim) recover() {
+	s.cut, s.loss = map[uint64]bool{}, 0
+	for _, n := range s.nodes {
+		n.frozen = false
+		if n.down {
+			s.start(n)
+		}
+	}
+	s.run(3*time.Second, 0)
+	s.check(s.leader() != nil, "no leader after recovery")
+	s.propose()
+	s.run(time.Second, 0)
+	n := s.leader()
+	s.check(n != nil, "no leader at the end")
+	s.check(n.core.HoldsLease(n.clock(s.now)), "leader without lease at the end")
+	for _, id := range n.core.members.current().all() {
+		s.check(s.nodes[id-1].applied == n.applied, "%d applied %d, the leader %d", id, s.nodes[id-1].applied, n.applied)
+	}
+}
+
+// TestSchedules guards against any schedule of losses, duplicates, reordering, crashes,
+// freezes, partitions and membership changes that breaks a safety property of Raft, lets
+// two members hold a lease at once, or leaves the group stuck.
+func TestSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t, rapid.SampledFrom([]int{1, 3, 3, 5}).Draw(t, "size"))
+		s.run(time.Second, 0)
+		run := func(t *rapid.T) { s.run(time.Duration(rapid.IntRange(20, 500).Draw(t, "ms"))*time.Millisecond, 0) }
+		t.Repeat(map[string]func(*rapid.T){
+			"run":      run,
+			"runLong":  func(*rapid.T) { s.run(700*time.Millisecond, 0) },
+			"runCrash": func(*rapid.T) { s.run(100*time.Millisecond, 0.01) },
+			"propose":  func(*rapid.T) { s.propose() },
+			"freeze":   func(*rapid.T) { s.any().frozen = true },
+			"freezeLeader": func(*rapid.T) {
+				if n := s.leader(); n != nil {
+					n.frozen = true
+				}
+			},
+			"wake": func(*rapid.T) { s.any().frozen = false },
+			"wakeAll": func(*rapid.T) {
+				for _, n := range s.nodes {
+					n.frozen = false
+				}
+			},
+			"crash": func(*rapid.T) { s.any().down = true },
+			"restart": func(*rapid.T) {
+				for _, n := range s.nodes {
+					if n.down {
+						s.start(n)
+					}
+				}
+			},
+			"cut": func(*rapid.T) { n := s.any(); s.cut[n.id] = !s.cut[n.id] },
+			"cutLeader": func(*rapid.T) {
+				if n := s.leader(); n != nil {
+					s.cut = map[uint64]bool{n.id: true}
+				}
+			},
+			"heal":    func(*rapid.T) { s.cut = map[uint64]bool{} },
+			"loss":    func(t *rapid.T) { s.loss = rapid.SampledFrom([]float64{0, 0, 0.05, 0.3}).Draw(t, "loss") },
+			"members": func(*rapid.T) { s.changeMembership() },
+			"compact": func(*rapid.T) { s.compact() },
+		})
+		s.recover()
+	})
+}
