--- a/raft/sim_test.go
+++ b/raft/sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"flag"
 	"fmt"
 	"math/rand"
 	"slices"
@@ -11,6 +12,17 @@
 	"pgregory.net/rapid"
 )
 
+// checks is the default number of schedules; with rapid's own default of 100, several
+// deliberate faults in the core stay undetected.
+const checks = "1500"
+
+func TestMain(m *testing.M) {
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set(checks) // a number is always accepted
+	}
+	m.Run()
+}
+
 // simNode is a member with its disk; entries not yet synced are lost in a crash.
 type simNode struct {
 	id       uint64
@@ -26,6 +38,12 @@
 	applied  uint64
 }
 
+// delayedMessage is a message that the network holds back.
+type delayedMessage struct {
+	Message
+	until time.Duration
+}
+
 // sim runs members over an unreliable network and checks the safety properties.
 type sim struct {
 	t         *rapid.T
@@ -33,9 +51,11 @@
 	now       time.Duration
 	nodes     []*simNode
 	network   []Message
+	delayed   []delayedMessage
 	cut       map[uint64]bool // members on the smaller side of a partition
-	loss      float64
-	committed []Entry // by index; position 0 is unused
+	loss      float64         // share of messages lost
+	delay     float64         // share of messages held back for up to 500 ms
+	committed []Entry         // by index; position 0 is unused
 	leaders   map[uint64]uint64
 	proposals int
 }
@@ -70,7 +90,7 @@
 		ID: n.id, ElectionMin: 150 * time.Millisecond, ElectionMax: 300 * time.Millisecond,
 		Heartbeat: 30 * time.Millisecond, Seed: int64(n.id)*1000 + n.restarts,
 	}
-	core, err := New(cfg, 0, n.hs, n.snap, n.disk)
+	core, err := New(cfg, n.clock(s.now), n.hs, n.snap, n.disk)
 	s.check(err == nil, "restart of %d: %v", n.id, err)
 	n.core = core
 }
@@ -203,6 +223,12 @@
 func (s *sim) deliver(crash float64) {
 	pending := s.network
 	s.network = nil
+	s.delayed = slices.DeleteFunc(s.delayed, func(d delayedMessage) bool {
+		if d.until <= s.now {
+			pending = append(pending, d.Message)
+		}
+		return d.until <= s.now
+	})
 	s.random.Shuffle(len(pending), func(i, j int) {
 		if s.random.Float64() < 0.3 { // mostly in order
 			pending[i], pending[j] = pending[j], pending[i]
@@ -213,6 +239,9 @@
 		switch {
 		case n.down || s.cut[m.From] != s.cut[m.To] || s.random.Float64() < s.loss:
 			continue
+		case s.random.Float64() < s.delay:
+			s.delayed = append(s.delayed, delayedMessage{m, s.now + time.Duration(s.random.Intn(500))*time.Millisecond})
+			continue
 		case n.frozen || s.random.Float64() < 0.1:
 			s.network = append(s.network, m) // arrives later
 			continue
@@ -292,7 +321,7 @@
 
 // recover heals everything; a leader must then commit and reach every member.
 func (s *sim) recover() {
-	s.cut, s.loss = map[uint64]bool{}, 0
+	s.cut, s.loss, s.delay = map[uint64]bool{}, 0, 0
 	for _, n := range s.nodes {
 		n.frozen = false
 		if n.down {
@@ -352,6 +381,7 @@
 			},
 			"heal":    func(*rapid.T) { s.cut = map[uint64]bool{} },
 			"loss":    func(t *rapid.T) { s.loss = rapid.SampledFrom([]float64{0, 0, 0.05, 0.3}).Draw(t, "loss") },
+			"delay":   func(t *rapid.T) { s.delay = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "delay") },
 			"members": func(*rapid.T) { s.changeMembership() },
 			"compact": func(*rapid.T) { s.compact() },
 		})
