tokens: authority of the fleet-wide token buckets

The leader's side keeps level + outstanding <= burst per organisation. Tokens of a silent session count as outstanding until the lease plus margin has passed and as spent after it; giving them back to the level would break the window bound, since the node may have spent them without a report. The first report of an account is a baseline without gain, which covers a new leader and a returning session.

--- /dev/null
+++ b/tokens/authority.go
@@ -0,0 +1,231 @@
+// Package tokens implements fleet-wide token buckets: the authority on the control
+// leader and the account on each node.
+package tokens
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/zinniapier/zinniapier/api"
+)
+
+// Authority issues the tokens of all organisations to the sessions of nodes. For each
+// organisation it keeps level + outstanding <= burst, and lets the sum rise by no more
+// than the rate. It has no clock: times are passed in and come from one monotonic clock.
+// It is not safe for concurrent use.
+type Authority struct {
+	// span is the session lease plus the drift margin: tokens of a session that has been
+	// silent for so long can no longer be spent.
+	span     time.Duration
+	start    time.Time // end of the wait of a new leader
+	buckets  map[api.OrganisationID]*bucket
+	sessions map[api.SessionID]*holder
+}
+
+// bucket is the state of one organisation.
+type bucket struct {
+	rate, burst float64 // tokens per second, tokens
+	level       float64
+	outstanding int64 // sum over the holders
+	last        time.Time
+	removed     bool
+	// wanted is the sum of the unmet demand in the last reports of the holders.
+	wanted int64
+}
+
+// holder is the state of one session.
+type holder struct {
+	deadline time.Time
+	accounts map[api.OrganisationID]*account
+}
+
+// account is the state of one session and organisation; all counts are cumulative.
+type account struct {
+	issued, settled, returned int64
+	wanted                    int64
+}
+
+func (a *account) outstanding() int64 { return a.issued - a.settled - a.returned }
+
+// NewAuthority returns the authority of a leader that took over at now. Until span, the
+// session lease plus the drift margin, has passed, it treats whatever the nodes do not
+// report as outstanding and issues nothing; each bucket then starts from level 0.
+func NewAuthority(now time.Time, span time.Duration) *Authority {
+	return &Authority{
+		span:     span,
+		start:    now.Add(span),
+		buckets:  make(map[api.OrganisationID]*bucket),
+		sessions: make(map[api.SessionID]*holder),
+	}
+}
+
+// SetOrganisations replaces the rates and bursts. A lowered burst cuts the level at once;
+// tokens that are already outstanding stay valid, and nothing is issued until they have
+// fallen below the new burst. The bucket of a removed organisation is kept until it would
+// be full again, so that adding the organisation again does not refill it.
+func (a *Authority) SetOrganisations(now time.Time, organisations []api.Organisation) {
+	a.Advance(now)
+	for _, b := range a.buckets {
+		b.removed = true
+	}
+	for _, o := range organisations {
+		b := a.buckets[o.ID]
+		if b == nil {
+			b = &bucket{last: a.start}
+			a.buckets[o.ID] = b
+		}
+		b.rate, b.burst, b.removed = o.Rate, o.Burst, false
+		b.refill(now)
+	}
+}
+
+// Report takes in the report of a session, renews the validity of its tokens and returns
+// the cumulative number of tokens issued to it by organisation. Repeated and reordered
+// reports do no harm, because counts never fall. It costs time only in the organisations
+// of the report; the caller runs Advance at its own interval.
+func (a *Authority) Report(now time.Time, session api.SessionID, reports map[api.OrganisationID]api.TokenReport) map[api.OrganisationID]int64 {
+	h := a.sessions[session]
+	if h == nil {
+		h = &holder{accounts: make(map[api.OrganisationID]*account)}
+		a.sessions[session] = h
+	}
+	h.deadline = now.Add(a.span)
+	issued := make(map[api.OrganisationID]int64)
+	for id, r := range reports {
+		b := a.buckets[id]
+		if b == nil {
+			continue
+		}
+		b.refill(now)
+		acc := h.update(b, id, r)
+		if !now.Before(a.start) {
+			b.issue(acc)
+		}
+	}
+	for id, acc := range h.accounts {
+		issued[id] = acc.issued
+	}
+	return issued
+}
+
+// EndSession ends the demand of a session. Its outstanding tokens count until the span
+// has passed since its last report.
+func (a *Authority) EndSession(session api.SessionID) {
+	h := a.sessions[session]
+	if h == nil {
+		return
+	}
+	for id, acc := range h.accounts {
+		a.buckets[id].wanted -= acc.wanted
+		acc.wanted = 0
+	}
+}
+
+// Advance refills the buckets and counts the outstanding tokens of sessions that have
+// been silent for the span as spent: they may have been, and cannot be any more.
+func (a *Authority) Advance(now time.Time) {
+	for _, b := range a.buckets {
+		b.refill(now)
+	}
+	for id, h := range a.sessions {
+		if now.Before(h.deadline) {
+			continue
+		}
+		a.EndSession(id)
+		for org, acc := range h.accounts {
+			a.buckets[org].outstanding -= acc.outstanding()
+		}
+		delete(a.sessions, id)
+	}
+	for id, b := range a.buckets {
+		if b.removed && b.full() && !a.held(id) {
+			delete(a.buckets, id)
+		}
+	}
+}
+
+func (a *Authority) held(id api.OrganisationID) bool {
+	for _, h := range a.sessions {
+		if h.accounts[id] != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// Status returns the level and the outstanding tokens of each organisation, by id.
+func (a *Authority) Status(now time.Time) []api.OrgTokensStatus {
+	a.Advance(now)
+	var list []api.OrgTokensStatus
+	for id, b := range a.buckets {
+		if !b.removed {
+			list = append(list, api.OrgTokensStatus{ID: id, Level: b.level, Outstanding: float64(b.outstanding)})
+		}
+	}
+	slices.SortFunc(list, func(x, y api.OrgTokensStatus) int { return cmp.Compare(x.ID, y.ID) })
+	return list
+}
+
+// update takes in one report. The first report of an account is its baseline: a leader
+// takes over what the node holds, without gain for the level.
+func (h *holder) update(b *bucket, id api.OrganisationID, r api.TokenReport) *account {
+	acc := h.accounts[id]
+	if acc == nil {
+		acc = &account{issued: max(r.Issued, 0), settled: max(r.Settled, 0), returned: max(r.Returned, 0)}
+		acc.issued = max(acc.issued, acc.settled+acc.returned)
+		h.accounts[id] = acc
+		b.outstanding += acc.outstanding()
+	}
+	acc.take(b, r)
+	b.clamp()
+	b.wanted -= acc.wanted
+	acc.wanted = max(r.Demand-acc.outstanding(), 0)
+	if b.removed {
+		acc.wanted = 0
+	}
+	b.wanted += acc.wanted
+	return acc
+}
+
+// take applies the growth of the cumulative counts. Growth beyond the outstanding tokens
+// would be a fault of the node and is ignored.
+func (acc *account) take(b *bucket, r api.TokenReport) {
+	settled := min(max(r.Settled-acc.settled, 0), acc.outstanding())
+	acc.settled += settled
+	returned := min(max(r.Returned-acc.returned, 0), acc.outstanding())
+	acc.returned += returned
+	b.outstanding -= settled + returned
+	b.level += float64(returned)
+}
+
+// issue gives the account its share of the level, in proportion to its unmet demand. The
+// share is rounded up, because with many small demands each would round down to nothing.
+func (b *bucket) issue(acc *account) {
+	if acc.wanted <= 0 || b.level < 1 {
+		return
+	}
+	share := math.Ceil(b.level * float64(acc.wanted) / float64(b.wanted))
+	n := min(int64(share), acc.wanted, int64(b.level))
+	acc.issued += n
+	acc.wanted -= n
+	b.wanted -= n
+	b.outstanding += n
+	b.level -= float64(n)
+}
+
+func (b *bucket) refill(now time.Time) {
+	if elapsed := now.Sub(b.last); elapsed > 0 {
+		b.level += b.rate * elapsed.Seconds()
+		b.last = now
+	}
+	b.clamp()
+}
+
+// clamp keeps level + outstanding within the burst.
+func (b *bucket) clamp() {
+	b.level = max(min(b.level, b.burst-float64(b.outstanding)), 0)
+}
+
+func (b *bucket) full() bool { return b.level >= b.burst }
--- /dev/null
+++ b/tokens/authority_test.go
@@ -0,0 +1,244 @@
+package tokens
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/zinniapier/zinniapier/api"
+)
+
+const (
+	testOrg   = api.OrganisationID("org")
+	testLease = 700 * time.Millisecond
+	testSpan  = 750 * time.Millisecond
+)
+
+// modelNode follows the rules of the node side: one heartbeat outstanding, the lease
+// counted from its sending, and unspent tokens given up when the lease has ended.
+type modelNode struct {
+	session                   api.SessionID
+	leaseEnd                  time.Time
+	issued, settled, returned int64
+	sentAt                    time.Time
+	heartbeat                 int // number of the outstanding heartbeat
+}
+
+type modelMessage struct {
+	node      int
+	session   api.SessionID
+	heartbeat int
+	sentAt    time.Time
+	report    api.TokenReport
+	issued    int64
+}
+
+type admission struct {
+	at time.Time
+	n  int64
+}
+
+type fleet struct {
+	now       time.Time
+	org       api.Organisation
+	authority *Authority
+	nodes     []*modelNode
+	requests  []modelMessage
+	replies   []modelMessage
+	admitted  []admission
+	sessions  int
+}
+
+func newFleet(rate, burst float64) *fleet {
+	f := &fleet{now: time.Unix(1000, 0), org: api.Organisation{ID: testOrg, Rate: rate, Burst: burst}}
+	f.failover()
+	for range 3 {
+		f.nodes = append(f.nodes, f.newNode())
+	}
+	return f
+}
+
+func (f *fleet) newNode() *modelNode {
+	f.sessions++
+	return &modelNode{session: api.SessionID(string(rune('a' + f.sessions)))}
+}
+
+func (f *fleet) failover() {
+	f.authority = NewAuthority(f.now, testSpan)
+	f.authority.SetOrganisations(f.now, []api.Organisation{f.org})
+}
+
+func (f *fleet) send(i int, demand int64) {
+	n := f.nodes[i]
+	if !f.now.Before(n.leaseEnd) {
+		n.returned = n.issued - n.settled
+	}
+	n.heartbeat++
+	report := api.TokenReport{Issued: n.issued, Settled: n.settled, Returned: n.returned, Demand: demand}
+	f.requests = append(f.requests, modelMessage{i, n.session, n.heartbeat, f.now, report, 0})
+}
+
+func take(list *[]modelMessage, i int) modelMessage {
+	m := (*list)[i]
+	*list = append((*list)[:i:i], (*list)[i+1:]...)
+	return m
+}
+
+func (f *fleet) process(i int) {
+	m := take(&f.requests, i)
+	m.issued = f.authority.Report(f.now, m.session, map[api.OrganisationID]api.TokenReport{testOrg: m.report})[testOrg]
+	f.replies = append(f.replies, m)
+}
+
+func (f *fleet) deliver(i int) {
+	m := take(&f.replies, i)
+	n := f.nodes[m.node]
+	if n.session != m.session || n.heartbeat != m.heartbeat {
+		return // late: the node has abandoned this heartbeat
+	}
+	n.issued = max(n.issued, m.issued)
+	n.leaseEnd = m.sentAt.Add(testLease)
+}
+
+func (f *fleet) admit(i int, n int64) {
+	node := f.nodes[i]
+	if !f.now.Before(node.leaseEnd) {
+		return
+	}
+	n = min(n, node.issued-node.settled-node.returned)
+	node.settled += n
+	f.admitted = append(f.admitted, admission{f.now, n})
+}
+
+// excess returns by how much the worst window exceeds burst + rate x t.
+func (f *fleet) excess() float64 {
+	worst := -f.org.Burst
+	for i, first := range f.admitted {
+		sum := 0.0
+		for _, a := range f.admitted[i:] {
+			sum += float64(a.n)
+			worst = max(worst, sum-f.org.Burst-f.org.Rate*a.at.Sub(first.at).Seconds())
+		}
+	}
+	return worst
+}
+
+func (f *fleet) sum() float64 {
+	s := f.authority.Status(f.now)[0]
+	return s.Level + s.Outstanding
+}
+
+// Guards against admission beyond burst + rate x t in any window when messages are lost,
+// late or reordered, sessions end, and the leader fails over.
+func TestAuthorityWindowBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(float64(rapid.IntRange(1, 200).Draw(t, "rate")), float64(rapid.IntRange(1, 100).Draw(t, "burst")))
+		node := rapid.IntRange(0, len(f.nodes)-1)
+		pick := func(list []modelMessage) int {
+			if len(list) == 0 {
+				t.Skip("no message")
+			}
+			return rapid.IntRange(0, len(list)-1).Draw(t, "message")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				if e := f.excess(); e > 1e-6 {
+					t.Fatalf("admitted %v beyond the bound", e)
+				}
+			},
+			"advance": func(t *rapid.T) {
+				f.now = f.now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond)
+			},
+			"expire":    func(*rapid.T) { f.authority.Advance(f.now) },
+			"heartbeat": func(t *rapid.T) { f.roundTrip(node.Draw(t, "node"), 100) },
+			"send":      func(t *rapid.T) { f.send(node.Draw(t, "node"), int64(rapid.IntRange(0, 100).Draw(t, "demand"))) },
+			"process":   func(*rapid.T) { f.process(pick(f.requests)) },
+			"deliver":   func(*rapid.T) { f.deliver(pick(f.replies)) },
+			"lose":      func(*rapid.T) { take(&f.replies, pick(f.replies)) },
+			"admit": func(t *rapid.T) {
+				f.admit(node.Draw(t, "node"), int64(rapid.IntRange(1, 100).Draw(t, "n")))
+			},
+			"return": func(t *rapid.T) {
+				n := f.nodes[node.Draw(t, "node")]
+				n.returned += (n.issued - n.settled - n.returned) / 2
+			},
+			"restart node": func(t *rapid.T) { f.nodes[node.Draw(t, "node")] = f.newNode() },
+			"end session":  func(t *rapid.T) { f.authority.EndSession(f.nodes[node.Draw(t, "node")].session) },
+			"failover":     func(*rapid.T) { f.failover() },
+		})
+	})
+}
+
+func (f *fleet) roundTrip(i int, demand int64) {
+	f.send(i, demand)
+	f.process(len(f.requests) - 1)
+	f.deliver(len(f.replies) - 1)
+}
+
+// Guards against an authority that is safe only because it issues nothing: a node with
+// steady demand must get the rate.
+func TestAuthorityIssuesTheRate(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(100, 50)
+	for range 200 {
+		f.now = f.now.Add(100 * time.Millisecond)
+		f.roundTrip(0, 50)
+		f.admit(0, 50)
+	}
+	sum := int64(0)
+	for _, a := range f.admitted {
+		sum += a.n
+	}
+	is.True(sum >= 1850) // 20 s at 100/s, less the wait of a new leader
+}
+
+// Guards against a lowered burst that leaves the old level to be issued.
+func TestAuthorityLoweredBurst(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(100, 100)
+	f.now = f.now.Add(10 * time.Second)
+	f.roundTrip(0, 60)
+	f.org.Burst = 10
+	f.authority.SetOrganisations(f.now, []api.Organisation{f.org})
+	f.roundTrip(1, 100)
+	is.Equal(f.nodes[1].issued, int64(0)) // 60 are outstanding
+	f.admit(0, 60)
+	f.roundTrip(0, 0)
+	f.now = f.now.Add(time.Second)
+	f.roundTrip(1, 100)
+	is.Equal(f.nodes[1].issued, int64(10))
+	is.True(f.sum() <= 10)
+}
+
+// Guards against a refill of the bucket by removing and adding an organisation.
+func TestAuthorityRemoveAndAdd(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 50)
+	f.now = f.now.Add(time.Minute)
+	f.roundTrip(0, 50)
+	f.admit(0, 50)
+	f.roundTrip(0, 0)
+	f.authority.SetOrganisations(f.now, nil)
+	f.authority.SetOrganisations(f.now, []api.Organisation{f.org})
+	f.roundTrip(1, 50)
+	is.Equal(f.nodes[1].issued, int64(0))
+}
+
+// Guards against starvation of a small demand beside a large one, and of many small
+// demands whose shares are all below one token.
+func TestAuthorityShares(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(10, 10)
+	f.now = f.now.Add(time.Minute)
+	f.roundTrip(0, 0)
+	f.authority.buckets[testOrg].level = 0
+	f.roundTrip(0, 90)
+	f.roundTrip(1, 10)
+	f.now = f.now.Add(time.Second)
+	f.roundTrip(0, 90)
+	f.roundTrip(1, 10)
+	is.Equal(f.nodes[0].issued, int64(9))
+	is.Equal(f.nodes[1].issued, int64(1))
+}
