--- /dev/null
+++ b/state/batch.go
@@ -0,0 +1,174 @@
+package state
+
+import (
+	"slices"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/errkind"
+)
+
+// editor applies steps to a state whose assignment slices are shared with published
+// views; each slice is copied before its first change.
+type editor struct {
+	state   *api.ControlState
+	copied  map[string]bool
+	changed []api.PartitionRef
+}
+
+func newEditor(next *api.ControlState) *editor {
+	return &editor{state: next, copied: make(map[string]bool)}
+}
+
+// list returns the assignments of the service for modification, or nil when it has none.
+func (e *editor) list(service string) []api.Assignment {
+	list, ok := e.state.Assignments[service]
+	if !ok || e.copied[service] {
+		return list
+	}
+	e.own()
+	list = slices.Clone(list)
+	e.set(service, list)
+	return list
+}
+
+// own copies the map itself before its first change.
+func (e *editor) own() {
+	if len(e.copied) > 0 {
+		return
+	}
+	next := make(api.Assignments, len(e.state.Assignments))
+	for name, list := range e.state.Assignments {
+		next[name] = list
+	}
+	e.state.Assignments = next
+}
+
+func (e *editor) set(service string, list []api.Assignment) {
+	e.own()
+	e.copied[service] = true
+	e.state.Assignments[service] = list
+}
+
+// find returns the assignment for modification if it has the expected epoch and one of
+// the states.
+func (e *editor) find(s Step, states ...api.AssignmentState) (*api.Assignment, *errkind.Error) {
+	list := e.state.Assignments[s.Service]
+	if s.Partition < 0 || s.Partition >= len(list) {
+		return nil, errkind.New(errkind.NotFound, "no partition %d of service %q", s.Partition, s.Service)
+	}
+	a := list[s.Partition]
+	if a.Epoch != s.Expected {
+		return nil, errkind.New(errkind.StaleEpoch, "partition %d of %q has epoch %d, expected %d",
+			s.Partition, s.Service, a.Epoch, s.Expected)
+	}
+	if !slices.Contains(states, a.State) {
+		return nil, errkind.New(errkind.Conflict, "partition %d of %q is %q", s.Partition, s.Service, a.State)
+	}
+	return &e.list(s.Service)[s.Partition], nil
+}
+
+func (e *editor) release(s Step) *errkind.Error {
+	a, err := e.find(s, api.Granted, api.Releasing)
+	if err != nil {
+		return err
+	}
+	// The epoch stays, so that a grant names the assignment that it follows.
+	*a = api.Assignment{Epoch: a.Epoch}
+	return nil
+}
+
+func (e *editor) revoke(s Step) *errkind.Error {
+	a, err := e.find(s, api.Granted)
+	if err != nil {
+		return err
+	}
+	a.State = api.Releasing
+	return nil
+}
+
+func (e *editor) grant(g Grant) *errkind.Error {
+	if e.state.Configuration.Services.Find(g.Service) == nil {
+		return errkind.New(errkind.NotFound, "no service %q", g.Service)
+	}
+	a, err := e.find(g.Step, api.Unassigned)
+	if err != nil {
+		return err
+	}
+	*a = api.Assignment{State: api.Granted, Target: g.Target, Session: g.Session, Epoch: api.Epoch(e.state.Index)}
+	return nil
+}
+
+func (m *Machine) applyBatch(next *api.ControlState, b *Batch) any {
+	if b.Term < m.term {
+		return errkind.New(errkind.StaleEpoch, "batch of term %d after term %d", b.Term, m.term)
+	}
+	m.term = b.Term
+	e := newEditor(next)
+	result := &BatchResult{}
+	record := func(ref api.PartitionRef, err *errkind.Error) {
+		if err != nil {
+			result.Rejected = append(result.Rejected, Rejection{ref, err})
+			return
+		}
+		result.Applied++
+		e.changed = append(e.changed, ref)
+	}
+	for _, s := range b.Releases {
+		record(s.PartitionRef, e.release(s))
+	}
+	for _, s := range b.Revokes {
+		record(s.PartitionRef, e.revoke(s))
+	}
+	for _, g := range b.Grants {
+		record(g.PartitionRef, e.grant(g))
+	}
+	for _, o := range b.Overrides {
+		ref, err := e.override(o)
+		record(ref, err)
+	}
+	pruned := e.prune()
+	m.publish(e, pruned)
+	return result
+}
+
+// publish records the changed assignments under a new map version. full says that a
+// service has gone, which a delta cannot express.
+func (m *Machine) publish(e *editor, full bool) {
+	if len(e.changed) == 0 && !full {
+		return
+	}
+	e.state.MapVersion = e.state.Index
+	if full {
+		m.history.reset(e.state.MapVersion)
+		return
+	}
+	m.history.add(e.state.MapVersion, e.changed)
+}
+
+// prune drops the assignments of removed services of which nobody owns a partition any
+// more.
+func (e *editor) prune() bool {
+	pruned := false
+	for _, name := range e.removedServices() {
+		held := slices.ContainsFunc(e.state.Assignments[name], func(a api.Assignment) bool {
+			return a.State != api.Unassigned
+		})
+		if !held {
+			e.own()
+			e.copied[name] = true
+			delete(e.state.Assignments, name)
+			pruned = true
+		}
+	}
+	return pruned
+}
+
+func (e *editor) removedServices() []string {
+	var names []string
+	for name := range e.state.Assignments {
+		if e.state.Configuration.Services.Find(name) == nil {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/state/change.go
@@ -0,0 +1,157 @@
+package state
+
+import (
+	"math"
+	"slices"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/errkind"
+)
+
+// applyChange applies an operator's change, or repeats the first answer to its id.
+func (m *Machine) applyChange(next *api.ControlState, c *api.Change) *api.ChangeResult {
+	if c.ID == "" {
+		err := errkind.New(errkind.Invalid, "change without id")
+		return &api.ChangeResult{Version: next.Configuration.Version, Error: err}
+	}
+	if first, ok := m.results.byID[c.ID]; ok {
+		return first
+	}
+	result := m.decide(next, c)
+	m.results.add(c.ID, result)
+	return result
+}
+
+func (m *Machine) decide(next *api.ControlState, c *api.Change) *api.ChangeResult {
+	current := next.Configuration.Version
+	if c.BaseVersion != current {
+		err := errkind.New(errkind.Conflict, "based on version %d, current is %d", c.BaseVersion, current)
+		return &api.ChangeResult{Version: current, Error: err}
+	}
+	changed := *next
+	e := newEditor(&changed)
+	if err := e.change(c); err != nil {
+		return &api.ChangeResult{Version: current, Error: err}
+	}
+	changed.Configuration.Version = changed.Index
+	*next = changed
+	e.state = next
+	m.publish(e, e.prune())
+	return &api.ChangeResult{Version: next.Index}
+}
+
+func (e *editor) change(c *api.Change) *errkind.Error {
+	cfg := &e.state.Configuration
+	switch c.Kind {
+	case api.ApplyServices:
+		return e.applyServices(c.Services)
+	case api.PutOrganisation:
+		return putOrganisation(cfg, c.Organisation)
+	case api.RemoveOrganisation:
+		return removeOrganisation(cfg, api.OrganisationID(c.Name))
+	case api.GrantKey:
+		return grantKey(cfg, c.Key)
+	case api.WithdrawKey:
+		return remove(&cfg.Keys, "organisation key", c.Name, func(k api.OrganisationKey) bool { return k.ID == c.Name })
+	case api.ZoneOut:
+		return include(&cfg.ZonesOut, "availability zone", c.Name)
+	case api.ZoneIn:
+		return remove(&cfg.ZonesOut, "availability zone out", c.Name, func(z string) bool { return z == c.Name })
+	case api.TargetOut:
+		return include(&cfg.TargetsOut, "target", api.TargetID(c.Name))
+	case api.TargetIn:
+		id := api.TargetID(c.Name)
+		return remove(&cfg.TargetsOut, "target out", c.Name, func(t api.TargetID) bool { return t == id })
+	case api.AddOverride:
+		return e.addOverride(c.Override)
+	}
+	return errkind.New(errkind.Invalid, "unknown kind of change %q", c.Kind)
+}
+
+// include adds a name; one that is present already is accepted.
+func include[T ~string](list *[]T, what string, name T) *errkind.Error {
+	if name == "" {
+		return errkind.New(errkind.Invalid, "%s without name", what)
+	}
+	if !slices.Contains(*list, name) {
+		*list = append(slices.Clone(*list), name)
+	}
+	return nil
+}
+
+func remove[T any](list *[]T, what, name string, match func(T) bool) *errkind.Error {
+	if !slices.ContainsFunc(*list, match) {
+		return errkind.New(errkind.NotFound, "no %s %q", what, name)
+	}
+	*list = slices.DeleteFunc(slices.Clone(*list), match)
+	return nil
+}
+
+func findOrganisation(cfg *api.Configuration, id api.OrganisationID) int {
+	return slices.IndexFunc(cfg.Organisations, func(o api.Organisation) bool { return o.ID == id })
+}
+
+func putOrganisation(cfg *api.Configuration, o *api.Organisation) *errkind.Error {
+	if o == nil || o.ID == "" {
+		return errkind.New(errkind.Invalid, "organisation without id")
+	}
+	if !positive(o.Rate) || !positive(o.Burst) || o.Burst < 1 {
+		return errkind.New(errkind.Invalid, "organisation %q: rate must be above 0 and burst at least 1", o.ID)
+	}
+	added := *o
+	if added.Weight == 0 {
+		added.Weight = 1
+	}
+	if !positive(added.Weight) {
+		return errkind.New(errkind.Invalid, "organisation %q: weight must be above 0", o.ID)
+	}
+	cfg.Organisations = slices.Clone(cfg.Organisations)
+	if i := findOrganisation(cfg, o.ID); i >= 0 {
+		cfg.Organisations[i] = added
+		return nil
+	}
+	cfg.Organisations = append(cfg.Organisations, added)
+	return nil
+}
+
+func positive(v float64) bool { return v > 0 && !math.IsInf(v, 0) }
+
+// removeOrganisation removes the organisation and withdraws its keys.
+func removeOrganisation(cfg *api.Configuration, id api.OrganisationID) *errkind.Error {
+	err := remove(&cfg.Organisations, "organisation", string(id), func(o api.Organisation) bool { return o.ID == id })
+	if err != nil {
+		return err
+	}
+	cfg.Keys = slices.DeleteFunc(slices.Clone(cfg.Keys), func(k api.OrganisationKey) bool { return k.Organisation == id })
+	return nil
+}
+
+// digestLength is the length of a SHA-256 digest in hex.
+const digestLength = 64
+
+func grantKey(cfg *api.Configuration, k *api.OrganisationKey) *errkind.Error {
+	if k == nil || k.ID == "" || len(k.Digest) != digestLength {
+		return errkind.New(errkind.Invalid, "organisation key needs an id and a SHA-256 digest in hex")
+	}
+	if findOrganisation(cfg, k.Organisation) < 0 {
+		return errkind.New(errkind.NotFound, "no organisation %q", k.Organisation)
+	}
+	for _, have := range cfg.Keys {
+		if have.ID == k.ID || have.Digest == k.Digest {
+			return errkind.New(errkind.Invalid, "organisation key %q exists, or another one has its digest", k.ID)
+		}
+	}
+	cfg.Keys = append(slices.Clone(cfg.Keys), *k)
+	return nil
+}
+
+func (e *editor) addOverride(o *api.Override) *errkind.Error {
+	if o == nil || o.Key == "" {
+		return errkind.New(errkind.Invalid, "override without key")
+	}
+	ref, err := e.override(OverrideKey{Service: o.Service, Key: o.Key})
+	if err == nil {
+		e.changed = append(e.changed, ref)
+	}
+	return err
+}
--- /dev/null
+++ b/state/override.go
@@ -0,0 +1,56 @@
+package state
+
+import (
+	"slices"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/errkind"
+)
+
+// MaxOverrides bounds the overrides of single hot keys of a service; it is the number of
+// hottest keys that the two-year size calls for.
+const MaxOverrides = 210
+
+// override appends a partition for a single key. It starts with the owner of the key's
+// hash partition, so that the key has one owner throughout.
+func (e *editor) override(o OverrideKey) (api.PartitionRef, *errkind.Error) {
+	ref := api.PartitionRef{Service: o.Service, Partition: -1}
+	service := e.state.Configuration.Services.Find(o.Service)
+	if service == nil || !service.Divided() {
+		return ref, errkind.New(errkind.NotFound, "no service %q divided by key", o.Service)
+	}
+	if err := e.checkOverride(o); err != nil {
+		return ref, err
+	}
+	list := e.list(o.Service)
+	owner := list[api.PartitionOf(o.Key, service.Partitions)]
+	if owner.State == api.Releasing {
+		return ref, errkind.New(errkind.Conflict, "the partition of key %q is being moved", o.Key)
+	}
+	owner.Epoch = api.Epoch(e.state.Index)
+	ref.Partition = len(list)
+	e.set(o.Service, append(list, owner))
+	c := &e.state.Configuration
+	c.Overrides = append(slices.Clone(c.Overrides), api.Override{
+		Service: o.Service, Key: o.Key, Partition: ref.Partition, Version: e.state.Index,
+	})
+	c.Version = e.state.Index
+	return ref, nil
+}
+
+func (e *editor) checkOverride(o OverrideKey) *errkind.Error {
+	n := 0
+	for _, have := range e.state.Configuration.Overrides {
+		if have.Service != o.Service {
+			continue
+		}
+		if have.Key == o.Key {
+			return errkind.New(errkind.Invalid, "key %q of %q has an override", o.Key, o.Service)
+		}
+		n++
+	}
+	if n >= MaxOverrides {
+		return errkind.New(errkind.Invalid, "service %q has %d overrides", o.Service, n)
+	}
+	return nil
+}
--- /dev/null
+++ b/state/services.go
@@ -0,0 +1,90 @@
+package state
+
+import (
+	"slices"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/errkind"
+)
+
+const (
+	// defaultPartitions is the number of partitions of a service that does not state one.
+	defaultPartitions = 64
+	// maxPartitions bounds the map that every node holds.
+	maxPartitions = 1 << 16
+)
+
+// applyServices replaces the services. The assignments of a removed service stay until
+// its partitions have been released; until then it cannot be added again.
+func (e *editor) applyServices(s *api.Services) *errkind.Error {
+	if s == nil {
+		return errkind.New(errkind.Invalid, "no services")
+	}
+	services := api.Services{Services: slices.Clone(s.Services)}
+	for i := range services.Services {
+		v := &services.Services[i]
+		if v.Divided() && v.Partitions == 0 {
+			v.Partitions = defaultPartitions
+		}
+		if err := e.checkService(v, services.Services[:i]); err != nil {
+			return err
+		}
+	}
+	if err := checkDependencies(&services); err != nil {
+		return err
+	}
+	old := e.state.Configuration.Services
+	e.state.Configuration.Services = services
+	e.dropOverrides()
+	for _, v := range services.Services {
+		if old.Find(v.Name) == nil && v.Divided() {
+			e.create(v)
+		}
+	}
+	return nil
+}
+
+func (e *editor) checkService(v *api.Service, before []api.Service) *errkind.Error {
+	if v.Name == "" {
+		return errkind.New(errkind.Invalid, "service without name")
+	}
+	if slices.ContainsFunc(before, func(b api.Service) bool { return b.Name == v.Name }) {
+		return errkind.New(errkind.Invalid, "service %q appears twice", v.Name)
+	}
+	if v.Divided() && (v.Partitions < 1 || v.Partitions > maxPartitions) {
+		return errkind.New(errkind.Invalid, "service %q: partitions must be 1 to %d", v.Name, maxPartitions)
+	}
+	old := e.state.Configuration.Services.Find(v.Name)
+	if old != nil && (old.Divided() != v.Divided() || v.Divided() && old.Partitions != v.Partitions) {
+		return errkind.New(errkind.Invalid, "service %q: the number of partitions cannot change", v.Name)
+	}
+	if _, releasing := e.state.Assignments[v.Name]; old == nil && releasing {
+		return errkind.New(errkind.Conflict, "service %q was removed and is still being released", v.Name)
+	}
+	return nil
+}
+
+func checkDependencies(s *api.Services) *errkind.Error {
+	for _, v := range s.Services {
+		for _, name := range v.DependsOn {
+			if s.Find(name) == nil {
+				return errkind.New(errkind.Invalid, "service %q depends on unknown service %q", v.Name, name)
+			}
+		}
+	}
+	return nil
+}
+
+func (e *editor) dropOverrides() {
+	c := &e.state.Configuration
+	c.Overrides = slices.DeleteFunc(slices.Clone(c.Overrides), func(o api.Override) bool {
+		return c.Services.Find(o.Service) == nil
+	})
+}
+
+func (e *editor) create(v api.Service) {
+	e.set(v.Name, make([]api.Assignment, v.Partitions))
+	for i := range v.Partitions {
+		e.changed = append(e.changed, api.PartitionRef{Service: v.Name, Partition: i})
+	}
+}
