Add the node's session loop and token account

The lease is counted from the send time of a heartbeat. A session whose leader answers unknown-member begins anew under a new id. Tokens end with the lease: the account has an Expire call for that, which the session makes before it builds the next heartbeat. Not yet tested.

--- /dev/null
+++ b/session/beat.go
@@ -0,0 +1,119 @@
+package session
+
+import (
+	"context"
+	"time"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/telemetry"
+)
+
+const heartbeatMethod = "Control.Heartbeat"
+
+// heartbeat builds the next heartbeat. When the lease has run out, the tokens are told first,
+// so that their counts are those of a node without a lease.
+func (s *Session) heartbeat(now time.Time) *api.HeartbeatRequest {
+	s.noteLapse(now)
+	s.sequence++
+	v := s.view.Load()
+	return &api.HeartbeatRequest{
+		Session:       v.Session,
+		Sequence:      s.sequence,
+		Name:          s.o.Name,
+		Zone:          s.o.Zone,
+		InternalAddr:  s.o.InternalAddr,
+		FateAddr:      s.o.FateAddr,
+		CallerAddr:    s.o.CallerAddr,
+		ConfigVersion: configVersion(v),
+		MapVersion:    v.MapVersion,
+		PeersVersion:  v.PeersVersion,
+		Targets:       s.o.Source.Targets(),
+		Released:      s.o.Source.Released(),
+		Tokens:        s.o.Tokens.Report(),
+		Leaving:       s.leaving.Load(),
+	}
+}
+
+func (s *Session) noteLapse(now time.Time) {
+	if s.lapsed || s.view.Load().LeaseValid(now) {
+		return
+	}
+	s.lapsed = true
+	s.o.Tokens.Expire()
+	telemetry.CountEvent("lease_lapsed", 1)
+	telemetry.Logger("session").Warn("session lease has run out")
+}
+
+// beat sends one heartbeat to the current member and takes over the answer. After a failure
+// the next call goes to another member.
+func (s *Session) beat(ctx context.Context, req *api.HeartbeatRequest) error {
+	// The lease counts from here: the leader cannot have received the heartbeat earlier.
+	sent := time.Now()
+	reply, err := s.send(ctx, req)
+	if err == nil {
+		err = s.accept(req, reply, sent)
+	}
+	if err == nil {
+		return nil
+	}
+	s.fail(err)
+	return err
+}
+
+// send calls the current member. It returns at the latest after the member timeout, even when
+// the connection takes no more bytes; the call is then abandoned and its reply never read.
+func (s *Session) send(ctx context.Context, req *api.HeartbeatRequest) (*api.HeartbeatReply, error) {
+	callCtx, cancel := context.WithTimeout(ctx, s.o.MemberTimeout)
+	defer cancel()
+	client := s.members.client()
+	reply := new(api.HeartbeatReply)
+	result := make(chan error, 1)
+	go func() { result <- client.Call(callCtx, heartbeatMethod, req, reply) }()
+	select {
+	case err := <-result:
+		return reply, err
+	case <-callCtx.Done():
+		return nil, errkind.New(errkind.Unknown, "no answer from %s: %v", client.Address(), callCtx.Err())
+	}
+}
+
+// fail selects the member for the next heartbeat. A leader that does not know the session has
+// given its grants to others, so a new session begins.
+func (s *Session) fail(err error) {
+	if errkind.Of(err) == errkind.UnknownMember {
+		s.renew()
+		return
+	}
+	s.members.fail(err)
+}
+
+// renew begins a new session: a new id, no lease, nothing owned, no tokens.
+func (s *Session) renew() {
+	telemetry.CountEvent("session_renewed", 1)
+	telemetry.Logger("session").Warn("session ended by the control leader; starting a new one")
+	v := *s.view.Load()
+	v.Session = api.SessionID(api.NewID())
+	v.LeaseUntil = time.Time{}
+	s.lapsed = true
+	s.sequence = 0
+	s.o.Tokens.Reset()
+	s.publish(&v)
+}
+
+// accept checks the reply and publishes it. A refused reply changes nothing.
+func (s *Session) accept(req *api.HeartbeatRequest, reply *api.HeartbeatReply, sent time.Time) error {
+	old := s.view.Load()
+	if err := check(old, reply); err != nil {
+		telemetry.CountEvent("heartbeat_reply_refused", 1)
+		return err
+	}
+	next := merge(old, reply)
+	next.LeaseUntil = sent.Add(reply.Lease)
+	s.noteLapse(time.Now())
+	s.lapsed = !next.LeaseValid(time.Now())
+	s.o.Tokens.Apply(reply.Term, reply.Issued)
+	s.members.learn(reply.Members)
+	s.publish(next)
+	return nil
+}
--- /dev/null
+++ b/tokens/account.go
@@ -0,0 +1,188 @@
+package tokens
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/errkind"
+)
+
+const (
+	// maxTakeWait bounds the wait of one Take, whatever its context allows.
+	maxTakeWait = 2 * time.Second
+	// settleAfter is the time after which a token counts as spent without a call of Settle.
+	settleAfter = time.Second
+	// demandBeats is the number of heartbeats whose arrivals a node wants to hold tokens for:
+	// one until the next heartbeat and one in case that heartbeat is lost.
+	demandBeats = 2
+	// rateDecay is the share of the estimated arrival rate kept over a heartbeat with fewer arrivals.
+	rateDecay = 0.8
+	// idleDemand is the demand in tokens below which a node holds none.
+	idleDemand = 0.05
+	// lowWaterShare of the tokens held after an issue triggers an early heartbeat.
+	lowWaterShare = 4
+)
+
+// AccountOptions configure an Account.
+type AccountOptions struct {
+	// Organisation returns the configured organisation, or nil. It bounds the organisations
+	// that the account keeps counts for.
+	Organisation func(api.OrganisationID) *api.Organisation
+	// LeaseValid says whether the session lease covers now; tokens end with the lease.
+	LeaseValid func() bool
+	// Kick asks for a heartbeat at once. It must not block.
+	Kick func()
+	// Heartbeat is the interval between two heartbeats. Default api.DefaultHeartbeat.
+	Heartbeat time.Duration
+	// Now is the monotonic clock. Default time.Now.
+	Now func() time.Time
+}
+
+// Account holds the tokens that the control leader issued to this node. It is safe for
+// concurrent use.
+type Account struct {
+	o AccountOptions
+
+	mu   sync.RWMutex
+	term uint64
+	orgs map[api.OrganisationID]*orgAccount
+}
+
+// NewAccount returns an account without tokens.
+func NewAccount(o AccountOptions) *Account {
+	if o.Heartbeat <= 0 {
+		o.Heartbeat = api.DefaultHeartbeat
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Kick == nil {
+		o.Kick = func() {}
+	}
+	if o.LeaseValid == nil {
+		o.LeaseValid = func() bool { return true }
+	}
+	return &Account{o: o, orgs: make(map[api.OrganisationID]*orgAccount)}
+}
+
+// Take returns a token of the organisation. It waits in order of arrival until ctx ends,
+// for at most 2 s. Errors: Unauthenticated for an organisation that is not configured,
+// NoLease without a session lease, RateLimited otherwise.
+func (a *Account) Take(ctx context.Context, id api.OrganisationID) (*Token, error) {
+	limits := a.o.Organisation(id)
+	if limits == nil {
+		return nil, errkind.New(errkind.Unauthenticated, "organisation %s is not configured", id)
+	}
+	if !a.o.LeaseValid() {
+		return nil, errkind.New(errkind.NoLease, "no tokens without a session lease")
+	}
+	org := a.account(id)
+	token, w, kick := org.take(a.o.Now(), maxWaiters(limits))
+	if kick {
+		a.o.Kick()
+	}
+	if token != nil {
+		return token, nil
+	}
+	if w == nil {
+		return nil, errkind.New(errkind.RateLimited, "organisation %s is beyond its rate and burst", id)
+	}
+	return a.await(ctx, org, w)
+}
+
+func (a *Account) await(ctx context.Context, org *orgAccount, w *waiter) (*Token, error) {
+	timer := time.NewTimer(maxTakeWait)
+	defer timer.Stop()
+	select {
+	case token := <-w.ready:
+		return token, nil
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	org.abandon(w, a.o.Now(), a.o.LeaseValid())
+	return nil, errkind.New(errkind.RateLimited, "no token in time")
+}
+
+// maxWaiters is the number of requests that the organisation's whole rate and burst could
+// serve within maxTakeWait. A request behind that many others cannot get a token in time.
+func maxWaiters(o *api.Organisation) int {
+	return int(math.Ceil(o.Rate*maxTakeWait.Seconds() + o.Burst))
+}
+
+func (a *Account) account(id api.OrganisationID) *orgAccount {
+	a.mu.RLock()
+	org := a.orgs[id]
+	a.mu.RUnlock()
+	if org != nil {
+		return org
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.orgs[id] == nil {
+		a.orgs[id] = &orgAccount{now: a.o.Now, beat: a.o.Heartbeat, measured: a.o.Now()}
+	}
+	return a.orgs[id]
+}
+
+func (a *Account) snapshot() map[api.OrganisationID]*orgAccount {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	copied := make(map[api.OrganisationID]*orgAccount, len(a.orgs))
+	for id, org := range a.orgs {
+		copied[id] = org
+	}
+	return copied
+}
+
+// Report returns the counts for the next heartbeat. Tokens beyond the demand are counted as
+// returned from now on. A removed organisation is reported until it holds no token.
+func (a *Account) Report() map[api.OrganisationID]api.TokenReport {
+	now := a.o.Now()
+	reports := make(map[api.OrganisationID]api.TokenReport)
+	for id, org := range a.snapshot() {
+		configured := a.o.Organisation(id) != nil
+		report, outstanding := org.report(now, configured)
+		if configured || outstanding > 0 {
+			reports[id] = report
+		}
+	}
+	return reports
+}
+
+// Apply takes over the cumulative numbers of issued tokens that a leader of the term sent.
+// Lower terms and lower numbers are ignored, so that late and repeated replies are harmless.
+func (a *Account) Apply(term uint64, issued map[api.OrganisationID]int64) {
+	a.mu.Lock()
+	stale := term < a.term
+	a.term = max(term, a.term)
+	a.mu.Unlock()
+	if stale {
+		return
+	}
+	now := a.o.Now()
+	for id, count := range issued {
+		if a.o.Organisation(id) == nil {
+			continue
+		}
+		a.account(id).apply(now, count)
+	}
+}
+
+// Expire returns every token that has not been taken and settles the others. The session calls
+// it when the lease has run out, since the leader may have given the tokens to others.
+func (a *Account) Expire() {
+	for _, org := range a.snapshot() {
+		org.expire()
+	}
+}
+
+// Reset forgets all counts, for a new session. Tokens taken before have no further effect,
+// and waiting requests wait for tokens of the new session.
+func (a *Account) Reset() {
+	for _, org := range a.snapshot() {
+		org.reset()
+	}
+}
--- /dev/null
+++ b/tokens/account_org.go
@@ -0,0 +1,233 @@
+package tokens
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/zinniapier/zinniapier/api"
+)
+
+// Token is one admission of an organisation. Settle and Refund are safe for concurrent use;
+// the first call decides.
+type Token struct {
+	org        *orgAccount
+	generation uint64
+	taken      time.Time
+	done       bool // guarded by org.mu
+}
+
+// Settle counts the token as spent for good. A token that is neither settled nor refunded
+// settles by itself after 1 s.
+func (t *Token) Settle() {
+	t.org.mu.Lock()
+	defer t.org.mu.Unlock()
+	t.org.settle(t)
+}
+
+// Refund gives the token back, for a request that did not run. It has no effect on a token
+// that has settled.
+func (t *Token) Refund() {
+	t.org.mu.Lock()
+	defer t.org.mu.Unlock()
+	t.org.refund(t, t.org.now())
+}
+
+type waiter struct {
+	ready chan *Token // buffered for one token
+}
+
+// orgAccount is the account of one organisation. At any time
+// issued = settled + returned + free + unsettled.
+type orgAccount struct {
+	mu         sync.Mutex
+	generation uint64
+	issued     int64
+	settled    int64
+	returned   int64
+	free       int64
+	// unsettled holds the taken tokens in order of time; finished ones are removed from its front.
+	unsettled []*Token
+	waiters   []*waiter
+
+	now      func() time.Time
+	beat     time.Duration
+	lowWater int64
+	kicked   bool // a heartbeat was asked for since the last issue
+	lastKick time.Time
+	arrivals int64
+	measured time.Time
+	rate     float64 // arrivals per second
+}
+
+// take returns a token, or a place in the queue, or neither when the queue holds limit
+// waiters. kick says that a heartbeat should be sent at once.
+func (o *orgAccount) take(now time.Time, limit int) (t *Token, w *waiter, kick bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sweep(now)
+	if o.free > 0 && len(o.waiters) == 0 {
+		o.arrivals++
+		t = o.issue(now)
+		return t, nil, o.short(now, o.free <= o.lowWater)
+	}
+	if len(o.waiters) >= limit {
+		return nil, nil, false
+	}
+	o.arrivals++
+	w = &waiter{ready: make(chan *Token, 1)}
+	o.waiters = append(o.waiters, w)
+	return nil, w, o.short(now, true)
+}
+
+// short says whether a heartbeat should be asked for: once after each issue, and not more
+// than once in half a heartbeat, since an organisation beyond its rate is always short.
+func (o *orgAccount) short(now time.Time, low bool) bool {
+	if !low || o.kicked || now.Sub(o.lastKick) < o.beat/2 {
+		return false
+	}
+	o.kicked = true
+	o.lastKick = now
+	return true
+}
+
+func (o *orgAccount) issue(now time.Time) *Token {
+	o.free--
+	t := &Token{org: o, generation: o.generation, taken: now}
+	o.unsettled = append(o.unsettled, t)
+	return t
+}
+
+func (o *orgAccount) serveWaiters(now time.Time) {
+	for o.free > 0 && len(o.waiters) > 0 {
+		w := o.waiters[0]
+		o.waiters = o.waiters[1:]
+		w.ready <- o.issue(now)
+	}
+}
+
+// abandon removes a waiter whose time is over. A token that reached it meanwhile goes back.
+func (o *orgAccount) abandon(w *waiter, now time.Time, leaseValid bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for i, other := range o.waiters {
+		if other == w {
+			o.waiters = append(o.waiters[:i:i], o.waiters[i+1:]...)
+			return
+		}
+	}
+	t := <-w.ready
+	if leaseValid {
+		o.refund(t, now)
+		return
+	}
+	o.settle(t)
+}
+
+func (o *orgAccount) settle(t *Token) {
+	if t.done || t.generation != o.generation {
+		return
+	}
+	t.done = true
+	o.settled++
+}
+
+func (o *orgAccount) refund(t *Token, now time.Time) {
+	if t.done || t.generation != o.generation {
+		return
+	}
+	if now.Sub(t.taken) >= settleAfter {
+		o.settle(t)
+		return
+	}
+	t.done = true
+	o.free++
+	o.serveWaiters(now)
+}
+
+// sweep settles tokens that are older than settleAfter.
+func (o *orgAccount) sweep(now time.Time) {
+	for len(o.unsettled) > 0 {
+		t := o.unsettled[0]
+		if !t.done && now.Sub(t.taken) < settleAfter {
+			return
+		}
+		o.settle(t)
+		o.unsettled[0] = nil
+		o.unsettled = o.unsettled[1:]
+	}
+}
+
+// report returns the counts and the number of outstanding tokens.
+func (o *orgAccount) report(now time.Time, configured bool) (api.TokenReport, int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sweep(now)
+	demand := int64(0)
+	if configured {
+		demand = o.demand(now)
+	}
+	if idle := o.free - demand; idle > 0 {
+		o.free -= idle
+		o.returned += idle
+	}
+	report := api.TokenReport{Issued: o.issued, Settled: o.settled, Returned: o.returned, Demand: demand}
+	return report, o.issued - o.settled - o.returned
+}
+
+func (o *orgAccount) demand(now time.Time) int64 {
+	o.measure(now)
+	wanted := o.rate * demandBeats * o.beat.Seconds()
+	if wanted < idleDemand {
+		wanted = 0
+	}
+	return int64(math.Ceil(wanted)) + int64(len(o.waiters))
+}
+
+// measure updates the arrival rate. An interval shorter than half a heartbeat, which follows
+// an early heartbeat, is too short for an estimate and is added to the next one.
+func (o *orgAccount) measure(now time.Time) {
+	elapsed := now.Sub(o.measured)
+	if elapsed < o.beat/2 {
+		return
+	}
+	current := float64(o.arrivals) / elapsed.Seconds()
+	o.rate = max(current, o.rate*rateDecay+current*(1-rateDecay))
+	o.arrivals = 0
+	o.measured = now
+}
+
+func (o *orgAccount) apply(now time.Time, issued int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.kicked = false
+	if issued <= o.issued {
+		return
+	}
+	o.free += issued - o.issued
+	o.issued = issued
+	o.serveWaiters(now)
+	o.lowWater = o.free / lowWaterShare
+}
+
+// expire returns the free tokens and settles the taken ones, so that none of the lapsed
+// lease can be used again after a refund.
+func (o *orgAccount) expire() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, t := range o.unsettled {
+		o.settle(t)
+	}
+	o.unsettled = nil
+	o.returned += o.free
+	o.free = 0
+}
+
+func (o *orgAccount) reset() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.generation++
+	o.issued, o.settled, o.returned, o.free = 0, 0, 0, 0
+	o.unsettled = nil
+	o.kicked = false
+}
