Add the registry of targets: announcements, orders, grants and Enter

Locks are taken in the order target, registry. Grants of a lost target end when a revoke is acknowledged, when the latest end of any order sent has passed, or when the connection is refused and nothing is in flight. Not yet tested.

--- /dev/null
+++ b/host/grants.go
@@ -0,0 +1,188 @@
+package host
+
+import (
+	"time"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/errkind"
+)
+
+// phase says how far a grant is in its life at the node.
+type phase int
+
+const (
+	granted  phase = iota // work is admitted
+	draining              // no new work; running work may finish
+	revoking              // left out of the orders; waits for the acknowledgement or the expiry
+)
+
+// cancelGrace is how long a release waits, after the target has acknowledged the revoke, for
+// cancelled attempts to come back. The target fences them off meanwhile.
+const cancelGrace = 500 * time.Millisecond
+
+// errMoved is the cause with which the attempts of a revoked grant are cancelled.
+var errMoved = errkind.New(errkind.Unknown, "the partition moved while the request was running")
+
+// grant is the ownership of one partition by the target.
+type grant struct {
+	partition int
+	epoch     api.Epoch
+	phase     phase
+	// report says that the end of the grant is to be reported; it is not when the map has
+	// already given the partition to another owner.
+	report   bool
+	attempts map[*attempt]struct{}
+	// usableUntil is the end that the target has acknowledged, on the node's clock.
+	usableUntil time.Time
+	// until is the latest end in any order sent, acknowledged or not, on the node's clock.
+	until time.Time
+	// drainUntil is the end of the drain limit.
+	drainUntil time.Time
+	// removed is the version of the set from which on the grant is left out.
+	removed   uint64
+	revokedAt time.Time
+}
+
+func (g *grant) cancelAttempts() {
+	for a := range g.attempts {
+		a.cancel(errMoved)
+	}
+}
+
+// reconcile takes over the target's assignments from the view.
+func (t *Target) reconcile(v *api.View, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	current := mapVersion{session: v.Session, version: v.MapVersion}
+	if t.seen == current {
+		return
+	}
+	t.seen = current
+	list := v.Assignments[t.info.Service]
+	for p := range list {
+		a := &list[p]
+		if a.State != api.Unassigned && a.Target == t.info.ID && a.Session == v.Session {
+			t.takeOver(p, a, now)
+		}
+	}
+	for p, g := range t.grants {
+		if p < len(list) && holds(&list[p], t.info.ID, v.Session, g.epoch) {
+			continue
+		}
+		g.report = false
+		t.revoke(g, now)
+	}
+}
+
+func holds(a *api.Assignment, id api.TargetID, session api.SessionID, epoch api.Epoch) bool {
+	return a.State != api.Unassigned && a.Target == id && a.Session == session && a.Epoch == epoch
+}
+
+// takeOver compares one assignment with the grant at the node.
+func (t *Target) takeOver(partition int, a *api.Assignment, now time.Time) {
+	g := t.grants[partition]
+	if g == nil || g.epoch < a.Epoch {
+		g = t.addGrant(partition, a.Epoch, now)
+	}
+	if g == nil || g.epoch != a.Epoch {
+		return
+	}
+	if a.State == api.Releasing && g.phase == granted {
+		g.phase = draining
+		g.drainUntil = now.Add(t.r.o.DrainLimit)
+	}
+}
+
+// addGrant begins a grant. It returns nil for one that is older than another of the partition
+// or was released before.
+func (t *Target) addGrant(partition int, epoch api.Epoch, now time.Time) *grant {
+	ref := api.PartitionRef{Service: t.info.Service, Partition: partition}
+	if !t.r.admitEpoch(ref, epoch) {
+		return nil
+	}
+	g := &grant{partition: partition, epoch: epoch, report: true, attempts: make(map[*attempt]struct{})}
+	if old := t.grants[partition]; old != nil {
+		old.cancelAttempts()
+		g.until = old.until
+	}
+	t.grants[partition] = g
+	t.orders.version++
+	if t.lost {
+		t.revoke(g, now)
+	}
+	if !t.info.ChecksGrants {
+		t.announceDelivery()
+	}
+	return g
+}
+
+// revoke takes the grant out of the orders and cancels what runs under it.
+func (t *Target) revoke(g *grant, now time.Time) {
+	if g.phase == revoking {
+		return
+	}
+	g.phase = revoking
+	g.revokedAt = now
+	t.orders.version++
+	g.removed = t.orders.version
+	g.cancelAttempts()
+}
+
+// advance moves draining and revoked grants on and reports those that have ended.
+func (t *Target) advance(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, g := range t.grants {
+		if g.phase == draining && (len(g.attempts) == 0 || !now.Before(g.drainUntil)) {
+			t.revoke(g, now)
+		}
+		if g.phase == revoking && t.ended(g, now) {
+			t.end(g)
+		}
+	}
+}
+
+// ended says that the target can no longer do any work under the grant.
+func (t *Target) ended(g *grant, now time.Time) bool {
+	if t.refused && t.running == 0 {
+		// No process listens and nothing is in flight: nothing runs there.
+		return true
+	}
+	if !t.info.ChecksGrants {
+		return len(g.attempts) == 0
+	}
+	if now.After(g.until.Add(t.r.o.DriftMargin)) {
+		return true
+	}
+	acknowledged := t.orders.acknowledged >= g.removed
+	return acknowledged && (len(g.attempts) == 0 || now.After(g.revokedAt.Add(cancelGrace)))
+}
+
+func (t *Target) end(g *grant) {
+	delete(t.grants, g.partition)
+	if g.report {
+		t.r.release(api.PartitionRef{Service: t.info.Service, Partition: g.partition}, g.epoch)
+	}
+}
+
+// nextDeadline returns the time at which advance has something to do, at most limit.
+func (t *Target) nextDeadline(limit time.Time) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, g := range t.grants {
+		switch {
+		case g.phase == draining:
+			limit = earlier(limit, g.drainUntil)
+		case g.phase == revoking && t.info.ChecksGrants:
+			limit = earlier(limit, g.until.Add(t.r.o.DriftMargin+time.Millisecond))
+		}
+	}
+	return limit
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/host/registry.go
@@ -0,0 +1,242 @@
+// Package host keeps the targets beside a node: it takes their announcements, sends them
+// fenced orders, measures their load and admits requests to them.
+//
+// Each target has one goroutine that owns the orders sent to it. Traffic goroutines call
+// Lookup and Enter.
+package host
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/telemetry"
+)
+
+// Defaults of Options.
+const (
+	// DefaultLostAfter is the time without an acknowledged order after which a target is lost.
+	DefaultLostAfter = 400 * time.Millisecond
+	// DefaultGrantLife is the longest time that one order extends grants by.
+	DefaultGrantLife = 500 * time.Millisecond
+)
+
+const (
+	// maxTargets bounds the targets of one node, so that a faulty announcer cannot exhaust it.
+	maxTargets = 64
+	// forgetAfter is how long a lost target that announces nothing is still reported.
+	forgetAfter = 10 * time.Second
+)
+
+// Gate is what the registry needs of the admission at a target.
+type Gate interface {
+	// ResetCold starts the cold-start ramp anew.
+	ResetCold()
+	// Load returns the moving average of requests in progress, and whether the target is still
+	// in its cold-start ramp.
+	Load() (load float64, cold bool)
+}
+
+// Options configure a Registry.
+type Options struct {
+	// Zone is the availability zone of the node.
+	Zone string
+	// View returns the latest view of the session; never nil.
+	View func() *api.View
+	// Kick asks for a heartbeat at once. It must not block.
+	Kick func()
+	// NewGate makes the gate of a target that has announced itself.
+	NewGate func(api.Announcement) Gate
+	// Interval is the time between two orders. Default api.DefaultHeartbeat.
+	Interval time.Duration
+	// DrainLimit bounds the wait for running requests of a partition that moves. Default
+	// api.DefaultDrainLimit.
+	DrainLimit time.Duration
+	// DriftMargin is added to the expiry of grants at a target. Default api.DefaultDriftMargin.
+	DriftMargin time.Duration
+	// LostAfter is the default DefaultLostAfter when zero.
+	LostAfter time.Duration
+	// GrantLife is the default DefaultGrantLife when zero.
+	GrantLife time.Duration
+}
+
+func (o *Options) setDefaults() {
+	setDuration(&o.Interval, api.DefaultHeartbeat)
+	setDuration(&o.DrainLimit, api.DefaultDrainLimit)
+	setDuration(&o.DriftMargin, api.DefaultDriftMargin)
+	setDuration(&o.LostAfter, DefaultLostAfter)
+	setDuration(&o.GrantLife, DefaultGrantLife)
+	if o.Kick == nil {
+		o.Kick = func() {}
+	}
+}
+
+func setDuration(d *time.Duration, value time.Duration) {
+	if *d <= 0 {
+		*d = value
+	}
+}
+
+// Registry holds the targets of a node. It is safe for concurrent use.
+type Registry struct {
+	o Options
+
+	mu      sync.RWMutex
+	ctx     context.Context // of Serve; nil before
+	loops   sync.WaitGroup
+	targets map[api.TargetID]*Target
+	// released holds the ended grants until the map shows that the leader knows.
+	released map[api.PartitionRef]api.Epoch
+	// epochs holds the greatest epoch seen by partition; older grants are dropped.
+	epochs map[api.PartitionRef]api.Epoch
+}
+
+// NewRegistry returns a registry without targets. View and NewGate must be set.
+func NewRegistry(o Options) *Registry {
+	o.setDefaults()
+	return &Registry{
+		o:        o,
+		targets:  make(map[api.TargetID]*Target),
+		released: make(map[api.PartitionRef]api.Epoch),
+		epochs:   make(map[api.PartitionRef]api.Epoch),
+	}
+}
+
+// Serve sends orders to the targets until ctx ends, and returns the error of ctx.
+func (r *Registry) Serve(ctx context.Context) error {
+	r.mu.Lock()
+	r.ctx = ctx
+	for _, t := range r.targets {
+		r.start(t)
+	}
+	r.mu.Unlock()
+	<-ctx.Done()
+	r.mu.Lock()
+	r.ctx = nil
+	r.mu.Unlock()
+	r.loops.Wait()
+	return ctx.Err()
+}
+
+// start runs the loop of the target; the caller holds r.mu.
+func (r *Registry) start(t *Target) {
+	if r.ctx == nil {
+		return
+	}
+	ctx := r.ctx
+	r.loops.Go(func() { t.serve(ctx) })
+}
+
+// Lookup returns the target, or nil when it is not at this node.
+func (r *Registry) Lookup(id api.TargetID) *Target {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.targets[id]
+}
+
+func (r *Registry) all() []*Target {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	list := make([]*Target, 0, len(r.targets))
+	for _, t := range r.targets {
+		list = append(list, t)
+	}
+	return list
+}
+
+// Targets reports all targets for a heartbeat.
+func (r *Registry) Targets() []api.TargetReport {
+	now := time.Now()
+	all := r.all()
+	reports := make([]api.TargetReport, 0, len(all))
+	for _, t := range all {
+		reports = append(reports, t.report(now))
+	}
+	return reports
+}
+
+// Released reports the grants that have ended, until the map shows a newer epoch or another owner.
+func (r *Registry) Released() []api.Released {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	list := make([]api.Released, 0, len(r.released))
+	for ref, epoch := range r.released {
+		list = append(list, api.Released{PartitionRef: ref, Epoch: epoch})
+	}
+	return list
+}
+
+// Idle says that nothing runs at any target and that none holds a grant.
+func (r *Registry) Idle() bool {
+	for _, t := range r.all() {
+		if !t.idle() {
+			return false
+		}
+	}
+	return true
+}
+
+// Update takes over a new view; it is to be subscribed to the session.
+func (r *Registry) Update(v *api.View) {
+	r.settleReleased(v)
+	for _, t := range r.all() {
+		t.kick()
+	}
+}
+
+// settleReleased drops the reports that the leader has acted upon, and releases at once what
+// was granted to a target that is no longer here: nothing can run under such a grant.
+func (r *Registry) settleReleased(v *api.View) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for ref, epoch := range r.released {
+		owner := v.Owner(ref)
+		if owner.Epoch != epoch || owner.Session != v.Session || owner.State == api.Unassigned {
+			delete(r.released, ref)
+		}
+	}
+	for service, list := range v.Assignments {
+		for p := range list {
+			a := &list[p]
+			if a.State == api.Unassigned || a.Session != v.Session || r.targets[a.Target] != nil {
+				continue
+			}
+			r.released[api.PartitionRef{Service: service, Partition: p}] = a.Epoch
+		}
+	}
+}
+
+// release reports the end of a grant at once.
+func (r *Registry) release(ref api.PartitionRef, epoch api.Epoch) {
+	r.mu.Lock()
+	r.released[ref] = epoch
+	r.mu.Unlock()
+	telemetry.CountEvent("grant_released", 1)
+	r.o.Kick()
+}
+
+// admitEpoch says whether a grant may be taken up: it is not older than any other of its
+// partition and has not been released.
+func (r *Registry) admitEpoch(ref api.PartitionRef, epoch api.Epoch) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if epoch < r.epochs[ref] {
+		return false
+	}
+	if released, ok := r.released[ref]; ok && released >= epoch {
+		return false
+	}
+	r.epochs[ref] = epoch
+	return true
+}
+
+// remove forgets the target; its loop ends by itself.
+func (r *Registry) remove(t *Target) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.targets[t.info.ID] == t {
+		delete(r.targets, t.info.ID)
+	}
+	t.stop()
+}
