--- /dev/null
+++ b/tokens/account_test.go
@@ -0,0 +1,210 @@
+package tokens
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/errkind"
+)
+
+const acme = api.OrganisationID("acme")
+
+// fakeClock is a clock that tests move.
+type fakeClock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (c *fakeClock) time() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *fakeClock) advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+func newTestAccount(clock *fakeClock, kick func()) *Account {
+	return NewAccount(AccountOptions{
+		Organisation: func(id api.OrganisationID) *api.Organisation {
+			if id != acme {
+				return nil
+			}
+			return &api.Organisation{ID: acme, Rate: 10, Burst: 5}
+		},
+		Kick: kick,
+		Now:  clock.time,
+	})
+}
+
+func issue(a *Account, term uint64, n int64) { a.Apply(term, map[api.OrganisationID]int64{acme: n}) }
+
+// takeNow takes a token without waiting.
+func takeNow(a *Account) *Token {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	token, err := a.Take(ctx, acme)
+	if err != nil {
+		return nil
+	}
+	return token
+}
+
+// Guards against tokens that are spent twice, or come back from nowhere, when replies are
+// lost, repeated or late, and requests are refunded at any time.
+func TestAccountNeverSpendsMoreThanIssued(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := &fakeClock{now: time.Now()}
+		a := newTestAccount(clock, nil)
+		issue(a, 2, 0) // the leader of term 2 has been heard
+		var issued, delivered, run int64
+		var held []*Token
+		t.Repeat(map[string]func(*rapid.T){
+			"issue":      func(t *rapid.T) { issued += rapid.Int64Range(0, 5).Draw(t, "n") },
+			"reply":      func(*rapid.T) { issue(a, 2, issued); delivered = issued },
+			"late reply": func(t *rapid.T) { issue(a, 2, rapid.Int64Range(0, delivered).Draw(t, "old")) },
+			"old leader": func(*rapid.T) { issue(a, 1, issued+100) },
+			"take": func(*rapid.T) {
+				if token := takeNow(a); token != nil {
+					held = append(held, token)
+					run++
+				}
+			},
+			"settle or refund": func(t *rapid.T) {
+				if len(held) == 0 {
+					t.Skip("nothing held")
+				}
+				token := held[0]
+				held = held[1:]
+				if rapid.Bool().Draw(t, "refund") {
+					counts := a.account(acme).free
+					token.Refund()
+					run -= a.account(acme).free - counts
+				} else {
+					token.Settle()
+				}
+				token.Refund() // a second call has no effect
+			},
+			"time": func(t *rapid.T) {
+				clock.advance(time.Duration(rapid.Int64Range(1, 1200).Draw(t, "ms")) * time.Millisecond)
+			},
+			"expire": func(*rapid.T) { a.Expire() },
+			"report": func(*rapid.T) { a.Report() },
+			"": func(t *rapid.T) {
+				o := a.account(acme)
+				if o.free < 0 || run > delivered-o.returned-o.free {
+					t.Fatalf("%d requests run with %d tokens issued, %d returned, %d free", run, delivered, o.returned, o.free)
+				}
+				if o.settled+o.returned+o.free > o.issued {
+					t.Fatalf("settled %d, returned %d and free %d of %d", o.settled, o.returned, o.free, o.issued)
+				}
+			},
+		})
+	})
+}
+
+// Guards against a refund of a token that the authority already counts as spent.
+func TestRefundOnlyWhileUnsettled(t *testing.T) {
+	is := is.New(t)
+	clock := &fakeClock{now: time.Now()}
+	a := newTestAccount(clock, nil)
+	issue(a, 1, 2)
+	early, late := takeNow(a), takeNow(a)
+	early.Refund()
+	clock.advance(settleAfter)
+	is.Equal(a.Report()[acme].Settled, int64(1)) // settled by itself
+	late.Refund()
+	is.Equal(a.Report()[acme].Settled, int64(1))
+	old := takeNow(a)
+	is.True(old != nil) // the refunded token is used again
+	a.Reset()
+	old.Settle()
+	is.Equal(a.Report()[acme].Settled, int64(0)) // tokens of an earlier session do not count
+	is.True(takeNow(a) == nil)
+}
+
+// Guards against waiters that overtake each other and against tokens lost to waiters that gave up.
+func TestWaitersAreServedInOrder(t *testing.T) {
+	is := is.New(t)
+	clock := &fakeClock{now: time.Now()}
+	kicks := make(chan struct{}, 100)
+	a := newTestAccount(clock, func() { kicks <- struct{}{} })
+	order := make(chan int, 3)
+	first, giveUp := context.WithCancel(context.Background())
+	wait := func(ctx context.Context, i int) {
+		if _, err := a.Take(ctx, acme); err == nil {
+			order <- i
+		}
+	}
+	for i := range 3 {
+		ctx := context.Background()
+		if i == 0 {
+			ctx = first
+		}
+		go wait(ctx, i)
+		for a.Report()[acme].Demand < int64(i+1) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	<-kicks
+	giveUp()
+	for a.Report()[acme].Demand > 2 {
+		time.Sleep(time.Millisecond)
+	}
+	issue(a, 1, 1)
+	is.Equal(<-order, 1)
+	issue(a, 1, 2)
+	is.Equal(<-order, 2)
+	is.Equal(len(kicks), 0) // one kick for all of them
+}
+
+// Guards against a queue that grows without limit and waits that cannot succeed.
+func TestWaitersAreBounded(t *testing.T) {
+	is := is.New(t)
+	clock := &fakeClock{now: time.Now()}
+	a := newTestAccount(clock, nil)
+	_, err := a.Take(t.Context(), "stranger")
+	is.Equal(errkind.Of(err), errkind.Unauthenticated)
+	is.Equal(len(a.orgs), 0)
+	start := time.Now()
+	for range 25 { // rate 10/s x 2 s + burst 5
+		go func() { _, _ = a.Take(t.Context(), acme) }()
+	}
+	for a.Report()[acme].Demand < 25 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err = a.Take(t.Context(), acme)
+	is.Equal(errkind.Of(err), errkind.RateLimited)
+	is.True(time.Since(start) < time.Second)
+}
+
+// Guards against an idle node that keeps tokens which another node needs.
+func TestIdleTokensAreReturned(t *testing.T) {
+	is := is.New(t)
+	clock := &fakeClock{now: time.Now()}
+	a := newTestAccount(clock, nil)
+	issue(a, 1, 100)
+	for range 10 {
+		takeNow(a).Settle()
+	}
+	clock.advance(api.DefaultHeartbeat)
+	busy := a.Report()[acme]
+	is.Equal(busy.Demand, int64(20)) // two heartbeats with ten arrivals each
+	is.Equal(busy.Returned, int64(70))
+	for range 60 {
+		clock.advance(api.DefaultHeartbeat)
+		a.Report()
+	}
+	idle := a.Report()[acme]
+	is.Equal(idle.Demand, int64(0))
+	is.Equal(idle.Issued, idle.Settled+idle.Returned)
+}
