Count only admitted requests as running at the sample target

TestColdStartAndSlots saw a greatest concurrency of 5 with 4 slots in 3 of 8 runs: a request about to be shed was counted too.

--- a/host/host_test.go
+++ b/host/host_test.go
@@ -29,10 +29,9 @@
 
 // fakeControl stands in for session and leader: it renews the lease and publishes assignments.
 type fakeControl struct {
-	view    atomic.Pointer[api.View]
-	mu      sync.Mutex
-	version uint64
-	r       *Registry
+	view atomic.Pointer[api.View]
+	mu   sync.Mutex
+	r    *Registry
 }
 
 func newFakeControl(t *testing.T, o Options) (*fakeControl, *httptest.Server) {
--- a/target/counters.go
+++ b/target/counters.go
@@ -44,11 +44,16 @@
 	}}
 }
 
-func (k *counters) enter() int {
+// enter counts a request as running when admit accepts the number that would then run.
+// Refused requests are never counted, so they take no slot from others.
+func (k *counters) enter(admit func(running int) bool) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if !admit(k.running + 1) {
+		return false
+	}
 	k.running++
-	return k.running
+	return true
 }
 
 func (k *counters) leave() {
--- a/target/work.go
+++ b/target/work.go
@@ -54,12 +54,12 @@
 		errkind.WriteHTTP(w, errkind.From(err))
 		return
 	}
-	running := s.counters.enter()
-	defer s.counters.leave()
-	cold, ok := s.admit(w, running)
-	if !ok {
+	cold, refusal := s.admit()
+	if refusal != "" {
+		s.refuseLoad(w, refusal)
 		return
 	}
+	defer s.counters.leave()
 	if !s.granted(w, job, true) {
 		return
 	}
@@ -91,21 +91,31 @@
 	w.Header().Set(api.HeaderAttempt, attempt)
 }
 
-// admit refuses a request above the slots or the bearable concurrency.
-func (s *Sample) admit(w http.ResponseWriter, running int) (cold, ok bool) {
-	ok, cold = s.cold.admit(running)
-	if !ok {
-		w.Header().Set(api.HeaderCold, "true")
+// admit counts the request as running, unless it is above the slots or the bearable
+// concurrency; it then returns the header of the refusal.
+func (s *Sample) admit() (cold bool, refusal string) {
+	s.counters.enter(func(running int) bool {
+		var ok bool
+		ok, cold = s.cold.admit(running)
+		switch {
+		case !ok:
+			refusal = api.HeaderCold
+		case running > s.o.Slots || s.behaviour.Load().Shed:
+			refusal = api.HeaderShed
+		}
+		return refusal == ""
+	})
+	return cold, refusal
+}
+
+func (s *Sample) refuseLoad(w http.ResponseWriter, header string) {
+	w.Header().Set(header, "true")
+	if header == api.HeaderCold {
 		refuse(w, errkind.Overloaded, "more than a cold target bears", true)
-		return cold, false
-	}
-	if running > s.o.Slots || s.behaviour.Load().Shed {
-		s.counters.add(func(c *Counters) *int64 { return &c.Shed })
-		w.Header().Set(api.HeaderShed, "true")
-		refuse(w, errkind.Overloaded, "the target sheds load", true)
-		return cold, false
+		return
 	}
-	return cold, true
+	s.counters.add(func(c *Counters) *int64 { return &c.Shed })
+	refuse(w, errkind.Overloaded, "the target sheds load", true)
 }
 
 // granted refuses divided work without a current grant.
