--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -130,9 +130,14 @@
 // FateRequest asks the owner's node what became of an attempt.
 type FateRequest struct {
 	Attempt string
+	// Peek asks without barring an attempt that has not started.
+	Peek bool
 }
 
-// FateReply answers a FateRequest. When Started is false the attempt has been barred for good.
+// FateReply answers a FateRequest. When Started is false and the request was no peek,
+// the attempt has been barred for good.
 type FateReply struct {
 	Started bool
+	// Received says that the request of the attempt has reached the node.
+	Received bool
 }
