--- /dev/null
+++ b/gate/fair.go
@@ -0,0 +1,151 @@
+package gate
+
+import (
+	"math"
+
+	"github.com/zinniapier/zinniapier/api"
+)
+
+// maxIdleFlows bounds the memory for organisations that have nothing queued.
+const maxIdleFlows = 1024
+
+func init() { Queues.Register(DefaultQueue, newFairQueue) }
+
+// fairQueue is a start-time fair queue over organisations: each has its own list, and the
+// list with the lowest virtual start time is served next. Waiters that give up cost their
+// organisation nothing. The queue is bounded, so a scan over the active flows is short.
+type fairQueue struct {
+	flows  map[api.OrganisationID]*flow
+	active []*flow
+	clock  float64 // virtual start time of the last waiter served
+	length int
+}
+
+// flow is the list of one organisation.
+type flow struct {
+	org     api.OrganisationID
+	weight  float64
+	start   float64 // virtual start time of the next waiter
+	waiters []*Waiter
+}
+
+func newFairQueue() Queue { return &fairQueue{flows: make(map[api.OrganisationID]*flow)} }
+
+func (q *fairQueue) Push(w *Waiter) {
+	f := q.flow(w.Organisation)
+	f.weight = w.Weight
+	if len(f.waiters) == 0 {
+		f.start = math.Max(f.start, q.clock)
+		q.active = append(q.active, f)
+	}
+	f.waiters = append(f.waiters, w)
+	q.length++
+}
+
+func (q *fairQueue) flow(org api.OrganisationID) *flow {
+	if f, ok := q.flows[org]; ok {
+		return f
+	}
+	if len(q.flows) >= maxIdleFlows {
+		q.dropIdle()
+	}
+	f := &flow{org: org}
+	q.flows[org] = f
+	return f
+}
+
+func (q *fairQueue) dropIdle() {
+	for org, f := range q.flows {
+		if len(f.waiters) == 0 {
+			delete(q.flows, org)
+		}
+	}
+}
+
+func (q *fairQueue) Pop() *Waiter {
+	var next *flow
+	for _, f := range q.active {
+		if next == nil || f.start < next.start {
+			next = f
+		}
+	}
+	if next == nil {
+		return nil
+	}
+	w := next.waiters[0]
+	q.take(next, w)
+	q.clock = next.start
+	next.start += 1 / next.weight
+	return w
+}
+
+func (q *fairQueue) Remove(w *Waiter) bool {
+	f, ok := q.flows[w.Organisation]
+	return ok && q.take(f, w)
+}
+
+func (q *fairQueue) take(f *flow, w *Waiter) bool {
+	var found bool
+	f.waiters, found = without(f.waiters, w)
+	if !found {
+		return false
+	}
+	q.length--
+	if len(f.waiters) == 0 {
+		q.deactivate(f)
+	}
+	return true
+}
+
+func (q *fairQueue) deactivate(f *flow) {
+	for i, other := range q.active {
+		if other == f {
+			last := len(q.active) - 1
+			q.active[i] = q.active[last]
+			q.active[last] = nil
+			q.active = q.active[:last]
+			return
+		}
+	}
+}
+
+func (q *fairQueue) Len() int { return q.length }
+
+func (q *fairQueue) Ahead(org api.OrganisationID, weight float64) int {
+	own := 0
+	if f, ok := q.flows[org]; ok {
+		own = len(f.waiters)
+	}
+	rounds := float64(own+1) / weight
+	ahead := own
+	for _, f := range q.active {
+		if f.org != org {
+			ahead += min(len(f.waiters), int(math.Ceil(rounds*f.weight)))
+		}
+	}
+	return ahead
+}
+
+// Displace drops the newest waiter of the organisation with the longest list for its
+// weight, unless the new waiter's own organisation would then have the longest.
+func (q *fairQueue) Displace(org api.OrganisationID, weight float64) *Waiter {
+	var longest *flow
+	for _, f := range q.active {
+		if longest == nil || f.backlog() > longest.backlog() {
+			longest = f
+		}
+	}
+	own := 0
+	if f, ok := q.flows[org]; ok {
+		own = len(f.waiters)
+	}
+	if longest == nil || longest.backlog() <= float64(own+1)/weight {
+		return nil
+	}
+	w := longest.waiters[len(longest.waiters)-1]
+	q.take(longest, w)
+	return w
+}
+
+// backlog is the length of the list divided by the weight.
+func (f *flow) backlog() float64 { return float64(len(f.waiters)) / f.weight }
--- /dev/null
+++ b/gate/fifo.go
@@ -0,0 +1,44 @@
+package gate
+
+import "github.com/zinniapier/zinniapier/api"
+
+func init() { Queues.Register("fifo", func() Queue { return new(fifoQueue) }) }
+
+// fifoQueue serves in order of arrival whatever the organisation; the baseline.
+type fifoQueue struct{ waiters []*Waiter }
+
+func (q *fifoQueue) Push(w *Waiter) { q.waiters = append(q.waiters, w) }
+
+func (q *fifoQueue) Pop() *Waiter {
+	if len(q.waiters) == 0 {
+		return nil
+	}
+	w := q.waiters[0]
+	q.waiters[0] = nil
+	q.waiters = q.waiters[1:]
+	return w
+}
+
+func (q *fifoQueue) Remove(w *Waiter) bool {
+	var found bool
+	q.waiters, found = without(q.waiters, w)
+	return found
+}
+
+func (q *fifoQueue) Len() int { return len(q.waiters) }
+
+func (q *fifoQueue) Ahead(api.OrganisationID, float64) int { return len(q.waiters) }
+
+func (q *fifoQueue) Displace(api.OrganisationID, float64) *Waiter { return nil }
+
+// without returns the list without w and whether w was in it.
+func without(list []*Waiter, w *Waiter) ([]*Waiter, bool) {
+	for i, other := range list {
+		if other == w {
+			copy(list[i:], list[i+1:])
+			list[len(list)-1] = nil
+			return list[:len(list)-1], true
+		}
+	}
+	return list, false
+}
--- /dev/null
+++ b/gate/latency.go
@@ -0,0 +1,103 @@
+package gate
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// windowSize is the number of latencies behind one median: large enough to be
+	// steady, small enough to follow a change of load within a second of traffic.
+	windowSize = 64
+	// recentSize is the number of latencies that must have jumped, by their median, so
+	// that one slow request is not taken for a cold start.
+	recentSize = 8
+	// baselineWindows is the number of windows over which the lowest median counts.
+	baselineWindows = 8
+	// jumpFactor is the ratio to the moving median that signals a cold start.
+	jumpFactor = 4
+	// jumpFloor keeps scheduling noise of very fast targets from looking like a jump.
+	jumpFloor = 2 * time.Millisecond
+	// meanShift sets the decay of the mean service time: each sample weighs 1/16.
+	meanShift = 16
+)
+
+// latencies follows the service times of one target.
+type latencies struct {
+	window  [windowSize]time.Duration
+	filled  int
+	recent  [recentSize]time.Duration
+	count   int
+	medians [baselineWindows]time.Duration
+	windows int
+	mean    time.Duration
+}
+
+// add records a service time.
+func (l *latencies) add(d time.Duration) {
+	l.recent[l.count%recentSize] = d
+	l.count++
+	l.updateMean(d)
+	l.window[l.filled] = d
+	l.filled++
+	if l.filled < windowSize {
+		return
+	}
+	l.filled = 0
+	l.medians[l.windows%baselineWindows] = median(l.window[:])
+	l.windows++
+}
+
+func (l *latencies) updateMean(d time.Duration) {
+	if l.mean == 0 {
+		l.mean = d
+		return
+	}
+	l.mean += (d - l.mean) / meanShift
+}
+
+// moving returns the median of the last complete window; zero before the first.
+func (l *latencies) moving() time.Duration {
+	if l.windows == 0 {
+		return 0
+	}
+	return l.medians[(l.windows-1)%baselineWindows]
+}
+
+// baseline returns the lowest median of the last windows; zero before the first.
+func (l *latencies) baseline() time.Duration {
+	n := min(l.windows, baselineWindows)
+	if n == 0 {
+		return 0
+	}
+	return slices.Min(l.medians[:n])
+}
+
+// current returns the median of the last few service times; zero when there are too few.
+func (l *latencies) current() time.Duration {
+	if l.count < recentSize {
+		return 0
+	}
+	return median(l.recent[:])
+}
+
+// jumped says whether the last few service times are far above the moving median.
+func (l *latencies) jumped() bool {
+	base := l.moving()
+	now := l.current()
+	return base > 0 && now > jumpFactor*base && now-base > jumpFloor
+}
+
+// raised says whether the last few service times are well above the baseline.
+func (l *latencies) raised() bool {
+	base := l.baseline()
+	now := l.current()
+	return base > 0 && now > 2*base && now-base > jumpFloor
+}
+
+func median(values []time.Duration) time.Duration {
+	var sorted [windowSize]time.Duration
+	n := copy(sorted[:], values)
+	slices.Sort(sorted[:n])
+	return sorted[n/2]
+}
--- /dev/null
+++ b/gate/queue.go
@@ -0,0 +1,37 @@
+package gate
+
+import (
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/plugin"
+)
+
+// Waiter is a request that waits for a slot.
+type Waiter struct {
+	Organisation api.OrganisationID
+	// Weight is the organisation's share; always positive.
+	Weight float64
+
+	ready chan struct{} // closed when the waiter got a slot or was refused
+	err   error         // set before ready is closed
+}
+
+// Queue orders the waiting requests of one target. The gate serialises all calls.
+type Queue interface {
+	Push(w *Waiter)
+	// Pop removes the next waiter; nil when the queue is empty.
+	Pop() *Waiter
+	// Remove takes out a waiter that has given up, and says whether it was queued.
+	Remove(w *Waiter) bool
+	Len() int
+	// Ahead estimates how many waiters would be served before a new one.
+	Ahead(org api.OrganisationID, weight float64) int
+	// Displace removes a waiter to make room in a full queue for a new one of the
+	// organisation; nil when the new one is to be refused.
+	Displace(org api.OrganisationID, weight float64) *Waiter
+}
+
+// Queues holds the queue policies by name.
+var Queues = plugin.NewRegistry[func() Queue]("queue")
+
+// DefaultQueue is the policy of a gate whose settings name none.
+const DefaultQueue = "fair"
