--- /dev/null
+++ b/gateway/call.go
@@ -0,0 +1,197 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/errkind"
+)
+
+// call is one request on its way: of a caller, or of another node over a hop.
+type call struct {
+	in         *http.Request
+	header     http.Header // what goes to the target
+	body       *body
+	service    *api.Service
+	open       bool
+	idempotent bool
+	digest     api.KeyDigest // of the organisation key; empty on open routes and hops
+	org        api.OrganisationID
+	weight     float64
+	key        string
+	ref        api.PartitionRef // partition -1 for a service that is not divided by key
+	deadline   time.Time
+	left       int // attempts left, the next one included
+	token      heldToken
+}
+
+// place is where an attempt goes.
+type place struct {
+	target  api.TargetID
+	session api.SessionID
+	epoch   api.Epoch
+	peer    *api.Peer // nil when the target is local
+	left    int       // attempts left when this one was chosen, itself included
+}
+
+// heldToken is the token of a call. The zero value holds none.
+type heldToken struct {
+	token Token
+	done  atomic.Bool
+}
+
+// settle spends the token; later calls do nothing.
+func (h *heldToken) settle() {
+	if h.token != nil && h.done.CompareAndSwap(false, true) {
+		h.token.Settle()
+	}
+}
+
+// refund gives the token back unless it has been settled.
+func (h *heldToken) refund() {
+	if h.token != nil && h.done.CompareAndSwap(false, true) {
+		h.token.Refund()
+	}
+}
+
+// accept checks a caller's request by the view and prepares it for routing. Errors:
+// NoLease, BadRequest, NoRoute, Unauthenticated, DependencyDown, TooLarge.
+func (g *Gateway) accept(w http.ResponseWriter, r *http.Request, v *api.View) (*call, error) {
+	if v.Configuration == nil || v.Index == nil {
+		return nil, errkind.New(errkind.NoLease, "node has no configuration yet")
+	}
+	if err := checkPath(r.URL); err != nil {
+		return nil, err
+	}
+	matched := g.routes.get(v.Configuration).match(r.Method, r.URL.Path)
+	if matched == nil {
+		return nil, errkind.New(errkind.NoRoute, "no service has this route")
+	}
+	c := &call{in: r, service: matched.service, open: matched.open, idempotent: matched.idempotent(r.Method)}
+	if err := c.authenticate(v); err != nil {
+		return nil, err
+	}
+	if err := checkServing(v, c.service); err != nil {
+		return nil, err
+	}
+	if err := c.readLimits(matched.deadline(), g.attempts); err != nil {
+		return nil, err
+	}
+	if err := c.readKey(v); err != nil {
+		return nil, err
+	}
+	c.header = requestHeader(r.Header)
+	return c, c.readBody(w, g.maxBody)
+}
+
+func (c *call) authenticate(v *api.View) error {
+	if c.open {
+		return nil
+	}
+	c.digest = credential(c.in.Header)
+	org, err := authenticate(v, c.digest)
+	if err != nil {
+		return err
+	}
+	c.org = org.ID
+	c.weight = org.Weight
+	return nil
+}
+
+// checkServing refuses when the node may not admit work, or when a service that this one
+// needs has no serving target.
+func checkServing(v *api.View, s *api.Service) error {
+	if !v.LeaseValid(time.Now()) {
+		return errkind.New(errkind.NoLease, "session lease has expired")
+	}
+	for _, needed := range s.DependsOn {
+		if len(v.Index.TargetsByService[needed]) == 0 {
+			return errkind.New(errkind.DependencyDown, "%s needs %s, which has no serving target", s.Name, needed)
+		}
+	}
+	return nil
+}
+
+// readLimits sets the deadline and the attempts; the caller's headers only lower them.
+func (c *call) readLimits(longest time.Duration, attempts int) error {
+	ms, err := limitHeader(c.in.Header, api.HeaderDeadlineMs)
+	if err != nil {
+		return err
+	}
+	left, err := limitHeader(c.in.Header, api.HeaderAttemptsLeft)
+	if err != nil {
+		return err
+	}
+	// Compared in milliseconds, since a large number would overflow a duration.
+	if ms > 0 && ms < longest.Milliseconds() {
+		longest = time.Duration(ms) * time.Millisecond
+	}
+	c.left = attempts
+	if left > 0 && left < int64(attempts) {
+		c.left = int(left)
+	}
+	c.deadline = time.Now().Add(longest)
+	return nil
+}
+
+// limitHeader reads a positive number; 0 when the header is absent.
+func limitHeader(h http.Header, name string) (int64, error) {
+	text := h.Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n <= 0 {
+		return 0, errkind.New(errkind.BadRequest, "%s must be a positive number", name)
+	}
+	return n, nil
+}
+
+func (c *call) readKey(v *api.View) error {
+	c.ref = api.PartitionRef{Service: c.service.Name, Partition: -1}
+	if !c.service.Divided() {
+		return nil
+	}
+	key, err := keyOf(c.service.Key, c.in)
+	if err != nil {
+		return err
+	}
+	c.key = key
+	c.ref.Partition = v.Partition(c.service, key)
+	return nil
+}
+
+// readBody reads a small body within the deadline of the call.
+func (c *call) readBody(w http.ResponseWriter, limit int64) error {
+	if c.in.ContentLength == 0 {
+		c.body = &body{}
+		return nil
+	}
+	control := http.NewResponseController(w)
+	// Not all writers know deadlines; the request's own deadline still holds later.
+	_ = control.SetReadDeadline(c.deadline)
+	var err error
+	c.body, err = readBody(w, c.in, limit)
+	_ = control.SetReadDeadline(time.Time{})
+	return err
+}
+
+// recheck looks again, before each attempt, at what may have changed while the call waited:
+// the lease, the organisation key, and the partition of the key.
+func (c *call) recheck(v *api.View) *errkind.Error {
+	if !v.LeaseValid(time.Now()) {
+		return errkind.New(errkind.NoLease, "session lease has expired")
+	}
+	if !c.open {
+		if _, err := authenticate(v, c.digest); err != nil {
+			return errkind.From(err)
+		}
+	}
+	if c.service.Divided() {
+		c.ref.Partition = v.Partition(c.service, c.key)
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway/publicmap.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/errkind"
+)
+
+// serveMap answers a caller that wants to go straight to the owners' nodes. It costs no
+// token, since it reaches no target.
+func (g *Gateway) serveMap(w http.ResponseWriter, r *http.Request, v *api.View) {
+	if e := checkMapRequest(r, v); e != nil {
+		g.refuse(w, e)
+		return
+	}
+	text, err := json.Marshal(publicMap(v))
+	if err != nil {
+		g.refuse(w, errkind.New(errkind.Internal, "%v", err))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	// The caller may have gone; there is nobody left to tell.
+	_, _ = w.Write(text)
+}
+
+func checkMapRequest(r *http.Request, v *api.View) *errkind.Error {
+	if r.Method != http.MethodGet {
+		return errkind.New(errkind.NoRoute, "the map is read with GET")
+	}
+	if v.Configuration == nil || v.Index == nil || !v.LeaseValid(time.Now()) {
+		return errkind.New(errkind.NoLease, "session lease has expired")
+	}
+	if _, err := authenticate(v, credential(r.Header)); err != nil {
+		return errkind.From(err)
+	}
+	return nil
+}
+
+func publicMap(v *api.View) *api.PublicMap {
+	m := &api.PublicMap{Version: v.MapVersion}
+	node := make(map[api.SessionID]int, len(v.Peers))
+	for _, p := range v.Peers {
+		if p.CallerAddr == "" {
+			continue
+		}
+		node[p.Session] = len(m.Nodes)
+		m.Nodes = append(m.Nodes, p.CallerAddr)
+	}
+	for i := range v.Configuration.Services.Services {
+		m.Services = append(m.Services, publicService(v, &v.Configuration.Services.Services[i], node))
+	}
+	return m
+}
+
+func publicService(v *api.View, s *api.Service, node map[api.SessionID]int) api.PublicService {
+	p := api.PublicService{Name: s.Name, Key: s.Key, Partitions: s.Partitions, Routes: s.Routes}
+	if !s.Divided() {
+		return p
+	}
+	p.Owners = make([]int, s.Partitions)
+	for i := range p.Owners {
+		p.Owners[i] = ownerNode(v.Owner(api.PartitionRef{Service: s.Name, Partition: i}), node)
+	}
+	return p
+}
+
+// ownerNode returns the index of the owner's node; -1 for none.
+func ownerNode(a api.Assignment, node map[api.SessionID]int) int {
+	if i, known := node[a.Session]; known && a.State == api.Granted {
+		return i
+	}
+	return -1
+}
--- /dev/null
+++ b/gateway/routes.go
@@ -0,0 +1,169 @@
+package gateway
+
+import (
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/errkind"
+)
+
+// route is one route of a service, prepared for matching.
+type route struct {
+	service  *api.Service
+	segments []string
+	methods  []string
+	open     bool
+	// repeatable overrides the default by method; nil means the default.
+	repeatable *bool
+}
+
+// routeTable is the prepared routes of one configuration, longest prefix first.
+type routeTable struct {
+	configuration *api.Configuration
+	routes        []route
+}
+
+// routeCache holds the table of the newest configuration seen.
+type routeCache struct{ table atomic.Pointer[routeTable] }
+
+func (c *routeCache) get(configuration *api.Configuration) *routeTable {
+	if t := c.table.Load(); t != nil && t.configuration == configuration {
+		return t
+	}
+	t := newRouteTable(configuration)
+	c.table.Store(t)
+	return t
+}
+
+func newRouteTable(configuration *api.Configuration) *routeTable {
+	t := &routeTable{configuration: configuration}
+	for i := range configuration.Services.Services {
+		s := &configuration.Services.Services[i]
+		for _, r := range s.Routes {
+			t.routes = append(t.routes, route{
+				service:    s,
+				segments:   segments(r.Prefix),
+				methods:    r.Methods,
+				open:       r.Open,
+				repeatable: r.Idempotent,
+			})
+		}
+	}
+	slices.SortStableFunc(t.routes, func(a, b route) int {
+		return len(b.segments) - len(a.segments)
+	})
+	return t
+}
+
+// match returns the route with the longest prefix that has the method, or nil.
+func (t *routeTable) match(method, path string) *route {
+	for i := range t.routes {
+		if t.routes[i].matches(method, path) {
+			return &t.routes[i]
+		}
+	}
+	return nil
+}
+
+func (r *route) matches(method, path string) bool {
+	if len(r.methods) > 0 && !slices.Contains(r.methods, method) {
+		return false
+	}
+	rest := strings.TrimPrefix(path, "/")
+	for _, want := range r.segments {
+		var have string
+		have, rest, _ = strings.Cut(rest, "/")
+		if have != want {
+			return false
+		}
+	}
+	return true
+}
+
+// idempotent says whether a request of the method may be repeated.
+func (r *route) idempotent(method string) bool {
+	if r.repeatable != nil {
+		return *r.repeatable
+	}
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return false
+}
+
+func (r *route) deadline() time.Duration {
+	if r.service.DeadlineMs <= 0 {
+		return defaultDeadline
+	}
+	return min(time.Duration(r.service.DeadlineMs)*time.Millisecond, longestDeadline)
+}
+
+// segments splits a path; the empty path and "/" have none.
+func segments(path string) []string {
+	path = strings.Trim(path, "/")
+	if path == "" {
+		return nil
+	}
+	return strings.Split(path, "/")
+}
+
+// checkPath refuses dot segments, also encoded ones: a target that resolves them would
+// serve another route than the one that was matched, perhaps one that is not open.
+func checkPath(u *url.URL) error {
+	if !strings.HasPrefix(u.Path, "/") {
+		return errkind.New(errkind.BadRequest, "path must start with a slash")
+	}
+	for segment := range strings.SplitSeq(u.Path, "/") {
+		if segment == "." || segment == ".." {
+			return errkind.New(errkind.BadRequest, "path must not have dot segments")
+		}
+	}
+	return nil
+}
+
+// keyOf returns the owned key of a request. A key that is missing, or given twice, is
+// refused: the target might read another one than the router.
+func keyOf(source *api.KeySource, r *http.Request) (string, error) {
+	switch {
+	case source.PathSegment != nil:
+		return pathKey(r.URL, *source.PathSegment)
+	case source.Header != "":
+		return singleValue("header "+source.Header, r.Header.Values(source.Header))
+	default:
+		return queryKey(r.URL, source.Query)
+	}
+}
+
+func pathKey(u *url.URL, index int) (string, error) {
+	rest := strings.TrimPrefix(u.EscapedPath(), "/")
+	segment := ""
+	for i := 0; i <= index; i++ {
+		segment, rest, _ = strings.Cut(rest, "/")
+	}
+	key, err := url.PathUnescape(segment)
+	if err != nil || key == "" {
+		return "", errkind.New(errkind.BadRequest, "no key in path segment %d", index)
+	}
+	return key, nil
+}
+
+func queryKey(u *url.URL, name string) (string, error) {
+	values, err := url.ParseQuery(u.RawQuery)
+	if err != nil {
+		return "", errkind.New(errkind.BadRequest, "malformed query")
+	}
+	return singleValue("query parameter "+name, values[name])
+}
+
+func singleValue(where string, values []string) (string, error) {
+	if len(values) != 1 || values[0] == "" {
+		return "", errkind.New(errkind.BadRequest, "need exactly one key in %s, have %d", where, len(values))
+	}
+	return values[0], nil
+}
