--- /dev/null
+++ b/config/services.go
@@ -0,0 +1,171 @@
+package config
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/zinniapier/zinniapier/api"
+)
+
+// Bounds of a services file.
+const (
+	maxPartitions  = 65536
+	maxPathSegment = 31
+)
+
+// methods are the request methods that a route may list.
+var methods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+	http.MethodPatch, http.MethodDelete, http.MethodOptions,
+}
+
+// CheckServices fills in defaults and checks services from a file or from an operator's change.
+// The error is Invalid and names every wrong field.
+func CheckServices(s *api.Services) error {
+	p := &problems{}
+	names := make(map[string]int)
+	for i := range s.Services {
+		service := &s.Services[i]
+		fillService(service)
+		path := indexed("services", i)
+		p.service(path, service)
+		if _, exists := names[service.Name]; exists {
+			p.add(path+".name", "%q is the name of two services", service.Name)
+			continue
+		}
+		names[service.Name] = i
+	}
+	p.dependencies(s, names)
+	p.routeConflicts(s)
+	return p.err()
+}
+
+func fillService(s *api.Service) {
+	setDefault(&s.DeadlineMs, DefaultDeadlineMs)
+	if s.Divided() {
+		setDefault(&s.Partitions, DefaultPartitions)
+		setDefault(&s.Placement, DefaultPlacement)
+	}
+}
+
+func (p *problems) service(path string, s *api.Service) {
+	p.name(path+".name", s.Name)
+	p.between(path+".deadline_ms", s.DeadlineMs, 1, maxSpanMs)
+	p.plugin(path+".target_choice", s.TargetChoice)
+	p.plugin(path+".placement", s.Placement)
+	if s.Divided() {
+		p.divided(path, s)
+	} else {
+		p.undivided(path, s)
+	}
+	if len(s.Routes) == 0 {
+		p.add(path+".routes", "missing")
+	}
+	for i := range s.Routes {
+		p.route(indexed(path+".routes", i), &s.Routes[i])
+	}
+}
+
+func (p *problems) divided(path string, s *api.Service) {
+	p.between(path+".partitions", s.Partitions, 1, maxPartitions)
+	if s.TargetChoice != "" {
+		p.add(path+".target_choice", "a service divided by key has one owner to choose")
+	}
+	p.keySource(path+".key", s.Key)
+}
+
+func (p *problems) undivided(path string, s *api.Service) {
+	if s.Partitions != 0 {
+		p.add(path+".partitions", "only a service with a key has partitions")
+	}
+	if s.Placement != "" {
+		p.add(path+".placement", "only a service with a key is placed")
+	}
+}
+
+func (p *problems) keySource(path string, k *api.KeySource) {
+	set := 0
+	if k.PathSegment != nil {
+		set++
+		p.between(path+".path_segment", *k.PathSegment, 0, maxPathSegment)
+	}
+	if k.Header != "" {
+		set++
+		p.keyHeader(path+".header", k.Header)
+	}
+	if k.Query != "" {
+		set++
+	}
+	if set != 1 {
+		p.add(path, "set exactly one of path_segment, header and query")
+	}
+}
+
+func (p *problems) keyHeader(path, header string) {
+	canonical := http.CanonicalHeaderKey(header)
+	switch {
+	case strings.ContainsAny(header, " \t\r\n:,;()<>@\\\"/[]?={}"):
+		p.add(path, "%q is not a header name", header)
+	case strings.HasPrefix(canonical, api.HeaderPrefix), canonical == "Authorization":
+		p.add(path, "%q is not passed on from callers", header)
+	}
+}
+
+func (p *problems) route(path string, r *api.Route) {
+	p.prefix(path+".prefix", r.Prefix)
+	for i, m := range r.Methods {
+		at := indexed(path+".methods", i)
+		if !slices.Contains(methods, m) {
+			p.add(at, "%q is not one of %s", m, strings.Join(methods, ", "))
+		}
+		if slices.Contains(r.Methods[:i], m) {
+			p.add(at, "%q is listed twice", m)
+		}
+	}
+}
+
+func (p *problems) prefix(path, prefix string) {
+	switch {
+	case prefix == "":
+		p.add(path, "missing")
+	case !strings.HasPrefix(prefix, "/"):
+		p.add(path, "%q does not start with /", prefix)
+	case prefix != "/" && strings.HasSuffix(prefix, "/"):
+		p.add(path, "%q ends with /; a prefix matches whole path segments without it", prefix)
+	case strings.Contains(prefix, "//"), strings.ContainsAny(prefix, "?#%*{} \t\r\n"):
+		p.add(path, "%q is not a plain path", prefix)
+	case slices.Contains(strings.Split(prefix, "/"), "."), slices.Contains(strings.Split(prefix, "/"), ".."):
+		p.add(path, "%q has a relative segment", prefix)
+	}
+}
+
+// routeConflicts refuses two routes with the same prefix and a common method.
+func (p *problems) routeConflicts(s *api.Services) {
+	type place struct {
+		path  string
+		route *api.Route
+	}
+	byPrefix := make(map[string][]place)
+	for i := range s.Services {
+		for j := range s.Services[i].Routes {
+			route := &s.Services[i].Routes[j]
+			path := indexed(indexed("services", i)+".routes", j)
+			for _, other := range byPrefix[route.Prefix] {
+				if overlap(route.Methods, other.route.Methods) {
+					p.add(path+".prefix", "%q overlaps with %s", route.Prefix, other.path)
+					break
+				}
+			}
+			byPrefix[route.Prefix] = append(byPrefix[route.Prefix], place{path, route})
+		}
+	}
+}
+
+// overlap says whether two lists of methods share one; an empty list means all.
+func overlap(a, b []string) bool {
+	if len(a) == 0 || len(b) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(a, func(m string) bool { return slices.Contains(b, m) })
+}
--- a/config/settings.go
+++ b/config/settings.go
@@ -18,13 +18,13 @@
 // Timing holds the spans of the control protocol, in milliseconds. All processes of a
 // deployment must use the same values.
 type Timing struct {
-	HeartbeatMs   int `json:"heartbeat_ms,omitempty"`    // default 100
-	LeaseMs       int `json:"lease_ms,omitempty"`        // default 700
-	DriftMarginMs int `json:"drift_margin_ms,omitempty"` // default 50
-	ElectionMinMs int `json:"election_min_ms,omitempty"` // default 150
-	ElectionMaxMs int `json:"election_max_ms,omitempty"` // default 300
-	RaftBeatMs    int `json:"raft_heartbeat_ms,omitempty"`
-	DrainLimitMs  int `json:"drain_limit_ms,omitempty"` // default 2,000
+	HeartbeatMs   int `json:"heartbeat_ms,omitempty"`      // default 100
+	LeaseMs       int `json:"lease_ms,omitempty"`          // default 700
+	DriftMarginMs int `json:"drift_margin_ms,omitempty"`   // default 50
+	ElectionMinMs int `json:"election_min_ms,omitempty"`   // default 150
+	ElectionMaxMs int `json:"election_max_ms,omitempty"`   // default 300
+	RaftBeatMs    int `json:"raft_heartbeat_ms,omitempty"` // default 30
+	DrainLimitMs  int `json:"drain_limit_ms,omitempty"`    // default 2,000
 }
 
 // NodeSettings are the settings of zinnia-node.
@@ -108,6 +108,8 @@
 	Service string `json:"service"`
 	Zone    string `json:"availability_zone"`
 	Listen  string `json:"listen"`
+	// Advertise is the address that the node reaches the target under. Default Listen.
+	Advertise string `json:"advertise,omitempty"`
 	// NodeAnnounce is the announce address of the node on the same host.
 	NodeAnnounce string `json:"node_announce"`
 	Slots        int    `json:"slots,omitempty"`      // default 20
