api: version of an override, body of a member change

The leader may move a single hot key only after nodes have acknowledged the override, so an override carries the configuration version that created it. POST /v1/members had no message type.

--- a/api/control.go
+++ b/api/control.go
@@ -32,6 +32,9 @@
 	Service   string `json:"service"`
 	Key       string `json:"key"`
 	Partition int    `json:"partition"`
+	// Version is the configuration version that created the override. A node that has
+	// acknowledged it no longer sends the key to its hash partition.
+	Version uint64 `json:"version"`
 }
 
 // Configuration is what operators decide. Version is the log index of the last accepted change.
@@ -96,6 +99,21 @@
 	Error   *errkind.Error `json:"error,omitempty"`
 }
 
+// Actions of a MemberChange.
+const (
+	AddMember    = "add"
+	RemoveMember = "remove"
+)
+
+// MemberChange is the body of POST /v1/members.
+type MemberChange struct {
+	// Action is AddMember, which needs Name and Address, or RemoveMember, which needs ID.
+	Action  string `json:"action"`
+	Name    string `json:"name,omitempty"`
+	Address string `json:"address,omitempty"`
+	ID      uint64 `json:"id,omitempty"`
+}
+
 // Status is the answer of a control member to GET /v1/status.
 type Status struct {
 	Member        string            `json:"member"`
