--- /dev/null
+++ b/cmd/zinnia-node/main.go
@@ -0,0 +1,38 @@
+// Command zinnia-node runs beside a target: it admits callers, routes their requests to the
+// owner of the key, and is the only way to its own targets.
+package main
+
+import (
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/zinniapier/zinniapier/config"
+	"github.com/zinniapier/zinniapier/daemon"
+	"github.com/zinniapier/zinniapier/node"
+	"github.com/zinniapier/zinniapier/telemetry"
+)
+
+func main() {
+	app := kingpin.New("zinnia-node", "Routes requests to the target that owns their key.")
+	path := app.Flag("settings", "Path of the JSON settings.").Required().String()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	daemon.Exit(run(*path))
+}
+
+func run(path string) error {
+	settings, err := config.LoadNode(path)
+	if err != nil {
+		return err
+	}
+	if err := telemetry.SetOutput(os.Stderr, settings.Log.Level); err != nil {
+		return err
+	}
+	n, err := node.New(*settings)
+	if err != nil {
+		return err
+	}
+	ctx, stop := daemon.SignalContext()
+	defer stop()
+	return n.Serve(ctx)
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"os"
@@ -103,3 +104,12 @@
 	l, err := net.Listen("tcp", address)
 	return l, errors.Annotatef(err, "%s listener", purpose)
 }
+
+// ListenTLS is Listen with TLS; a nil configuration means plain TCP.
+func ListenTLS(purpose, address string, config *tls.Config) (net.Listener, error) {
+	l, err := Listen(purpose, address)
+	if err != nil || config == nil {
+		return l, err
+	}
+	return tls.NewListener(l, config), nil
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -67,6 +67,7 @@
 	queue   Queue
 	running int
 	limiter limiter
+	load    loadAverage
 }
 
 // New returns a gate whose target is in a cold start. It panics when the queue policy is
@@ -153,6 +154,7 @@
 	now := g.now()
 	g.limiter.advance(now)
 	if g.queue.Len() == 0 && g.running < g.limiter.limit() {
+		g.load.advance(now, g.running)
 		g.running++
 		return nil, nil
 	}
@@ -224,6 +226,7 @@
 		if w == nil {
 			return
 		}
+		g.load.advance(g.now(), g.running)
 		g.running++
 		close(w.ready)
 	}
@@ -240,6 +243,7 @@
 	now := g.now()
 	g.limiter.observe(now, o, g.running)
 	g.limiter.advance(now)
+	g.load.advance(now, g.running)
 	g.running--
 	g.pump()
 }
--- /dev/null
+++ b/gate/load.go
@@ -0,0 +1,35 @@
+package gate
+
+import (
+	"math"
+	"time"
+)
+
+// loadWindow is the time constant of the moving average of requests in progress.
+const loadWindow = time.Second
+
+// loadAverage is a moving average of a count, weighted by time.
+type loadAverage struct {
+	value float64
+	last  time.Time
+}
+
+// advance accounts for the time since the last call, during which the count was current.
+func (a *loadAverage) advance(now time.Time, current int) float64 {
+	if !a.last.IsZero() {
+		kept := math.Exp(-now.Sub(a.last).Seconds() / loadWindow.Seconds())
+		a.value = kept*a.value + (1-kept)*float64(current)
+	}
+	a.last = now
+	return a.value
+}
+
+// Load returns the moving average of requests in progress, and whether the target is still
+// in its cold-start ramp.
+func (g *Gate) Load() (load float64, cold bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	g.limiter.advance(now)
+	return g.load.advance(now, g.running), g.limiter.cold
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,270 @@
+// Package node assembles a node: the process beside a target that admits callers, routes
+// their requests to the owner of the key, and is the only way to its own targets.
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/config"
+	"github.com/zinniapier/zinniapier/daemon"
+	"github.com/zinniapier/zinniapier/gate"
+	"github.com/zinniapier/zinniapier/gateway"
+	"github.com/zinniapier/zinniapier/host"
+	"github.com/zinniapier/zinniapier/rpc"
+	"github.com/zinniapier/zinniapier/session"
+	"github.com/zinniapier/zinniapier/telemetry"
+	"github.com/zinniapier/zinniapier/tokens"
+)
+
+const (
+	// leaveLimit bounds a graceful leave: the drain limit of a move plus time for the
+	// control leader to place the partitions elsewhere.
+	leaveLimit = 12 * time.Second
+	// leavePoll is the interval at which a leaving node looks whether it still owns anything.
+	leavePoll = 10 * time.Millisecond
+)
+
+// Node is one node process. Create it with New and run it with Serve.
+type Node struct {
+	settings config.NodeSettings
+	tls      config.TLSPair
+
+	session  *session.Session
+	registry *host.Registry
+	account  *tokens.Account
+	limiter  gateway.Tokens
+	gateway  *gateway.Gateway
+	rpc      *rpc.Server
+
+	caller, internal, fate, announce, status net.Listener
+
+	// callersDone is set once a leaving node has answered its last caller.
+	callersDone atomic.Bool
+}
+
+// New opens the listeners of the node and assembles its parts. It fails for an address that
+// cannot be bound and for TLS files that cannot be read.
+func New(settings config.NodeSettings) (*Node, error) {
+	pair, err := settings.TLS.Load()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	n := &Node{settings: settings, tls: pair, rpc: rpc.NewServer(pair.Server)}
+	if err := n.listen(); err != nil {
+		n.closeListeners()
+		return nil, errors.Trace(err)
+	}
+	if err := n.assemble(); err != nil {
+		n.closeListeners()
+		return nil, errors.Trace(err)
+	}
+	return n, nil
+}
+
+func (n *Node) listen() (err error) {
+	s := &n.settings
+	if n.caller, err = daemon.Listen("caller", s.CallerListen); err != nil {
+		return err
+	}
+	if n.internal, err = daemon.ListenTLS("internal", s.InternalListen, n.tls.Server); err != nil {
+		return err
+	}
+	if n.fate, err = daemon.Listen("rpc", s.RPCListen); err != nil {
+		return err
+	}
+	if n.announce, err = daemon.Listen("announce", s.AnnounceListen); err != nil {
+		return err
+	}
+	if s.StatusListen == "" {
+		return nil
+	}
+	n.status, err = daemon.Listen("status", s.StatusListen)
+	return err
+}
+
+func (n *Node) closeListeners() {
+	for _, l := range []net.Listener{n.caller, n.internal, n.fate, n.announce, n.status} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+func (n *Node) assemble() error {
+	timing := n.settings.Timing
+	view := func() *api.View { return n.session.View() }
+	kick := func() { n.session.Kick() }
+	n.registry = host.NewRegistry(host.Options{
+		Zone:        n.settings.Zone,
+		View:        view,
+		Kick:        kick,
+		NewGate:     n.newGate,
+		Interval:    milliseconds(timing.HeartbeatMs),
+		DrainLimit:  milliseconds(timing.DrainLimitMs),
+		DriftMargin: milliseconds(timing.DriftMarginMs),
+	})
+	n.account = tokens.NewAccount(tokens.AccountOptions{
+		Organisation: func(id api.OrganisationID) *api.Organisation { return view().Index.Organisations[id] },
+		LeaseValid:   func() bool { return view().LeaseValid(time.Now()) },
+		Kick:         kick,
+		Heartbeat:    milliseconds(timing.HeartbeatMs),
+	})
+	n.limiter = n.newLimiter()
+	n.gateway = gateway.New(gateway.Options{
+		View:    view,
+		Targets: localTargets{n.registry},
+		Tokens:  n.limiter,
+		TLS:     n.tls.Client,
+		Traffic: n.settings.Traffic,
+	})
+	if err := n.newSession(); err != nil {
+		return err
+	}
+	n.session.Subscribe(n.registry.Update)
+	n.session.Subscribe(n.gateway.ViewChanged)
+	return n.rpc.Register("Node", n.gateway)
+}
+
+func (n *Node) newSession() (err error) {
+	s := &n.settings
+	n.session, err = session.New(session.Options{
+		Name:         s.Name,
+		Zone:         s.Zone,
+		InternalAddr: advertised(s.InternalAdvertise, n.internal),
+		FateAddr:     advertised(s.RPCAdvertise, n.fate),
+		CallerAddr:   advertised(s.CallerAdvertise, n.caller),
+		Members:      s.ControlMembers,
+		TLS:          n.tls.Client,
+		Source:       n.registry,
+		Tokens:       n.account,
+		Idle:         func() bool { return n.callersDone.Load() && n.registry.Idle() },
+		Heartbeat:    milliseconds(s.Timing.HeartbeatMs),
+	})
+	return errors.Trace(err)
+}
+
+func (n *Node) newGate(a api.Announcement) host.Gate {
+	s := &n.settings.Gate
+	return gate.New(gate.Options{
+		Slots:       a.Slots,
+		ColdSlots:   a.ColdSlots,
+		Ramp:        milliseconds(a.RampMs),
+		Queue:       s.Queue,
+		QueueLength: s.QueueLength,
+		NoColdStart: s.ColdStart != nil && !*s.ColdStart,
+	})
+}
+
+func advertised(address string, l net.Listener) string {
+	if address != "" {
+		return address
+	}
+	return l.Addr().String()
+}
+
+func milliseconds(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// CallerAddr returns the address of the caller listener, host:port.
+func (n *Node) CallerAddr() string { return n.caller.Addr().String() }
+
+// AnnounceAddr returns the address of the announce listener, host:port.
+func (n *Node) AnnounceAddr() string { return n.announce.Addr().String() }
+
+// View returns the latest view of the node's session.
+func (n *Node) View() *api.View { return n.session.View() }
+
+// Serve runs the node until ctx ends, then leaves gracefully: its partitions move, running
+// requests are answered, and the session ends. It returns the error of ctx.
+func (n *Node) Serve(ctx context.Context) error {
+	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopParts()
+	callers, stopCallers := context.WithCancel(parts)
+	defer stopCallers()
+
+	back := daemon.NewSupervisor("node")
+	n.addBack(back)
+	backDone := back.ServeBackground(parts)
+	front := daemon.NewSupervisor("callers")
+	front.Add(daemon.NewHTTPService("caller", n.caller, n.gateway.CallerHandler()))
+	frontDone := front.ServeBackground(callers)
+	telemetry.Logger("node").WithField("caller", n.CallerAddr()).Info("Node is up.")
+
+	<-ctx.Done()
+	n.leave(parts, stopCallers, frontDone)
+	stopParts()
+	<-backDone
+	telemetry.Logger("node").Info("Node has left.")
+	return ctx.Err()
+}
+
+func (n *Node) addBack(s *suture.Supervisor) {
+	s.Add(n.session)
+	s.Add(n.registry)
+	s.Add(daemon.NewHTTPService("internal", n.internal, n.gateway.InternalHandler()))
+	s.Add(daemon.NewHTTPService("announce", n.announce, n.registry.AnnounceHandler()))
+	s.Add(daemon.Service{Name: "rpc", Run: func(ctx context.Context) error { return n.rpc.Serve(ctx, n.fate) }})
+	if n.status != nil {
+		mux := http.NewServeMux()
+		mux.Handle("/debug/vars", telemetry.Handler())
+		s.Add(daemon.NewHTTPService("status", n.status, mux))
+	}
+}
+
+// leave hands the node's partitions over while callers are still served, then answers the
+// last callers, then ends the session.
+func (n *Node) leave(parts context.Context, stopCallers context.CancelFunc, frontDone <-chan error) {
+	limit, cancel := context.WithTimeout(parts, leaveLimit)
+	defer cancel()
+	left := make(chan error, 1)
+	go func() { left <- n.session.Leave(limit) }()
+	n.awaitHandover(limit)
+	stopCallers()
+	<-frontDone
+	if err := n.gateway.Shutdown(limit); err != nil {
+		telemetry.Logger("node").WithError(err).Warning("Some requests were still running.")
+	}
+	n.callersDone.Store(true)
+	if err := <-left; err != nil {
+		telemetry.Logger("node").WithError(err).Warning("The session ends with its lease.")
+	}
+}
+
+// awaitHandover waits until no local target holds a grant or runs a request.
+func (n *Node) awaitHandover(ctx context.Context) {
+	tick := time.NewTicker(leavePoll)
+	defer tick.Stop()
+	for !n.registry.Idle() || n.view().ownsAny() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+type nodeView struct{ *api.View }
+
+func (n *Node) view() nodeView { return nodeView{n.session.View()} }
+
+// ownsAny says whether the map assigns any partition to this session.
+func (v nodeView) ownsAny() bool {
+	if !v.LeaseValid(time.Now()) {
+		return false
+	}
+	for _, list := range v.Assignments {
+		for i := range list {
+			if list[i].State != api.Unassigned && list[i].Session == v.Session {
+				return true
+			}
+		}
+	}
+	return false
+}
