control: heartbeats, leader loop, moves, overrides and operator API

One loop owns sessions, tokens and moves; one batch is in flight at a time. A session whose lease ended at the leader stays refused while an assignment names it: a heartbeat that waited behind the expiry would otherwise renew the lease of grants whose release is on its way.

--- /dev/null
+++ b/control/heartbeat.go
@@ -0,0 +1,86 @@
+package control
+
+import (
+	"time"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/telemetry"
+)
+
+// service is the receiver that is published on net/rpc under the name "Control".
+type service struct{ c *Control }
+
+// heartbeat carries a request to the loop and the answer back.
+type heartbeat struct {
+	req      api.HeartbeatRequest
+	received time.Time
+	reply    *api.HeartbeatReply
+	err      *errkind.Error
+	done     chan struct{}
+}
+
+// Heartbeat renews the session of a node. It refuses with NotLeader and the rpc address
+// of the leader as message, empty when none is known; NoQuorum when this member leads but
+// cannot show it; NoLease for a session that has ended or whose grants are being released;
+// and BadRequest for a heartbeat that arrives after a later one.
+func (s *service) Heartbeat(req api.HeartbeatRequest, reply *api.HeartbeatReply) error {
+	h := &heartbeat{req: req, received: time.Now(), done: make(chan struct{})}
+	if err := s.c.handle(h); err != nil {
+		telemetry.CountRefusal(err.Kind)
+		return err
+	}
+	*reply = *h.reply
+	return nil
+}
+
+func (c *Control) handle(h *heartbeat) *errkind.Error {
+	if err := c.checkLease(); err != nil {
+		return err
+	}
+	timeout := time.NewTimer(heartbeatTimeout)
+	defer timeout.Stop()
+	select {
+	case c.heartbeats <- h:
+	case <-timeout.C:
+		return errkind.New(errkind.NoQuorum, "the control loop is busy")
+	}
+	select {
+	case <-h.done:
+	case <-timeout.C:
+		return errkind.New(errkind.NoQuorum, "the control loop is busy")
+	}
+	if h.err != nil {
+		return h.err
+	}
+	return c.checkLease()
+}
+
+func (c *Control) checkLease() *errkind.Error {
+	_, address, self := c.o.Log.Leader()
+	if !self {
+		return errkind.New(errkind.NotLeader, "%s", address)
+	}
+	if !c.o.Log.HoldsLease() {
+		return errkind.New(errkind.NoQuorum, "the leader has no answer from a quorum")
+	}
+	return nil
+}
+
+// answer runs on the loop. It returns whether the heartbeat brought something to plan for.
+func (c *Control) answer(h *heartbeat) (plan bool) {
+	defer close(h.done)
+	// The lease is checked first and changes of leadership are taken in after it: if the
+	// lease belongs to a newer term of this member, the loop must not answer from the
+	// sessions and tokens of the older one.
+	if h.err = c.checkLease(); h.err != nil {
+		return false
+	}
+	c.followLeadership()
+	if c.leader == nil {
+		h.err = errkind.New(errkind.NotLeader, "")
+		return false
+	}
+	h.reply, plan, h.err = c.leader.heartbeat(&h.req, h.received, time.Now())
+	return plan
+}
--- /dev/null
+++ b/control/leader.go
@@ -0,0 +1,85 @@
+package control
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/state"
+	"github.com/zinniapier/zinniapier/tokens"
+)
+
+// leader is the volatile state of one term as leader. The loop owns it.
+type leader struct {
+	o    *Options
+	log  *logrus.Entry
+	term uint64
+	// ready says that the first batch of the term has been applied.
+	ready    bool
+	inFlight bool
+	retryAt  time.Time
+	// waitUntil is one lease plus margin after the start of the term. Until then sessions
+	// that this leader has not heard of may hold a lease.
+	waitUntil time.Time
+
+	sessions      map[api.SessionID]*session
+	authority     *tokens.Authority
+	configVersion uint64
+
+	peers        []api.Peer
+	peersVersion uint64
+	peersDirty   bool
+
+	// released holds the epochs that nodes have reported as released.
+	released map[api.PartitionRef]api.Epoch
+	// intended holds the target that a partition is being moved to.
+	intended map[api.PartitionRef]api.TargetID
+	// evacuating holds since when a service has partitions on targets that must lose them.
+	evacuating map[string]time.Time
+	// holds says from when on an override may leave its first owner.
+	holds       map[api.PartitionRef]time.Time
+	nextBalance time.Time
+}
+
+func newLeader(o *Options, log *logrus.Entry, term uint64, now time.Time) *leader {
+	span := o.Lease + o.Margin
+	return &leader{
+		o:          o,
+		log:        log,
+		term:       term,
+		waitUntil:  now.Add(span),
+		sessions:   make(map[api.SessionID]*session),
+		authority:  tokens.NewAuthority(now, span),
+		released:   make(map[api.PartitionRef]api.Epoch),
+		intended:   make(map[api.PartitionRef]api.TargetID),
+		evacuating: make(map[string]time.Time),
+		holds:      make(map[api.PartitionRef]time.Time),
+		// Versions of the list of peers must differ between terms.
+		peersVersion: term << 32,
+	}
+}
+
+// waiting says whether sessions unknown to this leader may still hold a lease.
+func (l *leader) waiting(now time.Time) bool { return now.Before(l.waitUntil) }
+
+// tick expires sessions and returns the steps to commit.
+func (l *leader) tick(now time.Time) *state.Batch {
+	view := l.o.Machine.View()
+	l.followConfiguration(view, now)
+	l.authority.Advance(now)
+	l.expire(view, now)
+	if l.waiting(now) {
+		return &state.Batch{Term: l.term}
+	}
+	return l.plan(view, now)
+}
+
+func (l *leader) followConfiguration(view *api.ControlState, now time.Time) {
+	if view.Configuration.Version == l.configVersion {
+		return
+	}
+	l.configVersion = view.Configuration.Version
+	l.authority.SetOrganisations(now, view.Configuration.Organisations)
+	l.peersDirty = true
+}
--- /dev/null
+++ b/control/operator.go
@@ -0,0 +1,214 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/placement"
+	"github.com/zinniapier/zinniapier/state"
+)
+
+const (
+	// MaxBody bounds the body of an operator's request in bytes.
+	MaxBody = 4 << 20
+	// operatorTimeout bounds the wait for a commit on behalf of an operator.
+	operatorTimeout = 4 * time.Second
+	// statusTimeout bounds the wait for the control loop.
+	statusTimeout = time.Second
+)
+
+// Paths of the operator listener.
+const (
+	PathStatus        = "/v1/status"
+	PathConfiguration = "/v1/configuration"
+	PathChanges       = "/v1/changes"
+	PathMembers       = "/v1/members"
+)
+
+// endpoint answers one method of a path on the leader. body is read and bounded.
+type endpoint func(ctx context.Context, body []byte) (any, *errkind.Error)
+
+// OperatorHandler serves operators. A member that does not lead forwards to the leader
+// once; refusals carry their kind as everywhere. The answer to a refused change is an
+// api.ChangeResult with the status and the header of its kind.
+func (c *Control) OperatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	c.route(mux, PathStatus, map[string]endpoint{http.MethodGet: c.getStatus})
+	c.route(mux, PathConfiguration, map[string]endpoint{http.MethodGet: c.getConfiguration})
+	c.route(mux, PathChanges, map[string]endpoint{http.MethodPost: c.postChange})
+	c.route(mux, PathMembers, map[string]endpoint{http.MethodGet: c.getMembers, http.MethodPost: c.postMembers})
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		errkind.WriteHTTP(w, errkind.New(errkind.NotFound, "no such path %s", r.URL.Path))
+	})
+	return mux
+}
+
+func (c *Control) route(mux *http.ServeMux, path string, methods map[string]endpoint) {
+	mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+		serve, ok := methods[r.Method]
+		if !ok {
+			errkind.WriteHTTP(w, errkind.New(errkind.BadRequest, "method %s is not allowed on %s", r.Method, path))
+			return
+		}
+		body, err := readBody(w, r)
+		if err != nil {
+			errkind.WriteHTTP(w, err)
+			return
+		}
+		if c.forward(w, r, body) {
+			return
+		}
+		answer, err := serve(r.Context(), body)
+		write(w, answer, err)
+	})
+}
+
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *errkind.Error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, errkind.New(errkind.TooLarge, "body above %d bytes", MaxBody)
+	}
+	if err != nil {
+		return nil, errkind.New(errkind.BadRequest, "read body: %v", err)
+	}
+	return body, nil
+}
+
+func write(w http.ResponseWriter, answer any, refusal *errkind.Error) {
+	if refusal != nil {
+		errkind.WriteHTTP(w, refusal)
+		return
+	}
+	body, err := json.Marshal(answer)
+	if err != nil {
+		errkind.WriteHTTP(w, errkind.New(errkind.Internal, "encode answer: %v", err))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if result, ok := answer.(*api.ChangeResult); ok && result.Error != nil {
+		w.Header().Set(errkind.HeaderKind, string(result.Error.Kind))
+		w.WriteHeader(result.Error.Kind.Answer().Status)
+	}
+	// The operator may have gone; there is nobody left to tell.
+	_, _ = w.Write(body)
+}
+
+// decode parses one JSON value strictly.
+func decode(body []byte, v any) *errkind.Error {
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return errkind.New(errkind.BadRequest, "parse body: %v", err)
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return errkind.New(errkind.BadRequest, "parse body: more than one value")
+	}
+	return nil
+}
+
+// getStatus answers on any member; only the leader's answer names nodes and tokens.
+func (c *Control) getStatus(ctx context.Context, _ []byte) (any, *errkind.Error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	answer := make(chan *api.Status, 1)
+	select {
+	case c.queries <- answer:
+		return <-answer, nil
+	case <-ctx.Done():
+		return c.localStatus(), nil
+	}
+}
+
+func (c *Control) getConfiguration(context.Context, []byte) (any, *errkind.Error) {
+	if err := c.checkLease(); err != nil {
+		return nil, err
+	}
+	return &c.o.Machine.View().Configuration, nil
+}
+
+func (c *Control) postChange(ctx context.Context, body []byte) (any, *errkind.Error) {
+	change := &api.Change{}
+	if err := decode(body, change); err != nil {
+		return nil, err
+	}
+	if err := checkPolicies(change.Services); err != nil {
+		return nil, err
+	}
+	data, err := state.EncodeChange(change)
+	if err != nil {
+		return nil, errkind.From(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	result, _, err := c.o.Log.Propose(ctx, data)
+	if err != nil {
+		return nil, proposeError(err)
+	}
+	c.kick()
+	if refused, ok := result.(*errkind.Error); ok {
+		return nil, refused
+	}
+	return result, nil
+}
+
+// checkPolicies checks names of plug-ins here, because members of different releases may
+// know different ones and the state machine must decide the same on all.
+func checkPolicies(s *api.Services) *errkind.Error {
+	if s == nil {
+		return nil
+	}
+	for _, v := range s.Services {
+		if v.Placement == "" {
+			continue
+		}
+		if _, err := placement.Policies.Get(v.Placement); err != nil {
+			return errkind.New(errkind.Invalid, "service %q: %v", v.Name, err)
+		}
+	}
+	return nil
+}
+
+// proposeError gives a failure to commit its kind. The entry may still be committed, so
+// an operator resends with the same change id.
+func proposeError(err error) *errkind.Error {
+	var e *errkind.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return errkind.New(errkind.NoQuorum, "commit: %v", err)
+}
+
+func (c *Control) getMembers(context.Context, []byte) (any, *errkind.Error) {
+	return c.members(), nil
+}
+
+func (c *Control) postMembers(ctx context.Context, body []byte) (any, *errkind.Error) {
+	var m api.MemberChange
+	if err := decode(body, &m); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	var err error
+	switch {
+	case m.Action == api.AddMember && m.Name != "" && m.Address != "":
+		err = c.o.Log.AddMember(ctx, m.Name, m.Address)
+	case m.Action == api.RemoveMember && m.ID != 0:
+		err = c.o.Log.RemoveMember(ctx, m.ID)
+	default:
+		return nil, errkind.New(errkind.Invalid, "a member change is add with name and address, or remove with id")
+	}
+	if err != nil {
+		return nil, proposeError(err)
+	}
+	return c.members(), nil
+}
--- /dev/null
+++ b/control/reply.go
@@ -0,0 +1,113 @@
+package control
+
+import (
+	"cmp"
+	"reflect"
+	"slices"
+	"time"
+
+	"github.com/zinniapier/zinniapier/api"
+)
+
+// reply builds the answer from committed state only.
+func (l *leader) reply(view *api.ControlState, s *session, issued map[api.OrganisationID]int64, now time.Time) *api.HeartbeatReply {
+	r := &api.HeartbeatReply{
+		Term:          l.term,
+		ConfigVersion: view.Configuration.Version,
+		MapVersion:    view.MapVersion,
+		Issued:        issued,
+	}
+	if !s.final {
+		r.Lease = l.o.Lease
+	}
+	if s.last.ConfigVersion != view.Configuration.Version {
+		r.Configuration = &view.Configuration
+	}
+	l.fillMap(r, view, s.last.MapVersion)
+	l.fillPeers(r, view, s.last.PeersVersion, now)
+	for _, m := range l.o.Log.Members() {
+		r.Members = append(r.Members, m.Address)
+	}
+	return r
+}
+
+// fillMap sends the assignments changed since the known version, or all of them.
+func (l *leader) fillMap(r *api.HeartbeatReply, view *api.ControlState, known uint64) {
+	if known == view.MapVersion {
+		return
+	}
+	refs, ok := l.o.Machine.Changes(known)
+	if !ok || known == 0 || known > view.MapVersion {
+		r.MapFull = true
+		r.Map = fullMap(view)
+		return
+	}
+	seen := make(map[api.PartitionRef]bool, len(refs))
+	for _, ref := range refs {
+		// The history may be ahead of the view by an entry.
+		if seen[ref] || ref.Partition >= len(view.Assignments[ref.Service]) {
+			continue
+		}
+		seen[ref] = true
+		r.Map = append(r.Map, api.AssignmentUpdate{PartitionRef: ref, Assignment: assignment(view, ref)})
+	}
+}
+
+func fullMap(view *api.ControlState) []api.AssignmentUpdate {
+	var updates []api.AssignmentUpdate
+	for name, list := range view.Assignments {
+		for i, a := range list {
+			ref := api.PartitionRef{Service: name, Partition: i}
+			updates = append(updates, api.AssignmentUpdate{PartitionRef: ref, Assignment: a})
+		}
+	}
+	return updates
+}
+
+// fillPeers sends the list of nodes when it differs. A new leader knows only the nodes
+// that it has heard from, so during its wait it sends its list only to nodes without one.
+func (l *leader) fillPeers(r *api.HeartbeatReply, view *api.ControlState, known uint64, now time.Time) {
+	if l.peersDirty {
+		l.refreshPeers(view)
+	}
+	if l.waiting(now) && known != 0 && known>>32 != l.term {
+		r.PeersVersion = known
+		return
+	}
+	r.PeersVersion = l.peersVersion
+	if known != l.peersVersion {
+		r.PeersChanged = true
+		r.Peers = l.peers
+	}
+}
+
+// refreshPeers rebuilds the list of nodes; published lists are not modified.
+func (l *leader) refreshPeers(view *api.ControlState) {
+	l.peersDirty = false
+	var peers []api.Peer
+	for _, s := range l.sessions {
+		if s.lost {
+			continue
+		}
+		p := s.peer
+		p.Targets = slices.Clone(p.Targets)
+		for i := range p.Targets {
+			p.Targets[i].Out = isOut(&view.Configuration, p.Targets[i].ID, p.Zone, s.last.Targets[i].Zone)
+		}
+		peers = append(peers, p)
+	}
+	slices.SortFunc(peers, func(x, y api.Peer) int { return cmp.Compare(x.Session, y.Session) })
+	if l.peersVersion != l.term<<32 && reflect.DeepEqual(peers, l.peers) {
+		return
+	}
+	l.peers = peers
+	l.peersVersion++
+}
+
+// isOut says whether operators took the target, its zone or the zone of its node out.
+func isOut(c *api.Configuration, id api.TargetID, zones ...string) bool {
+	if slices.Contains(c.TargetsOut, id) {
+		return true
+	}
+	return slices.ContainsFunc(zones, func(z string) bool { return slices.Contains(c.ZonesOut, z) })
+}
--- a/state/batch.go
+++ b/state/batch.go
@@ -11,6 +11,7 @@
 // views; each slice is copied before its first change.
 type editor struct {
 	state   *api.ControlState
+	owned   bool // Assignments itself is a copy
 	copied  map[string]bool
 	changed []api.PartitionRef
 }
@@ -25,7 +26,6 @@
 	if !ok || e.copied[service] {
 		return list
 	}
-	e.own()
 	list = slices.Clone(list)
 	e.set(service, list)
 	return list
@@ -33,9 +33,10 @@
 
 // own copies the map itself before its first change.
 func (e *editor) own() {
-	if len(e.copied) > 0 {
+	if e.owned {
 		return
 	}
+	e.owned = true
 	next := make(api.Assignments, len(e.state.Assignments))
 	for name, list := range e.state.Assignments {
 		next[name] = list
--- a/state/services.go
+++ b/state/services.go
@@ -83,8 +83,10 @@
 }
 
 func (e *editor) create(v api.Service) {
-	e.set(v.Name, make([]api.Assignment, v.Partitions))
-	for i := range v.Partitions {
+	list := make([]api.Assignment, v.Partitions)
+	e.set(v.Name, list)
+	for i := range list {
+		list[i].Epoch = api.Epoch(e.state.Index)
 		e.changed = append(e.changed, api.PartitionRef{Service: v.Name, Partition: i})
 	}
 }
--- a/tokens/authority_test.go
+++ b/tokens/authority_test.go
@@ -22,7 +22,6 @@
 	session                   api.SessionID
 	leaseEnd                  time.Time
 	issued, settled, returned int64
-	sentAt                    time.Time
 	heartbeat                 int // number of the outstanding heartbeat
 }
 
