--- /dev/null
+++ b/control/operator_test.go
@@ -0,0 +1,109 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/errkind"
+)
+
+func newOperator(t *testing.T, log *fakeLog, addresses map[string]string) *httptest.Server {
+	c, err := New(Options{Name: "test", Log: log, Machine: log.machine, OperatorAddresses: addresses})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = c.Serve(ctx) }()
+	s := httptest.NewServer(c.OperatorHandler())
+	t.Cleanup(s.Close)
+	return s
+}
+
+func call(t *testing.T, method, url, body string) (int, string, string) {
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, resp.Header.Get(errkind.HeaderKind), string(data)
+}
+
+// Guards against operator requests that are accepted although malformed, and against
+// refusals without a kind.
+func TestOperatorRefusals(t *testing.T) {
+	log := newFakeLog()
+	log.lead(true)
+	s := newOperator(t, log, nil)
+	for _, c := range []struct {
+		method, path, body string
+		kind               errkind.Kind
+	}{
+		{"POST", PathChanges, `{"id":"1","kind":"zone-out","name":"a","surprise":1}`, errkind.BadRequest},
+		{"POST", PathChanges, `{"id":"1"} {}`, errkind.BadRequest},
+		{"POST", PathChanges, strings.Repeat(" ", MaxBody+1), errkind.TooLarge},
+		{"DELETE", PathChanges, "", errkind.BadRequest},
+		{"POST", PathStatus, "", errkind.BadRequest},
+		{"GET", "/v1/other", "", errkind.NotFound},
+		{"POST", PathChanges, `{"id":"2","kind":"unknown"}`, errkind.Invalid},
+		{"POST", PathChanges, `{"id":"3","base_version":9,"kind":"zone-out","name":"a"}`, errkind.Conflict},
+		{"POST", PathChanges, `{"id":"4","kind":"apply-services","services":{"services":[{"name":"s","routes":[],"placement":"no"}]}}`, errkind.Invalid},
+		{"POST", PathMembers, `{"action":"add"}`, errkind.Invalid},
+	} {
+		is := is.New(t)
+		status, kind, _ := call(t, c.method, s.URL+c.path, c.body)
+		is.Equal(kind, string(c.kind))
+		is.Equal(status, c.kind.Answer().Status)
+	}
+}
+
+// Guards against a follower that decides by itself, and against forwarding in a circle.
+func TestForwardOnce(t *testing.T) {
+	is := is.New(t)
+	log := newFakeLog()
+	log.lead(true)
+	leader := newOperator(t, log, nil)
+	address := strings.TrimPrefix(leader.URL, "http://")
+	follower := newOperator(t, newFakeLog(), map[string]string{"m1": address})
+	status, _, body := call(t, "POST", follower.URL+PathChanges, `{"id":"1","kind":"zone-out","name":"a"}`)
+	is.Equal(status, http.StatusOK)
+	var result api.ChangeResult
+	is.NoErr(json.Unmarshal([]byte(body), &result))
+	is.Equal(result.Version, log.machine.View().Configuration.Version)
+
+	second := newOperator(t, newFakeLog(), map[string]string{"m1": strings.TrimPrefix(follower.URL, "http://")})
+	_, kind, _ := call(t, "GET", second.URL+PathConfiguration, "")
+	is.Equal(kind, string(errkind.NotLeader))
+
+	leader.Close()
+	_, kind, _ = call(t, "POST", follower.URL+PathChanges, `{"id":"2","kind":"zone-out","name":"a"}`)
+	is.Equal(kind, string(errkind.Unknown))
+	status, _, _ = call(t, "GET", follower.URL+PathStatus, "")
+	is.Equal(status, http.StatusOK) // a member shows its own state when the leader is gone
+}
+
+// Guards against a heartbeat that is answered by a member that does not lead.
+func TestHeartbeatNotLeader(t *testing.T) {
+	is := is.New(t)
+	log := newFakeLog()
+	c, err := New(Options{Log: log, Machine: log.machine})
+	is.NoErr(err)
+	err = (&service{c}).Heartbeat(api.HeartbeatRequest{}, &api.HeartbeatReply{})
+	is.Equal(err.Error(), "not-leader: 127.0.0.1:7001")
+}
