internal/cluster: real processes with faulty links for tests

Cause: tests need the loss, freeze and isolation of single processes, and faults on single links, also when an address was learnt from a message of the system.

Every advertised address leads to a switchboard in the test process, which looks up the process that opened the connection in /proc and passes it through the toxiproxy proxy of that pair and kind. A custom toxic holds data back instead of dropping it, so that a healed link continues without a gap, as TCP does.

Ruled out: one proxy for each address, which cannot tell callers apart; the timeout toxic, which closes connections when it is removed and passes on the end of a connection while it is cut.

--- /dev/null
+++ b/internal/cluster/sockets.go
@@ -0,0 +1,90 @@
+package cluster
+
+import (
+	"bufio"
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+// socket is a row of /proc/net/tcp.
+type socket struct {
+	local, remote netip.AddrPort
+	listening     bool
+	inode         string
+}
+
+// stateListen is the state of a listening socket in /proc/net/tcp.
+const stateListen = "0A"
+
+// findSocket returns the first IPv4 socket that matches.
+func findSocket(match func(socket) bool) (socket, bool) {
+	f, err := os.Open("/proc/net/tcp")
+	if err != nil {
+		return socket{}, false
+	}
+	defer f.Close()
+	lines := bufio.NewScanner(f)
+	for lines.Scan() {
+		if s, ok := parseSocket(lines.Text()); ok && match(s) {
+			return s, true
+		}
+	}
+	return socket{}, false
+}
+
+// Columns of /proc/net/tcp.
+const (
+	columnLocal  = 1
+	columnRemote = 2
+	columnState  = 3
+	columnInode  = 9
+)
+
+func parseSocket(line string) (socket, bool) {
+	columns := strings.Fields(line)
+	if len(columns) <= columnInode {
+		return socket{}, false
+	}
+	local, ok1 := parseHexAddress(columns[columnLocal])
+	remote, ok2 := parseHexAddress(columns[columnRemote])
+	return socket{local, remote, columns[columnState] == stateListen, columns[columnInode]}, ok1 && ok2
+}
+
+// parseHexAddress reads an address such as 0100007F:1F90, whose IP number is in little-endian order.
+func parseHexAddress(text string) (netip.AddrPort, bool) {
+	var port uint16
+	ip, rest, found := strings.Cut(text, ":")
+	b, err := hex.DecodeString(ip)
+	if !found || err != nil || len(b) != 4 {
+		return netip.AddrPort{}, false
+	}
+	if _, err := fmt.Sscanf(rest, "%x", &port); err != nil {
+		return netip.AddrPort{}, false
+	}
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{b[3], b[2], b[1], b[0]}), port), true
+}
+
+// listening says whether a socket listens on the address.
+func listening(address string) bool {
+	want, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return false
+	}
+	_, found := findSocket(func(s socket) bool { return s.listening && s.local == want })
+	return found
+}
+
+// holds says whether the process has the socket with the inode open.
+func holds(pid int, inode string) bool {
+	links, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
+	for _, link := range links {
+		if name, err := os.Readlink(link); err == nil && name == "socket:["+inode+"]" {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/cluster/valve.go
@@ -0,0 +1,157 @@
+package cluster
+
+import (
+	"sync"
+
+	"github.com/Shopify/toxiproxy/v2/stream"
+	"github.com/Shopify/toxiproxy/v2/toxics"
+)
+
+// Direction is a direction of a link.
+type Direction int
+
+// Directions of a link. Forward is from the process that opened the connection.
+const (
+	Both Direction = iota
+	Forward
+	Backward
+)
+
+// valve decides whether the data of a link may pass. Data that may not pass waits, as it does
+// in TCP until a retransmission gets through.
+type valve struct {
+	mu  sync.Mutex
+	cut [2]bool
+	// generation grows with each silence; connections of an earlier one stay silent.
+	generation uint64
+	// released lets everything pass, so that the goroutines of connections end with the test.
+	released bool
+	changed  chan struct{}
+}
+
+func newValve() *valve { return &valve{changed: make(chan struct{})} }
+
+func (v *valve) update(f func()) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	f()
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+func (v *valve) set(d Direction, cut bool) {
+	v.update(func() {
+		if d != Backward {
+			v.cut[stream.Upstream] = cut
+		}
+		if d != Forward {
+			v.cut[stream.Downstream] = cut
+		}
+	})
+}
+
+func (v *valve) silence() { v.update(func() { v.generation++ }) }
+
+func (v *valve) release() { v.update(func() { v.released = true }) }
+
+func (v *valve) birth() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.generation
+}
+
+// open says whether data of a connection may pass now, and returns a channel that is closed at the next change.
+func (v *valve) open(d stream.Direction, birth uint64) (bool, <-chan struct{}) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.released || !v.cut[d] && birth == v.generation, v.changed
+}
+
+// toxicType is the name under which valveToxic is registered with toxiproxy.
+const toxicType = "zinnia-valve"
+
+// valves finds the valve of a toxic, which toxiproxy builds from JSON attributes.
+var valves sync.Map
+
+// valveToxic passes data through the valve of its link. It is added to a proxy before the first connection.
+type valveToxic struct {
+	ID        int64            `json:"id"`
+	Direction stream.Direction `json:"direction"`
+}
+
+func init() { toxics.Register(toxicType, new(valveToxic)) }
+
+func (t *valveToxic) valve() *valve {
+	v, _ := valves.Load(t.ID)
+	return v.(*valve)
+}
+
+// NewState implements toxics.StatefulToxic: it records the generation of a new connection.
+func (t *valveToxic) NewState() any { return t.valve().birth() }
+
+// Pipe implements toxics.Toxic.
+func (t *valveToxic) Pipe(stub *toxics.ToxicStub) {
+	f := &flow{valve: t.valve(), direction: t.Direction, stub: stub}
+	for f.step() {
+	}
+}
+
+// flow is one direction of one connection.
+type flow struct {
+	valve     *valve
+	direction stream.Direction
+	stub      *toxics.ToxicStub
+	// held is data that was read and not yet passed on.
+	held *stream.StreamChunk
+	// ended says that the sender has closed the connection.
+	ended bool
+}
+
+// step moves one chunk or waits; it returns false at the end.
+func (f *flow) step() bool {
+	open, changed := f.valve.open(f.direction, f.stub.State.(uint64))
+	switch {
+	case !open:
+		return f.wait(changed)
+	case f.held != nil:
+		return f.send(changed)
+	case f.ended:
+		f.stub.Close()
+		return false
+	default:
+		return f.receive(changed)
+	}
+}
+
+func (f *flow) wait(changed <-chan struct{}) bool {
+	select {
+	case <-f.stub.Interrupt:
+		return false
+	case <-changed:
+		return true
+	}
+}
+
+func (f *flow) send(changed <-chan struct{}) bool {
+	select {
+	case <-f.stub.Interrupt:
+		return false
+	case <-changed:
+		return true
+	case f.stub.Output <- f.held:
+		f.held = nil
+		return true
+	}
+}
+
+func (f *flow) receive(changed <-chan struct{}) bool {
+	select {
+	case <-f.stub.Interrupt:
+		return false
+	case <-changed:
+		return true
+	case f.held = <-f.stub.Input:
+		f.ended = f.held == nil
+		return true
+	}
+}
