--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -1,16 +1,20 @@
 package cluster
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/zinniapier/zinniapier/errkind"
 )
 
 // recorder is a test whose failure does not fail the test that uses it.
@@ -164,3 +168,48 @@
 	_, err = os.Stat(fmt.Sprintf("/proc/%d", pid))
 	is.True(errors.Is(err, os.ErrNotExist))
 }
+
+// TestBuildOnce guards against a program that is built again for each process.
+func TestBuildOnce(t *testing.T) {
+	is := is.New(t)
+	first, err := build("zinniactl")
+	is.NoErr(err)
+	before, err := os.Stat(first)
+	is.NoErr(err)
+	second, err := build("zinniactl")
+	is.NoErr(err)
+	after, err := os.Stat(second)
+	is.NoErr(err)
+	is.True(os.SameFile(before, after) && before.ModTime().Equal(after.ModTime()))
+	_, err = build("absent")
+	is.True(err != nil)
+}
+
+// TestAnswers guards against a refusal or a truncated answer that a test takes for a success.
+func TestAnswers(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/echo":
+			_ = json.NewEncoder(w).Encode(Echo{Method: r.Method, Headers: r.Header})
+		case "/short":
+			w.Header().Set("Content-Length", "100")
+			_, _ = w.Write([]byte("{}"))
+		default:
+			errkind.WriteHTTP(w, errkind.New(errkind.NoOwner, "test"))
+		}
+	}))
+	defer server.Close()
+	n := &Node{}
+	n.Settings.CallerListen = strings.TrimPrefix(server.URL, "http://")
+	a, err := n.Do(t.Context(), Request{Method: http.MethodPost, Path: "/echo", OrganisationKey: "k", Body: []byte("{}")})
+	is.NoErr(err)
+	is.Equal(a.Echo.Method, http.MethodPost)
+	is.Equal(a.Echo.Headers.Get("Authorization"), "Bearer k")
+	a, err = n.Do(t.Context(), Request{Path: "/refused"})
+	is.NoErr(err)
+	is.Equal(a.Kind, errkind.NoOwner)
+	is.True(a.NotRun)
+	_, err = n.Do(t.Context(), Request{Path: "/short"})
+	is.True(err != nil)
+}
