internal/cluster: groups of processes by host

Isolate also cuts a node from its own target, which the loss of a network does not do. Host, Others and Between express that fault.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -86,7 +86,14 @@
 	is.Equal(ping(t, d, other), "echo")
 	is.Equal(ping(t, a, open(t, a, c.Control[1].Settings.RPCAdvertise)), "silent")
 	heal()
-	is.Equal(ask(t, a, "/ping?read=1&id="+control), "echo")
+	for _, id := range []string{hop, fate, control, orders} {
+		is.Equal(ask(t, a, "/ping?read=1&id="+id), "echo")
+	}
+	host := c.Host(a)
+	CutAll(c.Between(host, c.Others(host)))
+	is.Equal(ping(t, a, hop), "silent")
+	is.Equal(ping(t, a, control), "silent")
+	is.Equal(ping(t, a, orders), "echo")
 }
 
 // TestOneDirection guards against Forward and Backward being swapped.
--- a/internal/cluster/links.go
+++ b/internal/cluster/links.go
@@ -1,5 +1,7 @@
 package cluster
 
+import "slices"
+
 // Link returns the link on which one process dials another. A pair that has no such link fails the test.
 func (c *Cluster) Link(from, to *Process, kind Kind) *Link {
 	c.t.Helper()
@@ -100,3 +102,19 @@
 	}
 	return c.links[key]
 }
+
+// Host returns a node and the targets on its host.
+func (c *Cluster) Host(n *Node) []*Process {
+	host := []*Process{&n.Process}
+	for _, t := range c.Targets {
+		if t.Node == n {
+			host = append(host, &t.Process)
+		}
+	}
+	return host
+}
+
+// Others returns all processes that are not in the group.
+func (c *Cluster) Others(group []*Process) []*Process {
+	return slices.DeleteFunc(c.processes(), func(p *Process) bool { return slices.Contains(group, p) })
+}
