member, zinnia-control: assembly of the control member

The replica's leadership channel is used directly by the control loop: a converting goroutine would deliver a change after HoldsLease has turned true.

--- a/control/forward.go
+++ b/control/forward.go
@@ -25,7 +25,7 @@
 	if self || status && (name == "" || r.URL.Query().Has("local")) {
 		return false
 	}
-	target := c.o.OperatorAddresses[name]
+	target := c.operatorAddress(name)
 	switch {
 	case r.Header.Get(headerForwarded) != "":
 		errkind.WriteHTTP(w, errkind.New(errkind.NotLeader, "%s", address))
@@ -72,3 +72,14 @@
 	_, _ = io.Copy(w, answer.Body)
 	return nil
 }
+
+// operatorAddress returns host:port of a member's operator listener, or "" when unknown. The
+// group's own list wins over the settings, since it also knows members that joined later.
+func (c *Control) operatorAddress(name string) string {
+	for _, m := range c.o.Log.Members() {
+		if m.Name == name && m.OperatorAddress != "" {
+			return m.OperatorAddress
+		}
+	}
+	return c.o.OperatorAddresses[name]
+}
--- a/control/log.go
+++ b/control/log.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/zinniapier/zinniapier/replica"
 	"github.com/zinniapier/zinniapier/rpc"
 )
 
@@ -25,18 +26,19 @@
 	RemoveMember(ctx context.Context, id uint64) error
 }
 
-// LeadershipChange tells that a term has begun and whether this member leads it.
-type LeadershipChange struct {
-	Term uint64
-	Self bool
-}
+// LeadershipChange tells that a term has begun and whether this member leads it. It is the
+// replica's own type, so that its channel is used as it is: a converting goroutine in
+// between would let HoldsLease return true in a term whose change is still in transit.
+type LeadershipChange = replica.LeadershipChange
 
 // Member is one member of the control group.
 type Member struct {
 	Name    string
 	ID      uint64
 	Address string // rpc listener, host:port
-	Voter   bool
+	// OperatorAddress is the operator listener, host:port; empty when unknown.
+	OperatorAddress string
+	Voter           bool
 	// Match is the greatest log index known to be stored by the member; known to the leader only.
 	Match       uint64
 	LastContact time.Time
--- /dev/null
+++ b/member/member.go
@@ -0,0 +1,142 @@
+// Package member assembles a control member: the replicated log, the state machine, the
+// control loop, and the listeners for nodes and operators.
+package member
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/zinniapier/zinniapier/config"
+	"github.com/zinniapier/zinniapier/control"
+	"github.com/zinniapier/zinniapier/daemon"
+	"github.com/zinniapier/zinniapier/replica"
+	"github.com/zinniapier/zinniapier/rpc"
+	"github.com/zinniapier/zinniapier/state"
+	"github.com/zinniapier/zinniapier/telemetry"
+)
+
+// Member is one control member. Create it with New and run it with Serve.
+type Member struct {
+	settings config.ControlSettings
+	replica  *replica.Replica
+	control  *control.Control
+	server   *rpc.Server
+
+	rpc, operator, status net.Listener
+}
+
+// New opens the listeners and the data folder of a member. It fails for an address that cannot
+// be bound, TLS files that cannot be read, and a damaged log.
+func New(settings config.ControlSettings) (*Member, error) {
+	pair, err := settings.TLS.Load()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	m := &Member{settings: settings, server: rpc.NewServer(pair.Server)}
+	if err := m.listen(); err != nil {
+		m.closeListeners()
+		return nil, errors.Trace(err)
+	}
+	if err := m.assemble(pair); err != nil {
+		m.closeListeners()
+		return nil, errors.Trace(err)
+	}
+	return m, nil
+}
+
+func (m *Member) listen() (err error) {
+	s := &m.settings
+	if m.rpc, err = daemon.Listen("rpc", s.RPCListen); err != nil {
+		return err
+	}
+	if m.operator, err = daemon.Listen("operator", s.OperatorListen); err != nil {
+		return err
+	}
+	if s.StatusListen == "" {
+		return nil
+	}
+	m.status, err = daemon.Listen("status", s.StatusListen)
+	return err
+}
+
+func (m *Member) closeListeners() {
+	for _, l := range []net.Listener{m.rpc, m.operator, m.status} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+func (m *Member) assemble(pair config.TLSPair) (err error) {
+	s := &m.settings
+	machine := state.New()
+	m.replica, err = replica.Open(replica.Options{
+		Name:            s.Name,
+		Address:         s.RPCAdvertise,
+		OperatorAddress: s.OperatorAdvertise,
+		DataDir:         s.DataDir,
+		Peers:           initialPeers(s.Peers),
+		TLS:             pair.Client,
+		FSM:             machine,
+		Heartbeat:       milliseconds(s.Timing.RaftBeatMs),
+		ElectionMin:     milliseconds(s.Timing.ElectionMinMs),
+		ElectionMax:     milliseconds(s.Timing.ElectionMaxMs),
+		SnapshotEntries: s.SnapshotEntries,
+	})
+	if err != nil {
+		return errors.Annotatef(err, "data folder %s", s.DataDir)
+	}
+	m.control, err = control.New(control.Options{
+		Name:              s.Name,
+		Log:               &replicaLog{m.replica},
+		Machine:           machine,
+		OperatorAddresses: operatorAddresses(s.Peers),
+		Lease:             milliseconds(s.Timing.LeaseMs),
+		Margin:            milliseconds(s.Timing.DriftMarginMs),
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return m.control.RegisterRPC(m.server)
+}
+
+func initialPeers(peers []config.ControlPeer) []replica.Peer {
+	list := make([]replica.Peer, 0, len(peers))
+	for _, p := range peers {
+		list = append(list, replica.Peer{Name: p.Name, Address: p.RPCAddress, OperatorAddress: p.OperatorAddress})
+	}
+	return list
+}
+
+func operatorAddresses(peers []config.ControlPeer) map[string]string {
+	addresses := make(map[string]string, len(peers))
+	for _, p := range peers {
+		addresses[p.Name] = p.OperatorAddress
+	}
+	return addresses
+}
+
+func milliseconds(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// OperatorAddr returns the address of the operator listener, host:port.
+func (m *Member) OperatorAddr() string { return m.operator.Addr().String() }
+
+// Serve runs the member until ctx ends, or until its disk or state machine fails.
+func (m *Member) Serve(ctx context.Context) error {
+	supervisor := daemon.NewSupervisor("member")
+	supervisor.Add(daemon.Service{Name: "rpc", Run: func(ctx context.Context) error { return m.server.Serve(ctx, m.rpc) }})
+	supervisor.Add(m.replica)
+	supervisor.Add(m.control)
+	supervisor.Add(daemon.NewHTTPService("operator", m.operator, m.control.OperatorHandler()))
+	if m.status != nil {
+		mux := http.NewServeMux()
+		mux.Handle("/debug/vars", telemetry.Handler())
+		supervisor.Add(daemon.NewHTTPService("status", m.status, mux))
+	}
+	telemetry.Logger("member").WithField("name", m.settings.Name).Info("Control member is up.")
+	return supervisor.Serve(ctx)
+}
