--- /dev/null
+++ b/wal/wal.go
@@ -0,0 +1,290 @@
+// Package wal stores the log, the hard state and the snapshots of a raft member on disk.
+//
+// The log is a sequence of segments of checksummed records. An incomplete or corrupt
+// last record is cut off when the log is opened, since nothing acknowledged can be in
+// it; damage anywhere else is refused with a DamageError.
+package wal
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"github.com/juju/errors"
+
+	"github.com/zinniapier/zinniapier/raft"
+)
+
+const (
+	segmentExtension = ".segment"
+	lockName         = "lock"
+	// segmentBytes is the size after which a new segment is started.
+	segmentBytes = 8 << 20
+	// batchBytes is the entry data after which a batch is split. It stays below maxRecordBytes
+	// by more than one entry of raft.MaxEntryBytes and the headers of many small ones.
+	batchBytes = 8 << 20
+)
+
+// segment is a closed or current file of the log.
+type segment struct {
+	path      string
+	sequence  uint64
+	lastIndex uint64 // greatest index of an entry in it
+}
+
+// Log is an open log. Save, Install, Prune and Close belong to one goroutine.
+type Log struct {
+	dir          string
+	lock         *os.File
+	file         *os.File
+	size         int64
+	segmentBytes int64
+	segments     []segment // the last one is open for writing
+	hs           raft.HardState
+	failed       error
+}
+
+// Open locks the directory, creating it on need, and reads what it holds. The error is a
+// *DamageError when stored data is damaged.
+func Open(dir string) (*Log, Recovered, error) {
+	if err := os.MkdirAll(dir, dirMode); err != nil {
+		return nil, Recovered{}, errors.Trace(err)
+	}
+	lock, err := lockDir(dir)
+	if err != nil {
+		return nil, Recovered{}, err
+	}
+	l := &Log{dir: dir, lock: lock, segmentBytes: segmentBytes}
+	recovered, err := l.recover()
+	if err != nil {
+		l.Close()
+		return nil, Recovered{}, err
+	}
+	return l, recovered, nil
+}
+
+// lockDir keeps two processes from using one directory.
+func lockDir(dir string) (*os.File, error) {
+	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = f.Close()
+		return nil, errors.Annotatef(err, "%s is in use by another process", dir)
+	}
+	return f, nil
+}
+
+func (l *Log) recover() (Recovered, error) {
+	if err := removeTemporary(l.dir); err != nil {
+		return Recovered{}, err
+	}
+	snap, err := latestSnapshot(l.dir)
+	if err != nil {
+		return Recovered{}, err
+	}
+	var r replay
+	if err := l.readSegments(&r); err != nil {
+		return Recovered{}, err
+	}
+	entries, reset, err := r.after(snap)
+	if err != nil {
+		return Recovered{}, &DamageError{File: l.dir, Reason: err.Error()}
+	}
+	l.hs = r.hs
+	if l.hs.Term < snap.Term {
+		// The process ended after the snapshot was stored and before the term was.
+		l.hs.Term, l.hs.Vote = snap.Term, 0
+	}
+	l.hs.Commit = min(max(l.hs.Commit, snap.Index), snap.Index+uint64(len(entries)))
+	if reset {
+		if err := l.append(resetRecord, encodeReset(snap.Index, snap.Term)); err != nil {
+			return Recovered{}, err
+		}
+	}
+	// A crash may have left the last segment without the hard state that lets older ones go.
+	if err := l.append(batchRecord, encodeBatch(l.hs, nil)); err != nil {
+		return Recovered{}, err
+	}
+	return Recovered{HardState: l.hs, Snapshot: snap, Entries: entries}, nil
+}
+
+func removeTemporary(dir string) error {
+	paths, err := filepath.Glob(filepath.Join(dir, "*"+tempExtension))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	for _, path := range paths {
+		if err := os.Remove(path); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+func (l *Log) readSegments(r *replay) error {
+	paths, err := segmentFiles(l.dir)
+	if err != nil {
+		return err
+	}
+	for i, path := range paths {
+		s := segment{path: path}
+		if _, err := fmt.Sscanf(filepath.Base(path), "%016x", &s.sequence); err != nil {
+			return &DamageError{File: path, Reason: "malformed name of a segment"}
+		}
+		if i > 0 && s.sequence != l.segments[i-1].sequence+1 {
+			return &DamageError{File: path, Reason: "the segment before is missing"}
+		}
+		if l.size, s.lastIndex, err = r.readSegment(path, i == len(paths)-1); err != nil {
+			return err
+		}
+		l.segments = append(l.segments, s)
+	}
+	if len(paths) == 0 {
+		return l.rotate()
+	}
+	return l.openLast()
+}
+
+// openLast opens the last segment for writing and cuts off its torn tail.
+func (l *Log) openLast() error {
+	path := l.current().path
+	f, err := os.OpenFile(path, os.O_RDWR, fileMode)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	l.file = f
+	if err := f.Truncate(l.size); err != nil {
+		return errors.Trace(err)
+	}
+	if _, err := f.Seek(l.size, 0); err != nil {
+		return errors.Trace(err)
+	}
+	if err := f.Sync(); err != nil {
+		return errors.Trace(err)
+	}
+	if l.size == 0 {
+		return l.append(segmentRecord, order.AppendUint32(nil, formatVersion))
+	}
+	return nil
+}
+
+func (l *Log) current() *segment { return &l.segments[len(l.segments)-1] }
+
+// rotate starts a new segment. It repeats the reset position and the hard state, so
+// that older segments can be removed.
+func (l *Log) rotate() error {
+	next := segment{sequence: 1}
+	if len(l.segments) > 0 {
+		next.sequence = l.current().sequence + 1
+	}
+	next.path = filepath.Join(l.dir, fmt.Sprintf("%016x%s", next.sequence, segmentExtension))
+	f, err := os.OpenFile(next.path, os.O_CREATE|os.O_EXCL|os.O_RDWR, fileMode)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if l.file != nil {
+		_ = l.file.Close() // synced after each write
+	}
+	l.file, l.size = f, 0
+	l.segments = append(l.segments, next)
+	if err := l.append(segmentRecord, order.AppendUint32(nil, formatVersion)); err != nil {
+		return err
+	}
+	if err := l.append(batchRecord, encodeBatch(l.hs, nil)); err != nil {
+		return err
+	}
+	return syncDir(l.dir)
+}
+
+// append writes and syncs one record. After a failure the log stays unusable, because
+// the file's contents are then not known.
+func (l *Log) append(typ recordType, payload []byte) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	b := appendRecord(nil, typ, payload)
+	if err := writeAndSync(l.file, b); err != nil {
+		l.failed = errors.Annotatef(err, "write %s", l.current().path)
+		return l.failed
+	}
+	l.size += int64(len(b))
+	return nil
+}
+
+// Save stores the hard state and entries with one sync. Entries replace all stored ones
+// at and after the first one's index.
+func (l *Log) Save(hs raft.HardState, entries []raft.Entry) error {
+	for {
+		part := firstBatch(entries)
+		if err := l.saveBatch(hs, part); err != nil {
+			return err
+		}
+		if entries = entries[len(part):]; len(entries) == 0 {
+			return nil
+		}
+	}
+}
+
+func firstBatch(entries []raft.Entry) []raft.Entry {
+	size := 0
+	for i, e := range entries {
+		size += len(e.Data) + entryHeaderBytes
+		if size > batchBytes && i > 0 {
+			return entries[:i]
+		}
+	}
+	return entries
+}
+
+func (l *Log) saveBatch(hs raft.HardState, entries []raft.Entry) error {
+	if l.size >= l.segmentBytes {
+		if err := l.rotate(); err != nil {
+			return err
+		}
+	}
+	if err := l.append(batchRecord, encodeBatch(hs, entries)); err != nil {
+		return err
+	}
+	l.hs = hs
+	if n := len(entries); n > 0 {
+		l.current().lastIndex = max(l.current().lastIndex, entries[n-1].Index)
+	}
+	return nil
+}
+
+// Install stores a snapshot from the leader, which replaces the whole log.
+func (l *Log) Install(s raft.Snapshot) error {
+	if err := l.WriteSnapshot(s); err != nil {
+		return err
+	}
+	if err := l.append(resetRecord, encodeReset(s.Index, s.Term)); err != nil {
+		return err
+	}
+	return l.Prune(s.Index)
+}
+
+// Prune removes segments wholly before the snapshot at index, which must be stored, and
+// older snapshots.
+func (l *Log) Prune(index uint64) error {
+	for len(l.segments) > 1 && l.segments[0].lastIndex <= index {
+		if err := os.Remove(l.segments[0].path); err != nil {
+			return errors.Trace(err)
+		}
+		l.segments = l.segments[1:]
+	}
+	if err := removeSnapshots(l.dir, index); err != nil {
+		return err
+	}
+	return syncDir(l.dir)
+}
+
+// Close releases the files. Everything saved is already durable.
+func (l *Log) Close() {
+	if l.file != nil {
+		_ = l.file.Close()
+	}
+	_ = l.lock.Close()
+}
--- /dev/null
+++ b/wal/wal_test.go
@@ -0,0 +1,254 @@
+package wal
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/zinniapier/zinniapier/raft"
+)
+
+func entry(index, term uint64) raft.Entry {
+	return raft.Entry{Index: index, Term: term, Data: fmt.Appendf(nil, "entry %d of term %d", index, term)}
+}
+
+func entries(from, to, term uint64) (es []raft.Entry) {
+	for i := from; i <= to; i++ {
+		es = append(es, entry(i, term))
+	}
+	return es
+}
+
+func lastSegment(t *testing.T, dir string) string {
+	paths, err := segmentFiles(dir)
+	is.New(t).NoErr(err)
+	return paths[len(paths)-1]
+}
+
+func flip(t *testing.T, path string, offset int64) {
+	is := is.New(t)
+	b, err := os.ReadFile(path)
+	is.NoErr(err)
+	b[offset] ^= 0x40
+	is.NoErr(os.WriteFile(path, b, fileMode))
+}
+
+// Guards against a member that cannot start after a crash in the middle of a write, and
+// against one that drops more than the unfinished write.
+func TestTornTail(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	l, _, err := Open(dir)
+	is.NoErr(err)
+	is.NoErr(l.Save(raft.HardState{Term: 1}, entries(1, 5, 1)))
+	whole := l.size
+	is.NoErr(l.Save(raft.HardState{Term: 2, Vote: 7}, entries(6, 9, 2)))
+	end := l.size
+	l.Close()
+	content, err := os.ReadFile(lastSegment(t, dir))
+	is.NoErr(err)
+	for cut := whole; cut < end; cut++ {
+		is.NoErr(os.WriteFile(lastSegment(t, dir), content[:cut], fileMode))
+		l, got, err := Open(dir)
+		is.NoErr(err)
+		is.Equal(got.Entries, entries(1, 5, 1))
+		is.Equal(got.HardState, raft.HardState{Term: 1})
+		l.Close()
+	}
+	is.NoErr(os.WriteFile(lastSegment(t, dir), content, fileMode))
+	flip(t, lastSegment(t, dir), end-1)
+	l, got, err := Open(dir)
+	is.NoErr(err)
+	is.Equal(len(got.Entries), 5)
+	is.NoErr(l.Save(raft.HardState{Term: 3}, entries(6, 6, 3)))
+	l.Close()
+	l, got, err = Open(dir)
+	is.NoErr(err)
+	is.Equal(got.Entries, append(entries(1, 5, 1), entry(6, 3)))
+	l.Close()
+}
+
+// Guards against silently dropping synced entries that follow a damaged record.
+func TestDamagedMiddle(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	l, _, err := Open(dir)
+	is.NoErr(err)
+	at := l.size
+	is.NoErr(l.Save(raft.HardState{Term: 1}, entries(1, 5, 1)))
+	end := l.size
+	is.NoErr(l.Save(raft.HardState{Term: 1}, entries(6, 9, 1)))
+	l.Close()
+	for offset := at; offset < end; offset++ {
+		flip(t, lastSegment(t, dir), offset)
+		_, _, err = Open(dir)
+		var damage *DamageError
+		is.True(errors.As(err, &damage))
+		is.Equal(damage.File, lastSegment(t, dir))
+		is.Equal(damage.Offset, at)
+		flip(t, lastSegment(t, dir), offset)
+	}
+}
+
+// Guards against accepting damage in a closed segment, a missing one or a broken snapshot.
+func TestDamagedFiles(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	l, _, err := Open(dir)
+	is.NoErr(err)
+	l.segmentBytes = 200
+	for i := uint64(1); i <= 20; i++ {
+		is.NoErr(l.Save(raft.HardState{Term: 1}, entries(i, i, 1)))
+	}
+	is.NoErr(l.WriteSnapshot(raft.Snapshot{Index: 3, Term: 1, Data: []byte("state")}))
+	snapshot := filepath.Join(dir, snapshotName(3))
+	closed := l.segments[1].path
+	is.True(len(l.segments) > 3)
+	l.Close()
+	content, err := os.ReadFile(closed)
+	is.NoErr(err)
+	var damage *DamageError
+
+	flip(t, closed, int64(len(content)-1)) // last record of a closed segment: not a torn tail
+	_, _, err = Open(dir)
+	is.True(errors.As(err, &damage))
+	is.NoErr(os.Remove(closed))
+	_, _, err = Open(dir)
+	is.True(errors.As(err, &damage))
+	is.NoErr(os.WriteFile(closed, content, fileMode))
+	flip(t, snapshot, 20)
+	_, _, err = Open(dir)
+	is.True(errors.As(err, &damage))
+	is.Equal(damage.File, snapshot)
+	flip(t, snapshot, 20)
+	l, got, err := Open(dir)
+	is.NoErr(err)
+	is.Equal(got.Entries, entries(4, 20, 1))
+	is.Equal(got.Snapshot.Data, []byte("state"))
+	_, _, err = Open(dir)
+	is.True(err != nil) // the directory is in use
+	l.Close()
+}
+
+// model is what a correct log must return.
+type model struct {
+	hs   raft.HardState
+	snap raft.Snapshot
+	es   []raft.Entry
+}
+
+func (m *model) last() uint64 { return m.snap.Index + uint64(len(m.es)) }
+
+func (m *model) check(t *rapid.T, got Recovered) {
+	want := m.hs
+	want.Commit = max(want.Commit, m.snap.Index)
+	want.Term = max(want.Term, m.snap.Term)
+	if got.HardState != want || got.Snapshot.Index != m.snap.Index || !bytes.Equal(got.Snapshot.Data, m.snap.Data) {
+		t.Fatalf("got %+v, snapshot %d; want %+v, snapshot %d", got.HardState, got.Snapshot.Index, want, m.snap.Index)
+	}
+	if fmt.Sprint(got.Entries) != fmt.Sprint(m.es) {
+		t.Fatalf("got entries %v; want %v", got.Entries, m.es)
+	}
+}
+
+// TestModel guards against sequences of appends, overwrites, snapshots, installed
+// snapshots, segment changes, crashes and torn writes that change what is read back.
+func TestModel(t *testing.T) {
+	base := t.TempDir()
+	run := 0
+	rapid.Check(t, func(t *rapid.T) {
+		run++
+		dir := filepath.Join(base, fmt.Sprint(run))
+		defer os.RemoveAll(dir)
+		var m model
+		var l *Log
+		open := func(t *rapid.T) {
+			if l != nil {
+				l.Close()
+			}
+			opened, got, err := Open(dir)
+			if err != nil {
+				t.Fatal(err)
+			}
+			l = opened
+			l.segmentBytes = 300
+			m.check(t, got)
+		}
+		open(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"save": func(t *rapid.T) {
+				m.hs.Term += uint64(rapid.IntRange(0, 1).Draw(t, "term"))
+				m.hs.Term = max(m.hs.Term, m.snap.Term, 1)
+				from := rapid.Uint64Range(max(m.hs.Commit, m.snap.Index)+1, m.last()+1).Draw(t, "from")
+				es := entries(from, from+rapid.Uint64Range(0, 5).Draw(t, "n"), m.hs.Term)
+				m.es = append(m.es[:from-m.snap.Index-1:from-m.snap.Index-1], es...)
+				m.hs.Commit = rapid.Uint64Range(max(m.hs.Commit, m.snap.Index), m.last()).Draw(t, "commit")
+				if err := l.Save(m.hs, es); err != nil {
+					t.Fatal(err)
+				}
+			},
+			"snapshot": func(t *rapid.T) {
+				if m.hs.Commit <= m.snap.Index {
+					return
+				}
+				at := rapid.Uint64Range(m.snap.Index+1, m.hs.Commit).Draw(t, "at")
+				e := m.es[at-m.snap.Index-1]
+				m.es = m.es[at-m.snap.Index:]
+				m.snap = raft.Snapshot{Index: at, Term: e.Term, Data: e.Data}
+				if err := l.WriteSnapshot(m.snap); err != nil {
+					t.Fatal(err)
+				}
+				if rapid.Bool().Draw(t, "prune") {
+					if err := l.Prune(at); err != nil {
+						t.Fatal(err)
+					}
+				}
+			},
+			"install": func(t *rapid.T) {
+				term := max(m.hs.Term, m.snap.Term) + 1
+				at := rapid.Uint64Range(max(m.hs.Commit, m.snap.Index)+1, m.last()+5).Draw(t, "at")
+				m.snap = raft.Snapshot{Index: at, Term: term, Data: []byte("installed")}
+				m.es = nil
+				store := l.Install
+				if rapid.Bool().Draw(t, "crash") { // before the log was reset
+					store = l.WriteSnapshot
+				}
+				if err := store(m.snap); err != nil {
+					t.Fatal(err)
+				}
+				open(t)
+				m.hs = l.hs
+			},
+			"reopen": open,
+			"torn": func(t *rapid.T) {
+				b := appendRecord(nil, batchRecord, encodeBatch(m.hs, entries(m.last()+1, m.last()+3, m.hs.Term+1)))
+				b = b[:rapid.IntRange(0, len(b)-1).Draw(t, "cut")]
+				if _, err := l.file.Write(b); err != nil {
+					t.Fatal(err)
+				}
+				open(t)
+			},
+		})
+		l.Close()
+	})
+}
+
+// BenchmarkSave measures one synced write of a single entry.
+func BenchmarkSave(b *testing.B) {
+	l, _, err := Open(b.TempDir())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer l.Close()
+	for i := uint64(1); b.Loop(); i++ {
+		if err := l.Save(raft.HardState{Term: 1}, entries(i, i, 1)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
