--- a/wal/recovery.go
+++ b/wal/recovery.go
@@ -70,8 +70,13 @@
 		r.base, r.baseKnown = first-1, true
 	}
 	last := r.base + uint64(len(r.entries))
-	if first <= r.base || first > last+1 {
-		return errors.Errorf("entry %d follows entries %d to %d", first, r.base+1, last)
+	if first > last+1 {
+		return errors.Errorf("entry %d follows %d", first, last)
+	}
+	if first <= r.base {
+		// These entries replace all that is left: the first replaced one stood in a segment
+		// removed since.
+		r.base, r.entries = first-1, nil
 	}
 	r.entries = append(r.entries[:first-r.base-1], entries...)
 	return nil
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -136,6 +136,26 @@
 	l.Close()
 }
 
+// Guards against refusing a log whose oldest segment holds only entries that were
+// replaced, together with earlier ones from a segment removed since. Found by TestModel.
+func TestReplacedEntriesInOldestSegment(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	l, _, err := Open(dir)
+	is.NoErr(err)
+	l.segmentBytes = 1 // one segment for each batch
+	is.NoErr(l.Save(raft.HardState{Term: 1}, entries(1, 1, 1)))
+	is.NoErr(l.Save(raft.HardState{Term: 1}, entries(2, 2, 1)))
+	is.NoErr(l.Save(raft.HardState{Term: 2, Commit: 2}, entries(1, 3, 2)))
+	is.NoErr(l.WriteSnapshot(raft.Snapshot{Index: 1, Term: 2}))
+	is.NoErr(l.Prune(1))
+	l.Close()
+	l, got, err := Open(dir)
+	is.NoErr(err)
+	is.Equal(got.Entries, entries(2, 3, 2))
+	l.Close()
+}
+
 // model is what a correct log must return.
 type model struct {
 	hs   raft.HardState
@@ -215,11 +235,13 @@
 				at := rapid.Uint64Range(max(m.hs.Commit, m.snap.Index)+1, m.last()+5).Draw(t, "at")
 				m.snap = raft.Snapshot{Index: at, Term: term, Data: []byte("installed")}
 				m.es = nil
-				store := l.Install
-				if rapid.Bool().Draw(t, "crash") { // before the log was reset
-					store = l.WriteSnapshot
+				if !rapid.Bool().Draw(t, "crash") {
+					if err := l.Install(m.snap); err != nil {
+						t.Fatal(err)
+					}
+					return
 				}
-				if err := store(m.snap); err != nil {
+				if err := l.WriteSnapshot(m.snap); err != nil { // and the log was not reset
 					t.Fatal(err)
 				}
 				open(t)
