--- a/raft/raft.go
+++ b/raft/raft.go
@@ -145,12 +145,13 @@
 // appendOwn appends an entry of the leader's term.
 func (r *Raft) appendOwn(e Entry) uint64 {
 	e.Index, e.Term = r.log.lastIndex()+1, r.term
-	r.log.extend(e)
 	if e.Type == MembershipChange {
 		// The entry was encoded by this core, so it always decodes.
 		r.members, _ = r.members.added(e)
+		// Before the entry is in the log, so that a new member is sent at least this one.
 		r.syncPeers()
 	}
+	r.log.extend(e)
 	return e.Index
 }
 
--- a/raft/sim_test.go
+++ b/raft/sim_test.go
@@ -329,12 +329,17 @@
 		}
 	}
 	s.run(3*time.Second, 0)
-	s.check(s.leader() != nil, "no leader after recovery")
+	s.checkCaughtUp()
 	s.propose()
 	s.run(time.Second, 0)
+	s.checkCaughtUp()
+}
+
+// checkCaughtUp checks that a leader with a lease has brought all members up to date.
+func (s *sim) checkCaughtUp() {
 	n := s.leader()
-	s.check(n != nil, "no leader at the end")
-	s.check(n.core.HoldsLease(n.clock(s.now)), "leader without lease at the end")
+	s.check(n != nil, "no leader after recovery")
+	s.check(n.core.HoldsLease(n.clock(s.now)), "leader without lease after recovery")
 	for _, id := range n.core.members.current().all() {
 		s.check(s.nodes[id-1].applied == n.applied, "%d applied %d, the leader %d", id, s.nodes[id-1].applied, n.applied)
 	}
