--- /dev/null
+++ b/replica/harness_test.go
@@ -0,0 +1,184 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/zinniapier/zinniapier/rpc"
+)
+
+// listFSM keeps the applied data in order.
+type listFSM struct {
+	mu   sync.Mutex
+	list []string
+}
+
+func (f *listFSM) Apply(_ uint64, data []byte) any {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list = append(f.list, string(data))
+	return len(f.list)
+}
+
+func (f *listFSM) Snapshot() ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return json.Marshal(f.list)
+}
+
+func (f *listFSM) Restore(data []byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list = nil
+	return json.Unmarshal(data, &f.list)
+}
+
+func (f *listFSM) content() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.list)
+}
+
+// testMember is a member with its rpc server in this process.
+type testMember struct {
+	t       *testing.T
+	options Options
+	fsm     *listFSM
+	replica *Replica
+	stop    func()
+}
+
+type testGroup []*testMember
+
+func newGroup(t *testing.T, names ...string) testGroup {
+	var g testGroup
+	var peers []Peer
+	for _, name := range names {
+		peers = append(peers, Peer{Name: name, Address: freeAddress(t)})
+	}
+	dir := t.TempDir()
+	for _, p := range peers {
+		g = append(g, &testMember{t: t, options: Options{
+			Name: p.Name, Address: p.Address, OperatorAddress: "operator-" + p.Name, Peers: peers,
+			DataDir: filepath.Join(dir, p.Name), SnapshotEntries: 100,
+		}})
+	}
+	t.Cleanup(func() {
+		for _, m := range g {
+			m.end()
+		}
+	})
+	return g
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// begin opens and serves the member.
+func (m *testMember) begin() {
+	is := is.New(m.t)
+	m.fsm = &listFSM{}
+	m.options.FSM = m.fsm
+	var err error
+	m.replica, err = Open(m.options)
+	is.NoErr(err)
+	server := rpc.NewServer(nil)
+	is.NoErr(m.replica.RegisterRPC(server))
+	listener, err := net.Listen("tcp", m.options.Address)
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	wait.Go(func() { _ = server.Serve(ctx, listener) })
+	wait.Go(func() { _ = m.replica.Serve(ctx) })
+	m.stop = func() { cancel(); wait.Wait() }
+}
+
+func (m *testMember) end() {
+	if m.stop != nil {
+		m.stop()
+		m.stop = nil
+	}
+}
+
+func (m *testMember) wipe() {
+	m.end()
+	is.New(m.t).NoErr(os.RemoveAll(m.options.DataDir))
+}
+
+func (g testGroup) begin() {
+	for _, m := range g {
+		m.begin()
+	}
+}
+
+// leader waits for a member that leads with a lease.
+func (g testGroup) leader(t *testing.T) *testMember {
+	var found *testMember
+	eventually(t, "no leader", func() bool {
+		for _, m := range g {
+			if m.stop != nil && m.replica.HoldsLease() {
+				found = m
+			}
+		}
+		return found != nil
+	})
+	return found
+}
+
+func (g testGroup) without(gone *testMember) testGroup {
+	return slices.DeleteFunc(slices.Clone(g), func(m *testMember) bool { return m == gone })
+}
+
+// propose commits n entries through whoever leads, several at a time.
+func (g testGroup) propose(t *testing.T, prefix string, n int) {
+	leader := g.leader(t)
+	var wait sync.WaitGroup
+	failed := make(chan error, n)
+	for i := range n {
+		wait.Go(func() {
+			if _, _, err := leader.replica.Propose(t.Context(), fmt.Appendf(nil, "%s-%d", prefix, i)); err != nil {
+				failed <- err
+			}
+		})
+	}
+	wait.Wait()
+	close(failed)
+	is.New(t).NoErr(<-failed)
+}
+
+// converge waits until all members hold the same list of n items.
+func (g testGroup) converge(t *testing.T, n int) {
+	eventually(t, "members differ", func() bool {
+		for _, m := range g {
+			if list := m.fsm.content(); len(list) != n || !slices.Equal(list, g[0].fsm.content()) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// eventually fails after a time far beyond any election, for slow test machines.
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	t.Fatal(what)
+}
--- /dev/null
+++ b/replica/identity.go
@@ -0,0 +1,51 @@
+package replica
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"github.com/juju/errors"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/wal"
+)
+
+const identityName = "identity.json"
+
+// identity is what a member is called for as long as it has its disk.
+type identity struct {
+	Name string `json:"name"`
+	ID   uint64 `json:"id"`
+	// Cluster is the random id of the group, 0 before the member belongs to one.
+	Cluster uint64 `json:"cluster"`
+}
+
+// loadIdentity reads the identity, or creates it when the disk holds nothing.
+func loadIdentity(dir, name string, empty bool) (identity, error) {
+	path := filepath.Join(dir, identityName)
+	b, err := os.ReadFile(path)
+	if os.IsNotExist(err) && empty {
+		id := identity{Name: name, ID: api.NewUint64()}
+		return id, id.store(dir)
+	}
+	if err != nil {
+		return identity{}, errors.Annotate(err, "read the member's identity")
+	}
+	var id identity
+	if err := json.Unmarshal(b, &id); err != nil || id.ID == 0 {
+		return identity{}, &wal.DamageError{File: path, Reason: "malformed identity"}
+	}
+	if id.Name != name {
+		return identity{}, errors.NotValidf("data directory of member %q, used by %q", id.Name, name)
+	}
+	return id, nil
+}
+
+func (id identity) store(dir string) error {
+	b, err := json.Marshal(id)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return wal.WriteFile(filepath.Join(dir, identityName), b)
+}
--- /dev/null
+++ b/replica/members.go
@@ -0,0 +1,238 @@
+package replica
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/raft"
+	"github.com/zinniapier/zinniapier/rpc"
+)
+
+// Members returns the members of the group as this member knows them.
+func (r *Replica) Members() []Member {
+	p := r.published.Load()
+	if p == nil {
+		return nil
+	}
+	members := make([]Member, 0, len(p.roster.Members))
+	for _, m := range p.roster.Members {
+		members = append(members, p.describe(m, r.now()))
+	}
+	return members
+}
+
+func (p *published) describe(m record, now time.Duration) Member {
+	member := Member{
+		Name: m.Name, ID: m.ID, Address: m.Address, OperatorAddress: m.OperatorAddress,
+		Voter: p.status.Membership.IsVoter(m.ID), LastContact: -1,
+	}
+	if m.ID == p.status.ID {
+		member.Match, member.LastContact = p.status.LastIndex, 0
+	}
+	for _, peer := range p.status.Peers {
+		if peer.ID == m.ID {
+			member.Match = peer.Match
+			if peer.Contact >= 0 {
+				member.LastContact = now - peer.Contact
+			}
+		}
+	}
+	return member
+}
+
+// call runs f on the raft goroutine.
+func (r *Replica) call(ctx context.Context, f func(*loop)) error {
+	done := make(chan struct{})
+	select {
+	case r.calls <- func(l *loop) { f(l); close(done) }:
+	case <-ctx.Done():
+		return errkind.New(errkind.NoQuorum, "not started: %v", ctx.Err())
+	case <-r.stopped:
+		return errkind.New(errkind.NoQuorum, "not started: the member has stopped")
+	}
+	select {
+	case <-done:
+		return nil
+	case <-r.stopped:
+		return errkind.New(errkind.NoQuorum, "outcome unknown: the member has stopped")
+	}
+}
+
+// change proposes the membership that f returns and waits until it is committed. It does
+// nothing when f returns false.
+func (r *Replica) change(ctx context.Context, f func(*loop) (raft.Membership, bool, error)) error {
+	ctx, cancel := r.bounded(ctx)
+	defer cancel()
+	done := make(chan outcome, 1)
+	err := r.call(ctx, func(l *loop) {
+		m, changed, err := f(l)
+		if err != nil || !changed {
+			done <- outcome{err: err}
+			return
+		}
+		index, term, err := l.core.ProposeMembership(r.now(), m)
+		l.await(index, term, err, done)
+	})
+	if err != nil {
+		return err
+	}
+	_, _, err = r.wait(ctx, done)
+	return err
+}
+
+// AddMember adds a running member with an empty disk as a learner; it is promoted once it
+// has caught up. Errors: NotLeader, NoQuorum, NodeUnreachable, Invalid, Conflict.
+func (r *Replica) AddMember(ctx context.Context, peer Peer) error {
+	if p := r.published.Load(); p == nil || !p.ready {
+		return r.notLeader()
+	}
+	reply, err := r.query(ctx, peer.Address)
+	if err != nil {
+		return err
+	}
+	if reply.Name != peer.Name {
+		return errkind.New(errkind.Invalid, "the member at %s is %q, not %q", peer.Address, reply.Name, peer.Name)
+	}
+	if reply.Cluster != 0 && reply.Cluster != r.self().Cluster {
+		return errkind.New(errkind.Invalid, "member %q belongs to another group", peer.Name)
+	}
+	m := record{ID: reply.ID, Name: reply.Name, Address: reply.Address, OperatorAddress: reply.OperatorAddress}
+	return r.change(ctx, func(l *loop) (raft.Membership, bool, error) { return l.added(m) })
+}
+
+// RemoveMember removes a member for good: its id can never join again. It refuses when the
+// remaining voters in contact are no majority. Errors: NotLeader, NoQuorum, NotFound, Conflict.
+func (r *Replica) RemoveMember(ctx context.Context, id uint64) error {
+	return r.change(ctx, func(l *loop) (raft.Membership, bool, error) {
+		if _, known := l.roster.find(id); !known {
+			return raft.Membership{}, false, errkind.New(errkind.NotFound, "no member with id %x", id)
+		}
+		m := l.without(id)
+		if !l.majorityInContact(m) {
+			return m, false, errkind.New(errkind.Conflict, "too few of the remaining voters are in contact")
+		}
+		return m, true, nil
+	})
+}
+
+// added returns the membership with the member, and whether that differs.
+func (l *loop) added(m record) (raft.Membership, bool, error) {
+	next := l.core.Status().Membership
+	if slices.Contains(l.roster.Removed, m.ID) {
+		return next, false, errkind.New(errkind.UnknownMember, "id %x of %q was removed", m.ID, m.Name)
+	}
+	old, known := l.roster.find(m.ID)
+	if known && old == m {
+		return next, false, nil
+	}
+	if !known {
+		next = next.WithLearner(m.ID)
+	}
+	next.Context = l.roster.put(m).encode()
+	return next, true, nil
+}
+
+func (l *loop) without(id uint64) raft.Membership {
+	next := l.core.Status().Membership.Without(id)
+	next.Context = l.roster.without(id).encode()
+	return next
+}
+
+func (l *loop) majorityInContact(m raft.Membership) bool {
+	status := l.core.Status()
+	oldest := l.r.now() - l.r.o.ElectionMax
+	count := 0
+	for _, id := range m.Voters {
+		i := slices.IndexFunc(status.Peers, func(p raft.PeerStatus) bool { return p.ID == id })
+		if id == status.ID || (i >= 0 && status.Peers[i].Contact > oldest) {
+			count++
+		}
+	}
+	return count > len(m.Voters)/2
+}
+
+// reconcile proposes the next membership change that is due: the promotion of a learner
+// that has caught up, or the removal of an id whose host came back under a new one.
+func (l *loop) reconcile() {
+	now := l.r.now()
+	if now < l.lastReconciled+reconcileInterval {
+		return
+	}
+	l.lastReconciled = now
+	status := l.core.Status()
+	if status.Role != raft.Leader || status.MembershipPending || !status.CommittedInTerm {
+		return
+	}
+	next, due := l.nextStep(status.Membership, now)
+	if !due || !l.majorityInContact(next) {
+		return
+	}
+	if _, _, err := l.core.ProposeMembership(now, next); err != nil {
+		l.r.log.WithError(err).Warn("Membership change not possible yet.")
+	}
+}
+
+func (l *loop) nextStep(m raft.Membership, now time.Duration) (raft.Membership, bool) {
+	if id, ok := l.roster.superseded(m); ok {
+		l.r.log.WithField("member", id).Info("Remove the former id of a member that returned.")
+		return l.without(id), true
+	}
+	for _, id := range m.Learners {
+		if l.core.CaughtUp(now, id) {
+			l.r.log.WithField("member", id).Info("Promote a learner that has caught up.")
+			return m.WithPromoted(id), true
+		}
+	}
+	return m, false
+}
+
+// join handles the request of a member to be added. Hosts that neither are members nor
+// are in the settings need an operator's AddMember.
+func (r *Replica) join(request JoinRequest, reply *JoinReply) error {
+	if request.Cluster != r.self().Cluster || request.Cluster == 0 {
+		return errkind.New(errkind.UnknownMember, "join for group %x", request.Cluster)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	_, reply.LeaderAddress, _ = r.Leader()
+	m := record{ID: request.ID, Name: request.Name, Address: request.Address, OperatorAddress: request.OperatorAddress}
+	var result error
+	err := r.call(ctx, func(l *loop) {
+		if l.core.Status().Role != raft.Leader {
+			return
+		}
+		reply.Accepted = true
+		result = l.admit(m)
+	})
+	if err != nil {
+		return err
+	}
+	return result
+}
+
+func (l *loop) admit(m record) error {
+	if !l.roster.hasName(m.Name) && !l.r.o.hasPeer(m.Name) {
+		return errkind.New(errkind.UnknownMember, "%q is not a member; add it first", m.Name)
+	}
+	next, changed, err := l.added(m)
+	if err != nil || !changed {
+		return err
+	}
+	if _, _, err := l.core.ProposeMembership(l.r.now(), next); err != nil {
+		return l.kindOf(err)
+	}
+	l.r.log.WithField("member", m.Name).Info("Member joins.")
+	return nil
+}
+
+func (r *Replica) query(ctx context.Context, address string) (QueryReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	client := rpc.NewClient(address, r.o.TLS)
+	defer client.Close()
+	var reply QueryReply
+	err := client.Call(ctx, receiverName+".Query", QueryRequest{}, &reply)
+	return reply, err
+}
--- /dev/null
+++ b/replica/replica_test.go
@@ -0,0 +1,202 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/raft"
+)
+
+// Guards against a group that does not survive its leader, a restarted member that does
+// not catch up, and a follower that does not know the leader's operator address.
+func TestLeaderStops(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, "a", "b", "c")
+	g.begin()
+	g.propose(t, "first", 50)
+	old := g.leader(t)
+	old.end()
+	_, _, err := old.replica.Propose(t.Context(), []byte("late"))
+	is.True(err != nil)
+	rest := g.without(old)
+	rest.propose(t, "second", 50)
+	old.begin()
+	g.converge(t, 100)
+	leader := g.leader(t)
+	follower := g.without(leader)[0]
+	m, self := follower.replica.LeaderMember()
+	is.True(!self)
+	is.Equal(m.OperatorAddress, "operator-"+leader.options.Name)
+	_, _, err = follower.replica.Propose(t.Context(), []byte("wrong"))
+	is.Equal(errkind.Of(err), errkind.NotLeader)
+}
+
+// Guards against losing acknowledged entries when all members restart, with snapshots and
+// removed segments in between.
+func TestRestartAfterHundreds(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, "a", "b", "c")
+	g.begin()
+	for round := range 3 {
+		g.propose(t, fmt.Sprint(round), 300)
+		g.converge(t, 300*(round+1))
+		for _, m := range g {
+			m.end()
+		}
+		files, err := filepath.Glob(filepath.Join(g[0].options.DataDir, "*.snapshot"))
+		is.NoErr(err)
+		is.True(len(files) > 0)
+		g.begin()
+		g.converge(t, 300*(round+1))
+	}
+}
+
+// Guards against a wiped host that returns under its old id, is never promoted, or leaves
+// its old id behind; then a second host must be allowed to fail at once.
+func TestWipedDisk(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, "a", "b", "c")
+	g.begin()
+	g.propose(t, "before", 250)
+	leader := g.leader(t)
+	wiped := g.without(leader)[0]
+	oldID := wiped.replica.ID()
+	wiped.wipe()
+	g.without(wiped).propose(t, "during", 10)
+	wiped.begin()
+	is.True(wiped.replica.ID() != oldID)
+	eventually(t, "wiped member is not a voter in place of its old id", func() bool {
+		members := leader.replica.Members()
+		for _, m := range members {
+			if m.ID == oldID || !m.Voter {
+				return false
+			}
+		}
+		return len(members) == 3
+	})
+	g.converge(t, 260)
+	g.without(wiped)[0].end()
+	var rest testGroup
+	for _, m := range g {
+		if m.stop != nil {
+			rest = append(rest, m)
+		}
+	}
+	rest.propose(t, "after", 10)
+	rest.converge(t, 270)
+}
+
+// Guards against a leader that goes on believing in its lease, or acknowledges anything,
+// without a quorum.
+func TestNoQuorum(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, "a", "b", "c")
+	g.begin()
+	leader := g.leader(t)
+	for _, m := range g.without(leader) {
+		m.end()
+	}
+	time.Sleep(DefaultElectionMin)
+	is.True(!leader.replica.HoldsLease())
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	_, _, err := leader.replica.Propose(ctx, []byte("lost"))
+	kind := errkind.Of(err)
+	is.True(kind == errkind.NoQuorum || kind == errkind.NotLeader)
+	eventually(t, "leader does not step down", func() bool {
+		_, _, err := leader.replica.Propose(t.Context(), nil)
+		return errkind.Of(err) == errkind.NotLeader
+	})
+}
+
+// Guards against a single member that does not found its group or forgets it.
+func TestSingleMember(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, "alone")
+	for round := range 2 {
+		g.begin()
+		result, _, err := g.leader(t).replica.Propose(t.Context(), []byte("x"))
+		is.NoErr(err)
+		is.Equal(result, round+1)
+		g[0].end()
+	}
+}
+
+// Guards against unknown hosts joining on their own, against removed ids coming back, and
+// against snapshots that do not fit one call.
+func TestAddAndRemove(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, "a", "b", "c", "new")
+	added := g[3]
+	for _, m := range g[:3] {
+		m.options.Peers = m.options.Peers[:3]
+		m.begin()
+	}
+	old := g[:3]
+	leader := old.leader(t)
+	large := strings.Repeat("x", 900<<10)
+	for range 4 {
+		_, _, err := leader.replica.Propose(t.Context(), []byte(large))
+		is.NoErr(err)
+	}
+	old.propose(t, "small", 150)
+	added.begin()
+	time.Sleep(3 * joinInterval)
+	is.Equal(len(leader.replica.Members()), 3) // nobody added it yet
+	peer := Peer{Name: "new", Address: added.options.Address}
+	leader = old.leader(t)
+	is.NoErr(leader.replica.AddMember(t.Context(), peer))
+	voters := func(n int) func() bool {
+		return func() bool {
+			members := old.leader(t).replica.Members()
+			for _, m := range members {
+				if !m.Voter {
+					return false
+				}
+			}
+			return len(members) == n
+		}
+	}
+	eventually(t, "added member is not a voter", voters(4))
+	g.converge(t, 154)
+	leader = old.leader(t)
+	is.NoErr(leader.replica.RemoveMember(t.Context(), added.replica.ID()))
+	is.Equal(errkind.Of(leader.replica.RemoveMember(t.Context(), added.replica.ID())), errkind.NotFound)
+	eventually(t, "removed member is still there", voters(3))
+	err := leader.replica.AddMember(t.Context(), peer)
+	is.Equal(errkind.Of(err), errkind.UnknownMember)
+	old.propose(t, "end", 1)
+}
+
+// Guards against a removal after which the group could not commit any more.
+func TestRemovalKeepsQuorum(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, "a", "b", "c")
+	g.begin()
+	leader := g.leader(t)
+	rest := g.without(leader)
+	rest[0].end()
+	time.Sleep(2 * DefaultElectionMax)
+	err := leader.replica.RemoveMember(t.Context(), rest[1].replica.ID())
+	is.Equal(errkind.Of(err), errkind.Conflict)
+	is.NoErr(leader.replica.RemoveMember(t.Context(), rest[0].replica.ID()))
+}
+
+// Guards against messages for an id that the host had before its disk was wiped.
+func TestWrongAddressee(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, "a")
+	g.begin()
+	r := g.leader(t).replica
+	b := Batch{Cluster: r.self().Cluster, From: 7, To: r.ID() + 1, Messages: []raft.Message{{Type: raft.Vote, From: 7}}}
+	is.Equal(errkind.Of(r.deliver(b)), errkind.UnknownMember)
+	b.To, b.Cluster = r.ID(), b.Cluster+1
+	is.Equal(errkind.Of(r.deliver(b)), errkind.UnknownMember)
+}
