--- a/replica/harness_test.go
+++ b/replica/harness_test.go
@@ -51,8 +51,9 @@
 
 // testMember is a member with its rpc server in this process.
 type testMember struct {
-	t       *testing.T
+	t       testing.TB
 	options Options
+	listen  string // differs from the address behind a proxy
 	fsm     *listFSM
 	replica *Replica
 	stop    func()
@@ -60,7 +61,7 @@
 
 type testGroup []*testMember
 
-func newGroup(t *testing.T, names ...string) testGroup {
+func newGroup(t testing.TB, names ...string) testGroup {
 	var g testGroup
 	var peers []Peer
 	for _, name := range names {
@@ -68,7 +69,7 @@
 	}
 	dir := t.TempDir()
 	for _, p := range peers {
-		g = append(g, &testMember{t: t, options: Options{
+		g = append(g, &testMember{t: t, listen: p.Address, options: Options{
 			Name: p.Name, Address: p.Address, OperatorAddress: "operator-" + p.Name, Peers: peers,
 			DataDir: filepath.Join(dir, p.Name), SnapshotEntries: 100,
 		}})
@@ -81,7 +82,7 @@
 	return g
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	defer l.Close()
@@ -98,7 +99,7 @@
 	is.NoErr(err)
 	server := rpc.NewServer(nil)
 	is.NoErr(m.replica.RegisterRPC(server))
-	listener, err := net.Listen("tcp", m.options.Address)
+	listener, err := net.Listen("tcp", m.listen)
 	is.NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait sync.WaitGroup
@@ -126,7 +127,7 @@
 }
 
 // leader waits for a member that leads with a lease.
-func (g testGroup) leader(t *testing.T) *testMember {
+func (g testGroup) leader(t testing.TB) *testMember {
 	var found *testMember
 	eventually(t, "no leader", func() bool {
 		for _, m := range g {
@@ -144,7 +145,7 @@
 }
 
 // propose commits n entries through whoever leads, several at a time.
-func (g testGroup) propose(t *testing.T, prefix string, n int) {
+func (g testGroup) propose(t testing.TB, prefix string, n int) {
 	leader := g.leader(t)
 	var wait sync.WaitGroup
 	failed := make(chan error, n)
@@ -161,7 +162,7 @@
 }
 
 // converge waits until all members hold the same list of n items.
-func (g testGroup) converge(t *testing.T, n int) {
+func (g testGroup) converge(t testing.TB, n int) {
 	eventually(t, "members differ", func() bool {
 		for _, m := range g {
 			if list := m.fsm.content(); len(list) != n || !slices.Equal(list, g[0].fsm.content()) {
@@ -173,7 +174,7 @@
 }
 
 // eventually fails after a time far beyond any election, for slow test machines.
-func eventually(t *testing.T, what string, f func() bool) {
+func eventually(t testing.TB, what string, f func() bool) {
 	t.Helper()
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if f() {
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -200,3 +200,40 @@
 	b.To, b.Cluster = r.ID(), b.Cluster+1
 	is.Equal(errkind.Of(r.deliver(b)), errkind.UnknownMember)
 }
+
+// Guards against members that wait for ever on connections that have gone silent.
+func TestSilentConnections(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, "a", "b", "c")
+	var proxies []*silentProxy
+	for _, m := range g {
+		proxies = append(proxies, startProxy(t, m))
+	}
+	g.begin()
+	g.propose(t, "before", 10)
+	for _, p := range proxies {
+		p.silence()
+	}
+	began := time.Now()
+	eventually(t, "no commit after the connections went silent", func() bool {
+		_, _, err := g.leader(t).replica.Propose(t.Context(), []byte("after"))
+		return err == nil
+	})
+	is.True(time.Since(began) < 3*time.Second) // one call timeout and a few elections
+}
+
+// BenchmarkPropose measures commits by three members over loopback, 64 at a time.
+func BenchmarkPropose(b *testing.B) {
+	g := newGroup(b, "a", "b", "c")
+	g.begin()
+	leader := g.leader(b)
+	b.SetParallelism(8) // callers for each processor
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if _, _, err := leader.replica.Propose(b.Context(), make([]byte, 100)); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+}
