--- a/raft/leader.go
+++ b/raft/leader.go
@@ -7,7 +7,7 @@
 
 // snapshotRetry is the number of maximum election timeouts after which a snapshot that
 // was not acknowledged is sent again.
-const snapshotRetry = 10
+const snapshotRetry = 3
 
 // round sends a heartbeat to every peer, and entries to those that lack some.
 func (r *Raft) round(now time.Duration) {
--- a/replica/transport.go
+++ b/replica/transport.go
@@ -207,7 +207,13 @@
 	snap := *m.Snapshot
 	snap.Data = nil
 	m.Snapshot = &snap
-	l.call(ctx, client, "Deliver", l.batch([]raft.Message{m}, len(data)))
+	if !l.call(ctx, client, "Deliver", l.batch([]raft.Message{m}, len(data))) {
+		return
+	}
+	select {
+	case <-l.snapshots: // a repetition that the core asked for during a long transfer
+	default:
+	}
 }
 
 func (l *link) call(ctx context.Context, client *rpc.Client, method string, args any) bool {
