control, state, placement: tests reach faults that they missed

Planted faults that the first tests let pass: no hold of an override, a hold without acknowledgement or without deadline, history cut inside a version, no tolerance for measured load. Each now fails a test.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -124,44 +124,90 @@
 	})
 }
 
-// Guards against two owners of a hot key while it passes from its hash partition to its
-// own: it may move only when all nodes know the override and older requests have ended.
-func TestHotKeyOverride(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t, 3)
-		w.run(time.Second)
-		const key = "hot"
-		hash := api.PartitionOf(key, testPartitions)
-		i := slices.IndexFunc(w.nodes, func(n *node) bool { _, ok := n.serves[hash]; return ok })
-		owner, late := w.nodes[i], w.nodes[(i+1)%3]
-		owner.report.PartitionLoad = map[int]float64{hash: 1000}
-		owner.report.HotKeys = []api.HotKey{{Key: key, Load: 600}}
-		frozen := *late.config
-		w.run(1500 * time.Millisecond)
-		view := w.log.machine.View()
-		is.Equal(len(view.Configuration.Overrides), 1)
-		a := view.Assignments["quotes"][testPartitions]
-		is.Equal(a.Target, owner.target)
-		is.Equal(uint64(a.Epoch), view.Configuration.Overrides[0].Version)
+// overridden returns a world with an override of a hot key that still has the owner of its
+// hash partition, and that owner.
+func overridden(t *testing.T) (w *world, owner *node, hash int) {
+	is := is.New(t)
+	w = newWorld(t, 3)
+	w.run(time.Second)
+	hash = api.PartitionOf("hot", testPartitions)
+	i := slices.IndexFunc(w.nodes, func(n *node) bool { _, ok := n.serves[hash]; return ok })
+	owner = w.nodes[i]
+	owner.report.PartitionLoad = map[int]float64{hash: 1000}
+	owner.report.HotKeys = []api.HotKey{{Key: "hot", Load: 600}}
+	w.run(1500 * time.Millisecond)
+	view := w.log.machine.View()
+	is.Equal(len(view.Configuration.Overrides), 1)
+	is.Equal(view.Assignments["quotes"][testPartitions].Target, owner.target)
+	is.True(view.Assignments["quotes"][hash].Epoch < view.Assignments["quotes"][testPartitions].Epoch)
+	return w, owner, hash
+}
 
-		owner.report.HotKeys = nil
-		owner.report.PartitionLoad = map[int]float64{hash: 400, testPartitions: 600}
-		moved := func() bool {
-			return w.log.machine.View().Assignments["quotes"][testPartitions].Epoch != a.Epoch
+// followHotKey fails when the override gets another owner while its hash partition is
+// still under the grant from before the override.
+func followHotKey(w *world, hash int, d time.Duration) (moved bool) {
+	first := w.log.machine.View().Configuration.Overrides[0].Version
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		w.run(10 * time.Millisecond)
+		list := w.log.machine.View().Assignments["quotes"]
+		if h := list[hash]; list[testPartitions].State == api.Releasing && h.State == api.Granted && uint64(h.Epoch) < first {
+			w.t.Fatal("the hot key is revoked although it cannot be released yet")
 		}
-		for range 50 { // one node keeps reporting the version before the override
-			late.config = &frozen
-			w.run(100 * time.Millisecond)
-			is.True(!moved())
+		if moved = uint64(list[testPartitions].Epoch) != first; moved {
+			if h := list[hash]; h.State != api.Unassigned && uint64(h.Epoch) < first {
+				w.t.Fatal("the hot key has moved before older requests for it have ended")
+			}
 		}
-		w.run(2 * time.Second)
-		is.True(!moved()) // acknowledged, but older requests may still run
-		w.run(4 * time.Second)
-		is.True(moved() || w.log.machine.View().Assignments["quotes"][hash].Target != owner.target)
+	}
+	return moved
+}
+
+// Guards against a hot key that is balanced away from requests that still run for it.
+func TestHotKeyBalanced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, owner, hash := overridden(t)
+		owner.report.HotKeys = nil
+		owner.report.PartitionLoad = map[int]float64{hash: 700, testPartitions: 600}
+		followHotKey(w, hash, 3*time.Second)
 	})
 }
 
+// Guards against a hot key that leaves a target taken out before its hash partition does.
+func TestHotKeyEvacuated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w, owner, hash := overridden(t)
+		owner.slow = map[int]time.Duration{hash: 1500 * time.Millisecond}
+		w.change(api.Change{Kind: api.TargetOut, Name: string(owner.target)})
+		is.True(followHotKey(w, hash, 3*time.Second))
+		is.Equal(w.served(), testPartitions+1)
+	})
+}
+
+// Guards against an override that is free before all nodes have acknowledged it and the
+// deadline of older requests has passed, or that is never free.
+func TestHeldOverride(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	l := newLeader(&Options{}, nil, 1, now)
+	l.sessions["s1"] = &session{last: api.HeartbeatRequest{ConfigVersion: 9}}
+	l.sessions["s2"] = &session{last: api.HeartbeatRequest{ConfigVersion: 8}}
+	q := api.Assignment{State: api.Granted, Target: "t1", Session: "s1", Epoch: 9}
+	hash := api.Assignment{State: api.Granted, Target: "t1", Session: "s1", Epoch: 5}
+	view := &api.ControlState{Assignments: api.Assignments{"quotes": {hash, q}}}
+	view.Configuration.Services.Services = []api.Service{{Name: "quotes", Partitions: 1, DeadlineMs: 3000}}
+	view.Configuration.Overrides = []api.Override{{Service: "quotes", Key: "hot", Partition: 1, Version: 9}}
+	held := func(after time.Duration) bool {
+		return (&servicePlan{leader: l, view: view, name: "quotes", now: now.Add(after)}).held(1, q)
+	}
+	is.True(held(0))
+	is.True(held(time.Minute)) // s2 has not acknowledged
+	l.sessions["s2"].last.ConfigVersion = 9
+	is.True(held(time.Minute))
+	is.True(held(time.Minute + 2999*time.Millisecond))
+	is.True(!held(time.Minute + 3*time.Second))
+}
+
 // Guards against a stream of map deltas that leaves a node with another map than the full one.
 func TestMapDeltas(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/control/fake_test.go
+++ b/control/fake_test.go
@@ -187,6 +187,7 @@
 	report   api.TargetReport
 	final    bool
 	drain    time.Duration
+	slow     map[int]time.Duration // drain of single partitions
 	err      error
 	loseNext bool
 	issued   int64
@@ -284,7 +285,7 @@
 	case mine && u.State == api.Releasing && !released:
 		n.serves[u.Partition] = u.Epoch // still running
 		if _, ok := n.draining[u.Partition]; !ok {
-			n.draining[u.Partition] = drain{u.Epoch, time.Now().Add(n.drain)}
+			n.draining[u.Partition] = drain{u.Epoch, time.Now().Add(max(n.drain, n.slow[u.Partition]))}
 		}
 	case !mine || u.State == api.Unassigned:
 		delete(n.serves, u.Partition)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -82,8 +82,12 @@
 	ts := makeTargets(3)
 	ps := make([]Partition, 30)
 	for i := range ps {
-		ps[i] = Partition{Index: i, Owner: ts[i%3].ID, Load: 10 + float64(i%3)*0.5}
+		ps[i] = Partition{Index: i, Owner: ts[i%3].ID, Load: 10}
+		if i%3 == 2 {
+			ps[i].Load = 12
+		}
 	}
+	ps[2].Load, ps[5].Load = 5, 5                       // 106 on the third target beside 100 and 100
 	is.Equal(len(Balanced{}.Plan("s", ps, ts, 100)), 0) // within the tolerance
 	for i := range ps {
 		if i%3 == 0 {
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -210,14 +210,15 @@
 	is := is.New(t)
 	var h history
 	for v := uint64(1); v <= 3*historyLimit; v++ {
-		h.add(v, []api.PartitionRef{{Partition: int(v)}, {Partition: -int(v)}})
+		h.add(v, make([]api.PartitionRef, 3))
 	}
-	is.True(len(h.changes) <= historyLimit+2)
+	is.True(len(h.changes) <= historyLimit+3)
+	is.Equal(len(h.changes)%3, 0) // versions are whole
 	_, ok := h.since(1)
 	is.True(!ok)
 	refs, ok := h.since(3*historyLimit - 10)
 	is.True(ok)
-	is.Equal(len(refs), 20)
+	is.Equal(len(refs), 30)
 	refs, ok = h.since(h.base)
 	is.True(ok)
 	is.Equal(len(refs), len(h.changes))
