control: keep partitions of a restarted node's target, count steps

A node that restarts reports its target under a new session while the lease of the old one runs. Which session counted was random, and the partitions were revoked and sent elsewhere. The later session counts now, and the grants of the old one wait for its lease. Steps are counted for the churn metric.

--- a/control/control.go
+++ b/control/control.go
@@ -219,6 +219,10 @@
 		for _, rejected := range r.Rejected {
 			c.log.Warnf("step on partition %d of %s rejected: %v", rejected.Ref.Partition, rejected.Ref.Service, rejected.Error)
 		}
+		telemetry.CountEvent("assignment_releases", int64(len(batch.Releases)))
+		telemetry.CountEvent("assignment_revokes", int64(len(batch.Revokes)))
+		telemetry.CountEvent("assignment_grants", int64(len(batch.Grants)))
+		telemetry.CountEvent("overrides", int64(len(batch.Overrides)))
 		return nil
 	case *errkind.Error:
 		return r
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/telemetry"
 )
 
 // Guards against reassignment by a new leader while nodes unknown to it may hold a lease.
@@ -55,6 +56,22 @@
 	})
 }
 
+// Guards against a restarted node whose target loses its partitions to others.
+func TestRestartedNodeKeepsPartitions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 3)
+		w.run(time.Second)
+		old, granted := w.nodes[0], telemetry.Events("assignment_grants")
+		again := newNode(w, 0)
+		again.target, again.report.ID = old.target, old.target
+		w.nodes[0] = again
+		w.run(1500 * time.Millisecond)
+		is.Equal(len(again.serves), 4)
+		is.Equal(telemetry.Events("assignment_grants"), granted+4)
+	})
+}
+
 // Guards against a final heartbeat that leaves grants to the expiry of the lease.
 func TestFinalHeartbeatReleases(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -84,10 +101,15 @@
 		}
 		w.run(time.Second)
 		is.Equal(w.change(api.Change{Kind: api.ZoneOut, Name: "a"}).Error, (*errkind.Error)(nil))
-		w.run(150 * time.Millisecond)
+		w.run(250 * time.Millisecond)
 		for _, p := range w.nodes[1].peers {
 			is.Equal(p.Targets[0].Out, p.Zone == "a")
 		}
+		status, _ := w.control.getStatus(t.Context(), nil)
+		is.Equal(len(status.(*api.Status).Nodes), 3)
+		for _, n := range status.(*api.Status).Nodes {
+			is.Equal(n.ConfigVersion, status.(*api.Status).Version) // acknowledged
+		}
 		w.run(3500 * time.Millisecond)
 		is.Equal(len(w.nodes[0].serves), 0)
 		is.Equal(w.served(), testPartitions)
--- a/control/plan.go
+++ b/control/plan.go
@@ -53,6 +53,10 @@
 			continue
 		}
 		for _, t := range s.last.Targets {
+			// After the restart of a node, its target has two sessions; the later one counts.
+			if other := targets[t.ID]; other != nil && l.sessions[other.session].deadline.After(s.deadline) {
+				continue
+			}
 			zone := t.Zone
 			if zone == "" {
 				zone = s.last.Zone
@@ -91,6 +95,8 @@
 	now     time.Time
 	batch   *state.Batch
 	balance bool
+	// removed says that the service is no longer configured; nothing is granted.
+	removed bool
 	targets map[api.TargetID]*targetInfo
 
 	partitions []placement.Partition
@@ -102,15 +108,12 @@
 func (p *servicePlan) run() {
 	p.into = make(map[api.TargetID]int)
 	service := p.view.Configuration.Services.Find(p.name)
+	p.removed = service == nil
 	for i, a := range p.view.Assignments[p.name] {
 		p.classify(i, a)
 	}
-	if service == nil {
-		p.revokeAll()
-		return
-	}
 	eligible := p.eligibleTargets()
-	if len(eligible) == 0 {
+	if p.removed || len(eligible) == 0 {
 		p.revokeAll()
 		return
 	}
@@ -158,13 +161,16 @@
 
 func (p *servicePlan) classifyGranted(i int, a api.Assignment) {
 	t := p.targets[a.Target]
-	if t == nil || t.session != a.Session || !t.eligible {
+	if t == nil || !t.eligible {
 		p.evacuate = append(p.evacuate, i)
 		p.partitions = append(p.partitions, placement.Partition{Index: i, Owner: a.Target, Load: p.load(i, a.Target)})
 		return
 	}
+	// A restarted node reports its target under a new session; the grant of the old one
+	// ends with its lease, and a revoke would only send the partition elsewhere.
+	stays := t.session != a.Session || p.held(i, a)
 	p.partitions = append(p.partitions, placement.Partition{
-		Index: i, Owner: a.Target, Load: p.load(i, a.Target), Moving: p.held(i, a),
+		Index: i, Owner: a.Target, Load: p.load(i, a.Target), Moving: stays,
 	})
 }
 
@@ -182,7 +188,7 @@
 func (p *servicePlan) grantIntended(i int, a api.Assignment) {
 	to, ok := p.intended[p.ref(i)]
 	t := p.targets[to]
-	if !ok || t == nil || !t.eligible || t.Service != p.name || p.full() {
+	if p.removed || !ok || t == nil || !t.eligible || t.Service != p.name || p.full() {
 		return
 	}
 	last := &p.partitions[len(p.partitions)-1]
@@ -205,12 +211,11 @@
 
 // revokeAll revokes what cannot stay, when there is no target to receive it.
 func (p *servicePlan) revokeAll() {
-	removed := p.view.Configuration.Services.Find(p.name) == nil
 	for i, a := range p.view.Assignments[p.name] {
 		if a.State != api.Granted || p.full() || !p.live(a.Session) || p.released[p.ref(i)] == a.Epoch {
 			continue
 		}
-		if removed || slices.Contains(p.evacuate, i) {
+		if p.removed || slices.Contains(p.evacuate, i) {
 			p.revoke(i)
 		}
 	}
