Send orders on map changes only; refuse announcements of targets that have left

Each published view made every target's loop send an order, so early heartbeats multiplied orders. Views that only renew the lease now wait for the next order. This also hid a missing wake-up at the end of a drain from its test, which now notices it. An announcement on its way while the target left brought the target back as a lost one; it is now refused.

--- a/host/announce.go
+++ b/host/announce.go
@@ -142,6 +142,9 @@
 	if r.targets[t.info.ID] != nil {
 		return nil, nil // a concurrent announcement of the same target came first
 	}
+	if _, left := r.left[t.info.ID]; left {
+		return nil, errkind.New(errkind.Conflict, "target %s has left", t.info.ID)
+	}
 	if len(r.targets) >= maxTargets {
 		return nil, errkind.New(errkind.Overloaded, "the node has %d targets", maxTargets)
 	}
@@ -188,6 +191,7 @@
 	r.o.Kick()
 	left := t.awaitLeft(req)
 	if left {
+		r.noteLeft(a.ID, time.Now())
 		r.remove(t)
 		r.o.Kick()
 	}
--- a/host/announce_test.go
+++ b/host/announce_test.go
@@ -80,6 +80,8 @@
 	c.assign(api.Unassigned, "", 0)
 	is.True(<-left)
 	is.True(c.r.Lookup("a") == nil)
+	status, _ := post(t, server, api.PathAnnounce, b.announcement())
+	is.Equal(status, http.StatusConflict) // an announcement that was on its way does not bring it back
 }
 
 // Guards against new undivided work at a target that is leaving.
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -156,7 +156,7 @@
 // Guards against a release while a request still runs, and against new work during a drain.
 func TestHandoverWaitsForRunningRequests(t *testing.T) {
 	is := is.New(t)
-	c, server := newFakeControl(t, Options{})
+	c, server := newFakeControl(t, Options{Interval: 400 * time.Millisecond}) // so that only the event is prompt
 	b := newBlockingTarget(t, "a")
 	local := grantTo(t, c, server, b, 5)
 	leave, err := local.Enter(ref0(), 5, "k")
--- a/host/registry.go
+++ b/host/registry.go
@@ -88,8 +88,12 @@
 	released map[api.PartitionRef]api.Epoch
 	// epochs holds the greatest epoch seen by partition; older grants are dropped.
 	epochs map[api.PartitionRef]api.Epoch
+	// left holds the instances that have left, so that an announcement that was on its way
+	// does not bring one back; kept for forgetAfter.
+	left map[api.TargetID]time.Time
 	// settled is the map that settleReleased has looked at; zero after a target was removed.
-	settled mapVersion
+	settled    mapVersion
+	leaseUntil time.Time // of the last view
 }
 
 // NewRegistry returns a registry without targets. View and NewGate must be set.
@@ -100,6 +104,7 @@
 		targets:  make(map[api.TargetID]*Target),
 		released: make(map[api.PartitionRef]api.Epoch),
 		epochs:   make(map[api.PartitionRef]api.Epoch),
+		left:     make(map[api.TargetID]time.Time),
 	}
 }
 
@@ -177,22 +182,37 @@
 	return true
 }
 
-// Update takes over a new view; it is to be subscribed to the session.
+// Update takes over a new view; it is to be subscribed to the session. Orders are sent at once
+// when the map has changed or the lease is back; a mere renewal goes with the next order.
 func (r *Registry) Update(v *api.View) {
-	r.settleReleased(v)
+	changed := r.settleReleased(v)
+	resumed := r.resumed(v, time.Now())
+	if !changed && !resumed {
+		return
+	}
 	for _, t := range r.all() {
 		t.kick()
 	}
 }
 
+// resumed says that the lease of the view before v has run out.
+func (r *Registry) resumed(v *api.View, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lapsed := !now.Before(r.leaseUntil)
+	r.leaseUntil = v.LeaseUntil
+	return lapsed
+}
+
 // settleReleased drops the reports that the leader has acted upon, and releases at once what
-// was granted to a target that is no longer here: nothing can run under such a grant.
-func (r *Registry) settleReleased(v *api.View) {
+// was granted to a target that is no longer here: nothing can run under such a grant. It
+// returns false when map and session are those of the last call.
+func (r *Registry) settleReleased(v *api.View) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	current := mapVersion{session: v.Session, version: v.MapVersion}
 	if r.settled == current {
-		return
+		return false
 	}
 	r.settled = current
 	for ref, epoch := range r.released {
@@ -210,6 +230,7 @@
 			r.released[api.PartitionRef{Service: service, Partition: p}] = a.Epoch
 		}
 	}
+	return true
 }
 
 // release reports the end of a grant at once.
@@ -236,6 +257,18 @@
 	return true
 }
 
+// noteLeft refuses announcements of the instance from now on.
+func (r *Registry) noteLeft(id api.TargetID, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for other, at := range r.left {
+		if now.Sub(at) > forgetAfter {
+			delete(r.left, other)
+		}
+	}
+	r.left[id] = now
+}
+
 // remove forgets the target; its loop ends by itself.
 func (r *Registry) remove(t *Target) {
 	r.mu.Lock()
--- a/target/target_test.go
+++ b/target/target_test.go
@@ -217,7 +217,12 @@
 		_, _, err := call(context.Background(), s, "last")
 		result <- err
 	}()
-	for s.Counters().Runs == 0 {
+	announced := func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(paths) > 0
+	}
+	for s.Counters().Runs == 0 || !announced() {
 		time.Sleep(time.Millisecond)
 	}
 	is.NoErr(stop())
--- a/tokens/account_test.go
+++ b/tokens/account_test.go
@@ -127,6 +127,12 @@
 	is.Equal(a.Report()[acme].Settled, int64(2))
 	old := takeNow(a)
 	is.True(old != nil) // the refunded token is used again
+	issue(a, 1, 9)
+	a.Expire()
+	report := a.Report()[acme]
+	is.Equal(report.Issued, report.Settled+report.Returned) // nothing is left after the lease
+	old.Refund()
+	is.True(takeNow(a) == nil)
 	a.Reset()
 	old.Settle()
 	is.Equal(a.Report()[acme].Settled, int64(0)) // tokens of an earlier session do not count
