--- a/replica/loop.go
+++ b/replica/loop.go
@@ -169,17 +169,29 @@
 	}
 	p := &published{status: status, roster: l.roster, leaseUntil: l.core.LeaseUntil(now), at: now}
 	p.ready = status.Role == raft.Leader && l.applier.appliedTerm.Load() == status.Term
-	l.r.published.Store(p)
-	if change := (LeadershipChange{Term: status.Term, Self: p.ready}); change != l.announced {
-		l.announced = change
-		l.r.announce(change)
-	}
+	l.announceLeadership(p)
 	if now > l.lastRetained+retainInterval {
 		l.lastRetained = now
 		l.links.retain(l.roster)
 	}
 }
 
+// announceLeadership stores p for readers and announces a change of leadership. A gain is
+// announced before HoldsLease can turn true, and a loss after it has turned false, so that
+// nobody acts in a new term on the state of an older one.
+func (l *loop) announceLeadership(p *published) {
+	change := LeadershipChange{Term: p.status.Term, Self: p.ready}
+	changed := change != l.announced
+	l.announced = change
+	if changed && change.Self {
+		l.r.announce(change)
+	}
+	l.r.published.Store(p)
+	if changed && !change.Self {
+		l.r.announce(change)
+	}
+}
+
 func (l *loop) readRoster(context []byte) {
 	decoded, err := decodeRoster(context)
 	if err != nil {
--- a/target/sample.go
+++ b/target/sample.go
@@ -32,6 +32,8 @@
 	Service string
 	// Listen is host:port. Default 127.0.0.1:0.
 	Listen string
+	// Advertise is the address that the node reaches the target under. Default: the listener's.
+	Advertise string
 	// Node is host:port of the node's announce listener; empty means no announcements.
 	Node      string
 	Slots     int           // default DefaultSlots
@@ -109,6 +111,13 @@
 // Address returns host:port of the listener.
 func (s *Sample) Address() string { return s.listener.Addr().String() }
 
+func (s *Sample) advertised() string {
+	if s.o.Advertise != "" {
+		return s.o.Advertise
+	}
+	return s.Address()
+}
+
 // Counters returns a copy of the counts.
 func (s *Sample) Counters() Counters {
 	c := s.counters.snapshot()
@@ -143,7 +152,7 @@
 	return api.Announcement{
 		ID:            s.o.ID,
 		Service:       s.o.Service,
-		Address:       s.Address(),
+		Address:       s.advertised(),
 		Slots:         s.o.Slots,
 		ColdSlots:     s.o.ColdSlots,
 		RampMs:        int(s.o.Ramp.Milliseconds()),
--- a/target/settings.go
+++ b/target/settings.go
@@ -13,6 +13,7 @@
 		Zone:         s.Zone,
 		Service:      s.Service,
 		Listen:       s.Listen,
+		Advertise:    s.Advertise,
 		Node:         s.NodeAnnounce,
 		Slots:        s.Slots,
 		ColdSlots:    s.ColdSlots,
