bench: scenarios, variants and the compare command

Cause: requests beyond the rate wait up to 2 s for tokens that a central bucket would not have. The limiter must tell a late token from an empty bucket.

--- /dev/null
+++ b/bench/command.go
@@ -0,0 +1,124 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/juju/errors"
+
+	"github.com/zinniapier/zinniapier/telemetry"
+)
+
+// compareFlags are the flags of the compare command.
+type compareFlags struct {
+	deployment string
+	scenario   string
+	a, b       string
+	duration   time.Duration
+	rounds     int
+	seed       uint64
+	members    int
+	json       bool
+}
+
+// Main runs the command line of zinnia-bench and writes its results to out.
+func Main(ctx context.Context, args []string, out io.Writer) error {
+	app := kingpin.New("zinnia-bench", "Load and measurement on an emulated deployment in one process.")
+	level := app.Flag("log-level", "debug, info, warning or error.").Default("error").String()
+	var f compareFlags
+	compare := app.Command("compare", "Measures two variants in turn, with the same load.")
+	compare.Flag("deployment", "lichtwerk or board.").Default("lichtwerk").EnumVar(&f.deployment, "lichtwerk", "board")
+	compare.Flag("scenario", "Disturbance.").Default("steady").EnumVar(&f.scenario, ScenarioNames()...)
+	compare.Flag("a", "First variant.").Default("default").EnumVar(&f.a, VariantNames()...)
+	compare.Flag("b", "Second variant.").Default("no-hedge").EnumVar(&f.b, VariantNames()...)
+	compare.Flag("duration", "Time of each run.").Default("6s").DurationVar(&f.duration)
+	compare.Flag("rounds", "Runs of each variant; they alternate.").Default("2").IntVar(&f.rounds)
+	compare.Flag("seed", "Seed of the first round.").Default("1").Uint64Var(&f.seed)
+	compare.Flag("members", "Control members.").Default("1").IntVar(&f.members)
+	compare.Flag("json", "Print JSON.").BoolVar(&f.json)
+	command, err := app.Parse(args)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if err := telemetry.SetOutput(os.Stderr, *level); err != nil {
+		return errors.Trace(err)
+	}
+	switch command {
+	case compare.FullCommand():
+		return f.run(ctx, out)
+	}
+	return errors.NotFoundf("command %q", command)
+}
+
+func (f *compareFlags) run(ctx context.Context, out io.Writer) error {
+	deployment := Deployments()[f.deployment]
+	var reports []Report
+	for round := range f.rounds {
+		for _, name := range []string{f.a, f.b} {
+			v, err := NewVariant(name, deployment.targets())
+			if err != nil {
+				return err
+			}
+			run := Run{
+				Deployment: deployment,
+				Variant:    v,
+				Scenario:   f.scenario,
+				Duration:   f.duration,
+				Seed:       f.seed + uint64(round),
+				Members:    f.members,
+			}
+			report, err := run.Execute(ctx)
+			if err != nil {
+				return errors.Annotatef(err, "variant %s", name)
+			}
+			reports = append(reports, report)
+		}
+	}
+	if f.json {
+		return errors.Trace(json.NewEncoder(out).Encode(reports))
+	}
+	return printReports(out, reports)
+}
+
+// targets returns the number of targets, which is also the number of nodes.
+func (d Deployment) targets() int {
+	n := 0
+	for _, p := range d.Services {
+		n += p.Targets
+	}
+	return n
+}
+
+// printReports prints one column for each report.
+func printReports(out io.Writer, reports []Report) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	row := func(name string, value func(r *Report) string) {
+		fmt.Fprintf(w, "%s\t", name)
+		for i := range reports {
+			fmt.Fprintf(w, "%s\t", value(&reports[i]))
+		}
+		fmt.Fprintln(w)
+	}
+	row("variant", func(r *Report) string { return r.Name })
+	row("requests", func(r *Report) string { return fmt.Sprint(r.Requests) })
+	row("served/s", func(r *Report) string { return fmt.Sprintf("%.0f", r.Throughput) })
+	row("p50 ms", func(r *Report) string { return fmt.Sprintf("%.1f", r.P50Ms) })
+	row("p99 ms", func(r *Report) string { return fmt.Sprintf("%.1f", r.P99Ms) })
+	row("p99.9 ms", func(r *Report) string { return fmt.Sprintf("%.1f", r.P999Ms) })
+	row("worst-served share", func(r *Report) string { return fmt.Sprintf("%.3f", r.WorstShare) })
+	row("refused within rate", func(r *Report) string { return fmt.Sprint(r.WrongfulRefusals) })
+	row("run more than once", func(r *Report) string { return fmt.Sprint(r.RepeatedRuns) })
+	row("false not-run", func(r *Report) string { return fmt.Sprint(r.FalseNotRun) })
+	row("overshoot", func(r *Report) string { return fmt.Sprintf("%.0f", r.Overshoot) })
+	row("max concurrency cold", func(r *Report) string { return fmt.Sprint(r.MaxCold) })
+	row("cold overruns", func(r *Report) string { return fmt.Sprint(r.Overruns) })
+	row("broken", func(r *Report) string { return fmt.Sprint(r.Broken) })
+	row("refusals", func(r *Report) string { return fmt.Sprint(r.Kinds) })
+	return errors.Trace(w.Flush())
+}
--- a/bench/load.go
+++ b/bench/load.go
@@ -26,6 +26,7 @@
 	Organisation api.OrganisationID
 	Service      string
 	ID           string
+	Idempotent   bool
 	// Arrival is the scheduled time since the start of the run.
 	Arrival time.Duration
 	// Latency counts from the scheduled arrival, so that a stalled generator hides nothing.
@@ -138,6 +139,7 @@
 	tenant := l.Deployment.Tenants[a.tenant]
 	pool := l.Deployment.Services[a.pool]
 	sample := Sample{Organisation: tenant.Organisation.ID, Service: pool.Service.Name, ID: a.id, Arrival: a.at}
+	sample.Idempotent = pool.Method == http.MethodGet
 	key := fmt.Sprintf("%s-%d", tenant.Organisation.ID, a.key)
 	url := "http://" + l.Nodes[a.node] + strings.Replace(pool.Path, "{key}", key, 1)
 	req, err := http.NewRequestWithContext(ctx, pool.Method, url, nil)
--- a/target/sample.go
+++ b/target/sample.go
@@ -45,6 +45,8 @@
 	NoEcho bool
 	// Warm starts the target outside the cold state.
 	Warm bool
+	// Started is called, when set, for each request whose work starts. It must not block.
+	Started func(org api.OrganisationID)
 	// Behaviour is the initial behaviour.
 	Behaviour Behaviour
 }
--- a/target/work.go
+++ b/target/work.go
@@ -64,6 +64,9 @@
 		return
 	}
 	runs := s.counters.started(job.requestID, cold)
+	if s.o.Started != nil {
+		s.o.Started(api.OrganisationID(r.Header.Get(api.HeaderOrganisation)))
+	}
 	b := s.behaviour.Load()
 	if !s.work(r.Context(), job, b) {
 		s.counters.add(func(c *Counters) *int64 { return &c.Cancelled })
