--- a/control/control_test.go
+++ b/control/control_test.go
@@ -63,12 +63,14 @@
 		w := newWorld(t, 3)
 		w.run(time.Second)
 		old, granted := w.nodes[0], telemetry.Events("assignment_grants")
+		revoked := telemetry.Events("assignment_revokes")
 		again := newNode(w, 0)
 		again.target, again.report.ID = old.target, old.target
 		w.nodes[0] = again
 		w.run(1500 * time.Millisecond)
 		is.Equal(len(again.serves), 4)
 		is.Equal(telemetry.Events("assignment_grants"), granted+4)
+		is.Equal(telemetry.Events("assignment_revokes"), revoked)
 	})
 }
 
