control: heartbeat test over net/rpc

Replaces the direct call of the receiver; it also covers registration, the kind and the leader's address of a refusal, and a late duplicate. Fails with the leader check or the sequence check taken out.

--- a/control/operator_test.go
+++ b/control/operator_test.go
@@ -4,15 +4,18 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/rpc"
 )
 
 func newOperator(t *testing.T, log *fakeLog, addresses map[string]string) *httptest.Server {
@@ -98,12 +101,35 @@
 	is.Equal(status, http.StatusOK) // a member shows its own state when the leader is gone
 }
 
-// Guards against a heartbeat that is answered by a member that does not lead.
-func TestHeartbeatNotLeader(t *testing.T) {
+// Guards against a heartbeat that is answered by a member that does not lead, and against
+// a refusal whose kind or leader's address is lost on the way.
+func TestHeartbeatOverRPC(t *testing.T) {
 	is := is.New(t)
 	log := newFakeLog()
 	c, err := New(Options{Log: log, Machine: log.machine})
 	is.NoErr(err)
-	err = (&service{c}).Heartbeat(api.HeartbeatRequest{}, &api.HeartbeatReply{})
-	is.Equal(err.Error(), "not-leader: 127.0.0.1:7001")
+	server := rpc.NewServer(nil)
+	is.NoErr(c.RegisterRPC(server))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() { _ = server.Serve(t.Context(), listener) }()
+	go func() { _ = c.Serve(t.Context()) }()
+	client := rpc.NewClient(listener.Addr().String(), nil)
+	defer client.Close()
+	beat := func(sequence uint64) (api.HeartbeatReply, error) {
+		var reply api.HeartbeatReply
+		err := client.Call(t.Context(), "Control.Heartbeat", api.HeartbeatRequest{Session: "s", Sequence: sequence}, &reply)
+		return reply, err
+	}
+	_, err = beat(1)
+	is.Equal(errkind.From(err), errkind.New(errkind.NotLeader, "127.0.0.1:7001"))
+	log.lead(true)
+	time.Sleep(200 * time.Millisecond) // the first batch of the term
+	reply, err := beat(2)
+	is.NoErr(err)
+	is.Equal(reply.Term, uint64(1))
+	is.Equal(reply.Lease, api.DefaultLease)
+	is.Equal(reply.Members, []string{"127.0.0.1:7001"})
+	_, err = beat(2)
+	is.Equal(errkind.Of(err), errkind.BadRequest) // a late duplicate renews nothing
 }
