Make two ownership tests notice a release before the acknowledgement

With the acknowledgement of a revoke ignored in host/grants.go, TestOneOwnerWhileMoving and TestFrozenTargetKeepsReleaseUntilExpiry passed: the first compared with the new owner's epoch and moved too fast, the second's grants expired at about the time of the detection. Both now fail on that fault. go test -race passes: 3 of 3 runs of ./host.

--- a/host/host_test.go
+++ b/host/host_test.go
@@ -102,6 +102,7 @@
 	grants *target.Grants
 	server *httptest.Server
 	blocks atomic.Bool
+	delay  atomic.Int64 // of each order, in nanoseconds
 	id     api.TargetID
 	orders atomic.Int64
 }
@@ -113,6 +114,7 @@
 		for b.blocks.Load() {
 			time.Sleep(time.Millisecond)
 		}
+		time.Sleep(time.Duration(b.delay.Load()))
 		b.grants.ServeHTTP(w, r)
 	}))
 	t.Cleanup(func() {
@@ -194,7 +196,8 @@
 // the target's own clock.
 func TestFrozenTargetKeepsReleaseUntilExpiry(t *testing.T) {
 	is := is.New(t)
-	c, server := newFakeControl(t, Options{})
+	// Grants that outlive the detection of the loss, up to the end of the lease.
+	c, server := newFakeControl(t, Options{GrantLife: time.Second})
 	b := newBlockingTarget(t, "a")
 	local := grantTo(t, c, server, b, 5)
 	b.blocks.Store(true)
@@ -303,6 +306,8 @@
 func TestOneOwnerWhileMoving(t *testing.T) {
 	c, server := newFakeControl(t, Options{})
 	targets := []*blockingTarget{newBlockingTarget(t, "a"), newBlockingTarget(t, "b")}
+	// A slow revoke at one side leaves time for a premature grant at the other to show.
+	targets[0].delay.Store(int64(30 * time.Millisecond))
 	for _, b := range targets {
 		post(t, server, api.PathAnnounce, b.announcement())
 	}
@@ -325,7 +330,7 @@
 				}
 				running[i].Add(1)
 				entered.Add(1)
-				if running[1-i].Load() > 0 || targets[1-i].grants.Check(0, owner.Epoch) == nil {
+				if running[1-i].Load() > 0 || targets[1-i].grants.Check(0, owner.Epoch-1) == nil {
 					overlaps.Add(1)
 				}
 				time.Sleep(time.Millisecond)
