--- a/bench/command.go
+++ b/bench/command.go
@@ -42,6 +42,11 @@
 	compare.Flag("seed", "Seed of the first round.").Default("1").Uint64Var(&f.seed)
 	compare.Flag("members", "Control members.").Default("1").IntVar(&f.members)
 	compare.Flag("json", "Print JSON.").BoolVar(&f.json)
+	var p pathFlags
+	path := app.Command("path", "Measures the cost of the path: direct, own node, one hop.")
+	path.Flag("duration", "Time of each way.").Default("3s").DurationVar(&p.duration)
+	path.Flag("workers", "Concurrent callers.").Default("4").IntVar(&p.workers)
+	path.Flag("json", "Print JSON.").BoolVar(&p.json)
 	command, err := app.Parse(args)
 	if err != nil {
 		return errors.Trace(err)
@@ -52,10 +57,30 @@
 	switch command {
 	case compare.FullCommand():
 		return f.run(ctx, out)
+	case path.FullCommand():
+		return p.run(ctx, out)
 	}
 	return errors.NotFoundf("command %q", command)
 }
 
+// pathFlags are the flags of the path command.
+type pathFlags struct {
+	duration time.Duration
+	workers  int
+	json     bool
+}
+
+func (p *pathFlags) run(ctx context.Context, out io.Writer) error {
+	reports, err := MeasurePath(ctx, p.duration, p.workers)
+	if err != nil {
+		return err
+	}
+	if p.json {
+		return errors.Trace(json.NewEncoder(out).Encode(reports))
+	}
+	return printPaths(out, reports)
+}
+
 func (f *compareFlags) run(ctx context.Context, out io.Writer) error {
 	deployment := Deployments()[f.deployment]
 	var reports []Report
