--- a/raft/raft.go
+++ b/raft/raft.go
@@ -29,7 +29,7 @@
 type Raft struct {
 	cfg     Config
 	random  *rand.Rand
-	now     time.Duration // time of the latest Tick or Step
+	now     time.Duration // time of the latest call that passed it in
 	log     *raftLog
 	members memberships
 
@@ -49,7 +49,9 @@
 
 	stored   HardState
 	messages []Message
-	install  *Snapshot
+	// unsent says that proposals wait for Ready, which sends them together.
+	unsent  bool
+	install *Snapshot
 }
 
 // New returns a member with the stored state, as a follower. A member whose membership
@@ -137,8 +139,9 @@
 	if len(data) > MaxEntryBytes {
 		return 0, 0, ErrTooLarge
 	}
+	r.now = now
 	index = r.appendOwn(Entry{Type: Normal, Data: data})
-	r.replicateAll(now)
+	r.unsent = true
 	return index, r.term, nil
 }
 
--- a/raft/ready.go
+++ b/raft/ready.go
@@ -6,8 +6,13 @@
 	"github.com/juju/errors"
 )
 
-// Ready returns the work that is due. The caller does it and calls Advance.
+// Ready returns the work that is due. The caller does it and calls Advance. Proposals made
+// since the last Ready share the messages to each peer.
 func (r *Raft) Ready() Ready {
+	if r.unsent && r.role == Leader {
+		r.replicateAll(r.now)
+	}
+	r.unsent = false
 	hs := HardState{Term: r.term, Vote: r.vote, Commit: r.log.commit}
 	rd := Ready{
 		HardState: hs,
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -225,6 +225,9 @@
 // BenchmarkPropose measures commits by three members over loopback, 64 at a time.
 func BenchmarkPropose(b *testing.B) {
 	g := newGroup(b, "a", "b", "c")
+	for _, m := range g {
+		m.options.SnapshotEntries = DefaultSnapshotEntries
+	}
 	g.begin()
 	leader := g.leader(b)
 	b.SetParallelism(8) // callers for each processor
