--- a/raft/sim_test.go
+++ b/raft/sim_test.go
@@ -319,15 +319,25 @@
 	n.snap = snap
 }
 
-// recover heals everything; a leader must then commit and reach every member.
-func (s *sim) recover() {
-	s.cut, s.loss, s.delay = map[uint64]bool{}, 0, 0
+func (s *sim) wakeAll() {
 	for _, n := range s.nodes {
 		n.frozen = false
+	}
+}
+
+func (s *sim) restartAll() {
+	for _, n := range s.nodes {
 		if n.down {
 			s.start(n)
 		}
 	}
+}
+
+// recover heals everything; a leader must then commit and reach every member.
+func (s *sim) recover() {
+	s.cut, s.loss, s.delay = map[uint64]bool{}, 0, 0
+	s.wakeAll()
+	s.restartAll()
 	s.run(3*time.Second, 0)
 	s.checkCaughtUp()
 	s.propose()
@@ -364,21 +374,11 @@
 					n.frozen = true
 				}
 			},
-			"wake": func(*rapid.T) { s.any().frozen = false },
-			"wakeAll": func(*rapid.T) {
-				for _, n := range s.nodes {
-					n.frozen = false
-				}
-			},
-			"crash": func(*rapid.T) { s.any().down = true },
-			"restart": func(*rapid.T) {
-				for _, n := range s.nodes {
-					if n.down {
-						s.start(n)
-					}
-				}
-			},
-			"cut": func(*rapid.T) { n := s.any(); s.cut[n.id] = !s.cut[n.id] },
+			"wake":    func(*rapid.T) { s.any().frozen = false },
+			"wakeAll": func(*rapid.T) { s.wakeAll() },
+			"crash":   func(*rapid.T) { s.any().down = true },
+			"restart": func(*rapid.T) { s.restartAll() },
+			"cut":     func(*rapid.T) { n := s.any(); s.cut[n.id] = !s.cut[n.id] },
 			"cutLeader": func(*rapid.T) {
 				if n := s.leader(); n != nil {
 					s.cut = map[uint64]bool{n.id: true}
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -193,9 +193,7 @@
 				l.Close()
 			}
 			opened, got, err := Open(dir)
-			if err != nil {
-				t.Fatal(err)
-			}
+			must(t, err)
 			l = opened
 			l.segmentBytes = 300
 			m.check(t, got)
@@ -209,9 +207,7 @@
 				es := entries(from, from+rapid.Uint64Range(0, 5).Draw(t, "n"), m.hs.Term)
 				m.es = append(m.es[:from-m.snap.Index-1:from-m.snap.Index-1], es...)
 				m.hs.Commit = rapid.Uint64Range(max(m.hs.Commit, m.snap.Index), m.last()).Draw(t, "commit")
-				if err := l.Save(m.hs, es); err != nil {
-					t.Fatal(err)
-				}
+				must(t, l.Save(m.hs, es))
 			},
 			"snapshot": func(t *rapid.T) {
 				if m.hs.Commit <= m.snap.Index {
@@ -221,13 +217,9 @@
 				e := m.es[at-m.snap.Index-1]
 				m.es = m.es[at-m.snap.Index:]
 				m.snap = raft.Snapshot{Index: at, Term: e.Term, Data: e.Data}
-				if err := l.WriteSnapshot(m.snap); err != nil {
-					t.Fatal(err)
-				}
+				must(t, l.WriteSnapshot(m.snap))
 				if rapid.Bool().Draw(t, "prune") {
-					if err := l.Prune(at); err != nil {
-						t.Fatal(err)
-					}
+					must(t, l.Prune(at))
 				}
 			},
 			"install": func(t *rapid.T) {
@@ -236,14 +228,10 @@
 				m.snap = raft.Snapshot{Index: at, Term: term, Data: []byte("installed")}
 				m.es = nil
 				if !rapid.Bool().Draw(t, "crash") {
-					if err := l.Install(m.snap); err != nil {
-						t.Fatal(err)
-					}
+					must(t, l.Install(m.snap))
 					return
 				}
-				if err := l.WriteSnapshot(m.snap); err != nil { // and the log was not reset
-					t.Fatal(err)
-				}
+				must(t, l.WriteSnapshot(m.snap)) // and the log was not reset
 				open(t)
 				m.hs = l.hs
 			},
@@ -251,9 +239,8 @@
 			"torn": func(t *rapid.T) {
 				b := appendRecord(nil, batchRecord, encodeBatch(m.hs, entries(m.last()+1, m.last()+3, m.hs.Term+1)))
 				b = b[:rapid.IntRange(0, len(b)-1).Draw(t, "cut")]
-				if _, err := l.file.Write(b); err != nil {
-					t.Fatal(err)
-				}
+				_, err := l.file.Write(b)
+				must(t, err)
 				open(t)
 			},
 		})
@@ -261,16 +248,18 @@
 	})
 }
 
+func must(t interface{ Fatal(...any) }, err error) {
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
 // BenchmarkSave measures one synced write of a single entry.
 func BenchmarkSave(b *testing.B) {
 	l, _, err := Open(b.TempDir())
-	if err != nil {
-		b.Fatal(err)
-	}
+	must(b, err)
 	defer l.Close()
 	for i := uint64(1); b.Loop(); i++ {
-		if err := l.Save(raft.HardState{Term: 1}, entries(i, i, 1)); err != nil {
-			b.Fatal(err)
-		}
+		must(b, l.Save(raft.HardState{Term: 1}, entries(i, i, 1)))
 	}
 }
