replica: refuse a data folder whose log is gone but whose identity remains

Cause: the identity file alone let a member start with an empty log under its old id, so it could vote twice in a term and forget entries that it had acknowledged. Ruled out: the wiped folder, which gets a new id. The log now has a record before the identity names the group, and an empty log with a group is refused. The test fails without the check.

--- a/replica/discovery.go
+++ b/replica/discovery.go
@@ -87,8 +87,16 @@
 	return true
 }
 
-// adopt notes the group; its leader then sends the log, once this member is in it.
+// adopt notes the group; its leader then sends the log, once this member is in it. The log
+// gets its first record before the identity names the group, so that a log that is missing
+// later is recognised as lost.
 func (r *Replica) adopt(cluster uint64) error {
+	if r.recovered.HardState == (raft.HardState{}) {
+		r.recovered.HardState = raft.HardState{Term: 1}
+		if err := r.store.Save(r.recovered.HardState, nil); err != nil {
+			return err
+		}
+	}
 	id := *r.self()
 	id.Cluster = cluster
 	if err := id.store(r.o.DataDir); err != nil {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -89,6 +89,10 @@
 	if err != nil {
 		return err
 	}
+	if id.Cluster != 0 && empty {
+		// Under its old id the member could vote twice in a term and forget what it acknowledged.
+		return &wal.DamageError{File: r.o.DataDir, Reason: "the log is missing; empty the folder to join as a new member"}
+	}
 	r.identity.Store(&id)
 	members, err := decodeRoster(snap.Membership.Context)
 	if err != nil {
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/matryer/is"
 
 	"github.com/zinniapier/zinniapier/errkind"
 	"github.com/zinniapier/zinniapier/raft"
+	"github.com/zinniapier/zinniapier/wal"
 )
 
 // Guards against a group that does not survive its leader, a restarted member that does
@@ -93,6 +96,26 @@
 	rest.converge(t, 270)
 }
 
+// Guards against a member that has lost its log, but not its identity, and votes again under
+// its old id.
+func TestMissingLogIsRefused(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, "a")
+	g.begin()
+	g.propose(t, "entry", 3)
+	g[0].end()
+	files, err := os.ReadDir(g[0].options.DataDir)
+	is.NoErr(err)
+	for _, f := range files {
+		if f.Name() != identityName {
+			is.NoErr(os.RemoveAll(filepath.Join(g[0].options.DataDir, f.Name())))
+		}
+	}
+	_, err = Open(g[0].options)
+	var damage *wal.DamageError
+	is.True(errors.As(err, &damage))
+}
+
 // Guards against a leader that goes on believing in its lease, or acknowledges anything,
 // without a quorum.
 func TestNoQuorum(t *testing.T) {
