--- /dev/null
+++ b/gateway/harness_test.go
@@ -0,0 +1,308 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/config"
+	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/gate"
+	"github.com/zinniapier/zinniapier/rpc"
+)
+
+const orgKey = "secret-key"
+
+// testNode is a gateway with its listeners and fakes in place of session, host and tokens.
+type testNode struct {
+	*Gateway
+	caller *httptest.Server
+	hops   *httptest.Server
+	fate   net.Listener
+	peer   api.Peer
+	local  *testTarget
+	now    atomic.Pointer[api.View]
+	tokens testTokens
+}
+
+// testTokens counts what becomes of tokens.
+type testTokens struct{ settled, refunded atomic.Int64 }
+
+func (t *testTokens) Take(context.Context, api.OrganisationID) (Token, error) { return t, nil }
+func (t *testTokens) Settle()                                                 { t.settled.Add(1) }
+func (t *testTokens) Refund()                                                 { t.refunded.Add(1) }
+
+// testTarget is a local target; enter may act at the moment an attempt enters.
+type testTarget struct {
+	info  api.Announcement
+	gate  *gate.Gate
+	enter func()
+}
+
+func (t *testTarget) Info() api.Announcement { return t.info }
+func (t *testTarget) Gate() *gate.Gate       { return t.gate }
+
+func (t *testTarget) Enter(api.PartitionRef, api.Epoch, string) (func(), error) {
+	if t.enter != nil {
+		t.enter()
+	}
+	return func() {}, nil
+}
+
+func (n *testNode) Lookup(id api.TargetID) LocalTarget {
+	if n.local == nil || n.local.info.ID != id {
+		return nil
+	}
+	return n.local
+}
+
+// newNode starts a node with a target at the address, or with none when it is empty.
+func newNode(t *testing.T, name, target string, traffic config.Traffic) *testNode {
+	t.Helper()
+	n := &testNode{peer: api.Peer{Session: api.SessionID("s-" + name), Name: name}}
+	if target != "" {
+		id := api.TargetID("t-" + name)
+		n.local = &testTarget{
+			info: api.Announcement{ID: id, Address: target, Slots: 8},
+			gate: gate.New(gate.Options{Slots: 8, NoColdStart: true}),
+		}
+		for _, s := range []string{"quotes", "orders"} {
+			n.peer.Targets = append(n.peer.Targets, api.PeerTarget{ID: id, Service: s, Slots: 8, State: api.TargetServing})
+		}
+	}
+	n.now.Store(&api.View{})
+	n.Gateway = New(Options{View: n.now.Load, Targets: n, Tokens: &n.tokens, Traffic: traffic})
+	n.caller = httptest.NewServer(n.CallerHandler())
+	n.hops = httptest.NewServer(n.InternalHandler())
+	n.fate = serveFate(t, n.Gateway)
+	n.peer.InternalAddr = n.hops.Listener.Addr().String()
+	n.peer.CallerAddr = n.caller.Listener.Addr().String()
+	n.peer.FateAddr = n.fate.Addr().String()
+	t.Cleanup(func() {
+		n.caller.CloseClientConnections()
+		n.hops.CloseClientConnections()
+		n.caller.Close()
+		n.hops.Close()
+	})
+	return n
+}
+
+func serveFate(t *testing.T, g *Gateway) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	server := rpc.NewServer(nil)
+	if err := server.Register("Node", g); err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(ctx, l) }()
+	return l
+}
+
+// connect publishes one view to all nodes: the owner holds every partition of "quotes".
+func connect(owner *testNode, nodes ...*testNode) {
+	segment := 1
+	c := &api.Configuration{
+		Services: api.Services{Services: []api.Service{
+			{Name: "quotes", Key: &api.KeySource{PathSegment: &segment}, Partitions: 4, DeadlineMs: 2000,
+				Routes: []api.Route{{Prefix: "/quotes"}}},
+			{Name: "orders", Routes: []api.Route{{Prefix: "/orders"}, {Prefix: "/open", Open: true}}, DeadlineMs: 2000},
+			{Name: "needy", DependsOn: []string{"missing"}, Routes: []api.Route{{Prefix: "/needy"}}},
+		}},
+		Organisations: []api.Organisation{{ID: "acme", Rate: 1000, Burst: 1000}},
+		Keys:          []api.OrganisationKey{{ID: "k", Organisation: "acme", Digest: api.DigestKey(orgKey)}},
+	}
+	var peers []api.Peer
+	for _, n := range nodes {
+		peers = append(peers, n.peer)
+	}
+	list := make([]api.Assignment, 4)
+	for i := range list {
+		if owner != nil {
+			list[i] = api.Assignment{State: api.Granted, Target: owner.local.info.ID, Session: owner.peer.Session, Epoch: 7}
+		}
+	}
+	for _, n := range nodes {
+		v := &api.View{Session: n.peer.Session, LeaseUntil: time.Now().Add(time.Hour), Configuration: c,
+			MapVersion: 3, Assignments: api.Assignments{"quotes": list}, Peers: peers}
+		v.Index = api.NewViewIndex(v)
+		n.now.Store(v)
+		n.ViewChanged(v)
+	}
+}
+
+// change publishes a changed copy of the node's view.
+func (n *testNode) change(f func(v *api.View)) {
+	v := *n.now.Load()
+	f(&v)
+	v.Index = api.NewViewIndex(&v)
+	n.now.Store(&v)
+	n.ViewChanged(&v)
+}
+
+func expire(v *api.View) { v.LeaseUntil = time.Now().Add(-time.Second) }
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	kind   errkind.Kind
+	notRun string
+	body   string
+	err    error // of reading the body
+	header http.Header
+}
+
+// call sends a request to the node. Header pairs follow the body.
+func (n *testNode) call(t *testing.T, method, path, body string, header ...string) reply {
+	t.Helper()
+	req, err := http.NewRequest(method, n.caller.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+orgKey)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return reply{
+		status: resp.StatusCode,
+		kind:   errkind.Kind(resp.Header.Get(errkind.HeaderKind)),
+		notRun: resp.Header.Get(errkind.HeaderNotRun),
+		body:   string(text),
+		err:    err,
+		header: resp.Header,
+	}
+}
+
+// httpTarget is a target that counts its requests.
+type httpTarget struct {
+	*httptest.Server
+	runs atomic.Int64
+	last atomic.Pointer[http.Request]
+}
+
+func newTarget(t *testing.T, f http.HandlerFunc) *httpTarget {
+	t.Helper()
+	h := new(httpTarget)
+	h.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.runs.Add(1)
+		h.last.Store(r)
+		f(w, r)
+	}))
+	t.Cleanup(func() {
+		h.CloseClientConnections()
+		h.Close()
+	})
+	return h
+}
+
+func (h *httpTarget) addr() string { return h.Listener.Addr().String() }
+
+func sayOK(w http.ResponseWriter, r *http.Request) {
+	text, _ := io.ReadAll(r.Body)
+	_, _ = io.WriteString(w, "ok"+string(text))
+}
+
+// rawTarget serves connections byte by byte and counts those that carried a request.
+type rawTarget struct {
+	net.Listener
+	runs atomic.Int64
+}
+
+// newRawTarget calls f for each connection that has sent its first line.
+func newRawTarget(t *testing.T, f func(conn net.Conn, in *bufio.Reader)) *rawTarget {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	raw := &rawTarget{Listener: l}
+	go accept(l, func(conn net.Conn) {
+		defer conn.Close()
+		in := bufio.NewReader(conn)
+		if _, err := in.ReadString('\n'); err != nil {
+			return
+		}
+		raw.runs.Add(1)
+		f(conn, in)
+	})
+	return raw
+}
+
+func accept(l net.Listener, serve func(net.Conn)) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go serve(conn)
+	}
+}
+
+// readHead skips the rest of a request's head.
+func readHead(in *bufio.Reader) {
+	for {
+		line, err := in.ReadString('\n')
+		if err != nil || line == "\r\n" {
+			return
+		}
+	}
+}
+
+// relay is a TCP link in front of a listener that can fail.
+type relay struct {
+	net.Listener
+	// forward decides for each connection, by its number from 0, how to carry it on.
+	forward func(n int64, from, to net.Conn)
+	conns   atomic.Int64
+}
+
+func newRelay(t *testing.T, to string, forward func(n int64, from, to net.Conn)) *relay {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{Listener: l, forward: forward}
+	t.Cleanup(func() { _ = l.Close() })
+	go accept(l, func(from net.Conn) {
+		defer from.Close()
+		dest, err := net.Dial("tcp", to)
+		if err != nil {
+			return
+		}
+		defer dest.Close()
+		r.forward(r.conns.Add(1)-1, from, dest)
+	})
+	return r
+}
+
+// pipe carries both directions until one ends.
+func pipe(from, to net.Conn) {
+	done := make(chan struct{}, 2)
+	copyTo := func(a, b net.Conn) {
+		_, _ = io.Copy(a, b)
+		done <- struct{}{}
+	}
+	go copyTo(to, from)
+	go copyTo(from, to)
+	<-done
+}
