--- a/gateway/caller_test.go
+++ b/gateway/caller_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -94,7 +95,10 @@
 // Guards against a caller that raises its deadline, or whose lower one is ignored.
 func TestDeadlineIsOnlyLowered(t *testing.T) {
 	is := is.New(t)
-	target := newTarget(t, func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	target := newTarget(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // net/http notices a closed connection only then
+		<-r.Context().Done()
+	})
 	n := newNode(t, "n", target.addr(), config.Traffic{})
 	connect(n, n)
 	begin := time.Now()
