gateway, host: one Enter that returns the attempt's context

Cause: host offered EnterContext and gateway looked for a separate GrantContext that nothing implemented, so the drain limit of a move did not end running attempts. Ruled out: an adapter in package node, which would look the grant up twice and race with its end.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return nil, errkind.From(err)
 	}
-	leave, err := t.Enter(c.ref, p.epoch, c.key)
+	ctx, leave, err := t.Enter(ctx, c.ref, p.epoch, c.key)
 	if err != nil {
 		slot.Release(gate.Outcome{})
 		return nil, errkind.From(err)
@@ -76,7 +76,6 @@
 
 func (r *run) do(ctx context.Context) (*answer, *errkind.Error) {
 	ctx, r.cancel = context.WithCancel(ctx)
-	stop := r.followCanceller()
 	r.shot.check = r.beforeFirstByte
 	info := r.target.Info()
 	link := r.gateway.targetLinks.get(string(info.ID)+"@"+info.Address, info.MaxConnections)
@@ -88,16 +87,12 @@
 			// Idle connections to the target may be as silent as this one.
 			link.transport.CloseIdleConnections()
 		}
-		stop()
 		_ = req.Body.Close()
 		r.end()
 		return nil, e
 	}
 	a := &answer{resp: resp}
-	a.onFinish(func() {
-		stop()
-		r.end()
-	})
+	a.onFinish(r.end)
 	if e := r.checkAnswer(info, resp); e != nil {
 		a.finish()
 		return nil, e
@@ -108,14 +103,6 @@
 	return a, nil
 }
 
-// followCanceller ends the attempt when the target's node gives up the grant.
-func (r *run) followCanceller() (stop func() bool) {
-	if t, ok := r.target.(Canceller); ok {
-		return context.AfterFunc(t.GrantContext(r.call.ref, r.place.epoch), r.cancel)
-	}
-	return func() bool { return true }
-}
-
 // beforeFirstByte is the last check: the lease and the grant, as they are now.
 func (r *run) beforeFirstByte() error {
 	if err := checkGrant(r.gateway.view(), r.call.ref, r.place.epoch, r.call.key); err != nil {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -50,11 +50,11 @@
 func (t *testTarget) Info() api.Announcement { return t.info }
 func (t *testTarget) Gate() *gate.Gate       { return t.gate }
 
-func (t *testTarget) Enter(api.PartitionRef, api.Epoch, string) (func(), error) {
+func (t *testTarget) Enter(ctx context.Context, _ api.PartitionRef, _ api.Epoch, _ string) (context.Context, func(), error) {
 	if t.enter != nil {
 		t.enter()
 	}
-	return func() {}, nil
+	return ctx, func() {}, nil
 }
 
 func (n *testNode) Lookup(id api.TargetID) LocalTarget {
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -12,15 +12,12 @@
 	Info() api.Announcement
 	Gate() *gate.Gate
 	// Enter checks that the target may start work under the grant now and counts the
-	// attempt as in flight until leave is called. For an undivided service ref.Partition
-	// is -1 and epoch 0. Errors: WrongOwner, StaleEpoch, NoLease, ShuttingDown, NoTarget.
-	Enter(ref api.PartitionRef, epoch api.Epoch, key string) (leave func(), err error)
-}
-
-// Canceller is implemented by a LocalTarget that ends running attempts, as at the drain
-// limit of a move. The context, never nil, ends when attempts under the grant must stop.
-type Canceller interface {
-	GrantContext(ref api.PartitionRef, epoch api.Epoch) context.Context
+	// attempt as in flight until leave is called. The returned context is derived from ctx
+	// and ends when attempts under the grant must stop, as at the drain limit of a move. For
+	// an undivided service ref.Partition is -1 and epoch 0. Errors: WrongOwner, StaleEpoch,
+	// NoLease, NoOwner, ShuttingDown, NoTarget.
+	Enter(ctx context.Context, ref api.PartitionRef, epoch api.Epoch, key string) (
+		attemptCtx context.Context, leave func(), err error)
 }
 
 // Targets finds the targets on the host of this node.
--- a/host/enter.go
+++ b/host/enter.go
@@ -24,16 +24,9 @@
 // in flight until leave is called. For an undivided service ref.Partition is -1 and epoch is
 // 0. key may be empty; it is measured for hot keys. Errors: WrongOwner, StaleEpoch, NoLease,
 // ShuttingDown, NoTarget, and NoOwner for a grant that the target has not yet acknowledged.
-//
-// Attempts that must end when the partition moves use EnterContext.
-func (t *Target) Enter(ref api.PartitionRef, epoch api.Epoch, key string) (leave func(), err error) {
-	_, leave, err = t.EnterContext(context.Background(), ref, epoch, key)
-	return leave, err
-}
-
-// EnterContext is Enter for an attempt that ends with the returned context. That context is
-// derived from ctx and cancelled when the grant is revoked while the attempt still runs.
-func (t *Target) EnterContext(ctx context.Context, ref api.PartitionRef, epoch api.Epoch, key string) (
+// The returned context is derived from ctx and cancelled when the grant is revoked while the
+// attempt still runs.
+func (t *Target) Enter(ctx context.Context, ref api.PartitionRef, epoch api.Epoch, key string) (
 	attemptCtx context.Context, leave func(), err error) {
 	deadline := time.Now().Add(deliveryWait)
 	for {
--- a/host/sample_test.go
+++ b/host/sample_test.go
@@ -31,7 +31,7 @@
 
 // request runs one request through Enter and returns the status of the target's answer, or 0.
 func request(t *testing.T, local *Target, id string) int {
-	ctx, leave, err := local.EnterContext(t.Context(), ref0(), 5, "")
+	ctx, leave, err := local.Enter(t.Context(), ref0(), 5, "")
 	if err != nil {
 		return 0
 	}
