--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -184,9 +184,7 @@
 // further use of the connection that it came over.
 func TestCrossedAnswersAreRefused(t *testing.T) {
 	is := is.New(t)
-	var conns int
 	target := newRawTarget(t, func(conn net.Conn, in *bufio.Reader) {
-		conns++
 		for {
 			readHead(in)
 			if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nZinnia-Attempt: other\r\n\r\n"); err != nil {
