daemon: connections that other processes never used do not delay a shutdown

Targets dial their node ahead of need, and net/http waits 5 s for the first request on such a connection. Ruled out: the test's own client (same with a connection for each request).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/tls"
 	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -18,14 +17,8 @@
 	"github.com/zinniapier/zinniapier/telemetry"
 )
 
-const (
-	// supervisorTimeout bounds how long a supervisor waits for a part to stop.
-	supervisorTimeout = 15 * time.Second
-	// readHeaderTimeout closes connections whose request header does not arrive.
-	readHeaderTimeout = 10 * time.Second
-	// shutdownTimeout bounds how long a listener waits for running requests.
-	shutdownTimeout = 12 * time.Second
-)
+// supervisorTimeout bounds how long a supervisor waits for a part to stop.
+const supervisorTimeout = 15 * time.Second
 
 // NewSupervisor returns a supervisor that logs the failures of its services under its name.
 func NewSupervisor(name string) *suture.Supervisor {
@@ -50,43 +43,6 @@
 	os.Exit(1)
 }
 
-// HTTPService serves a handler on a listener as a suture service.
-type HTTPService struct {
-	name     string
-	listener net.Listener
-	server   *http.Server
-}
-
-// NewHTTPService returns a service that owns the listener.
-func NewHTTPService(name string, listener net.Listener, handler http.Handler) *HTTPService {
-	return &HTTPService{
-		name:     name,
-		listener: listener,
-		server:   &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout},
-	}
-}
-
-// String names the service in the supervisor's log.
-func (s *HTTPService) String() string { return s.name }
-
-// Serve accepts until ctx ends, then refuses new connections and waits for running requests.
-func (s *HTTPService) Serve(ctx context.Context) error {
-	done := make(chan error, 1)
-	go func() { done <- s.server.Serve(s.listener) }()
-	select {
-	case err := <-done:
-		return errors.Annotatef(err, "serve %s", s.name)
-	case <-ctx.Done():
-	}
-	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
-	defer cancel()
-	if err := s.server.Shutdown(drain); err != nil {
-		telemetry.Logger(s.name).WithError(err).Warning("Closing with requests still running.")
-		_ = s.server.Close()
-	}
-	return ctx.Err()
-}
-
 // Service adapts a function to a named suture service.
 type Service struct {
 	Name string
--- a/node/node.go
+++ b/node/node.go
@@ -208,8 +208,8 @@
 func (n *Node) addBack(s *suture.Supervisor) {
 	s.Add(n.session)
 	s.Add(n.registry)
-	s.Add(daemon.NewHTTPService("internal", n.internal, n.gateway.InternalHandler()))
-	s.Add(daemon.NewHTTPService("announce", n.announce, n.registry.AnnounceHandler()))
+	s.Add(daemon.NewInternalHTTPService("internal", n.internal, n.gateway.InternalHandler()))
+	s.Add(daemon.NewInternalHTTPService("announce", n.announce, n.registry.AnnounceHandler()))
 	s.Add(daemon.Service{Name: "rpc", Run: func(ctx context.Context) error { return n.rpc.Serve(ctx, n.fate) }})
 	if n.status != nil {
 		mux := http.NewServeMux()
