gateway: a silent connection to the target no longer holds up later requests

Cause: when open connections to a target go silent, each request took another idle one and waited for its deadline; idle connections were dropped only after the first timeout. Seen in TestSilentConnections: requests lost until 1929 ms after the silence with a deadline of 4 s (it grows with the deadline). Now the idle connections are dropped when a reused connection gives no answer for 150 ms, at most once per 150 ms since slow work looks the same. Requests already sent on a silent connection still end as unknown at their deadline and hold their slot until then: a target that gets more than its slots within 150 ms stays blocked that long. Not solved here.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -80,7 +80,9 @@
 	info := r.target.Info()
 	link := r.gateway.targetLinks.get(string(info.ID)+"@"+info.Address, info.MaxConnections)
 	req := r.request(ctx, info.Address)
+	timer := r.watchSilence(link)
 	resp, err := link.transport.RoundTrip(req)
+	timer.Stop()
 	if err != nil {
 		e := r.failure(ctx, err)
 		if e.Kind == errkind.TargetTimeout {
@@ -103,6 +105,17 @@
 	return a, nil
 }
 
+// watchSilence drops the idle connections of the link when a reused one gives no answer for a
+// while. The attempt itself goes on, since the target may be at work; but without this, each
+// later request would wait for its deadline on another silent connection.
+func (r *run) watchSilence(l *link) *time.Timer {
+	return time.AfterFunc(silence, func() {
+		if r.shot.reused.Load() {
+			l.dropIdle(time.Now())
+		}
+	})
+}
+
 // beforeFirstByte is the last check: the lease and the grant, as they are now.
 func (r *run) beforeFirstByte() error {
 	if err := checkGrant(r.gateway.view(), r.call.ref, r.place.epoch, r.call.key); err != nil {
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -27,6 +27,17 @@
 type link struct {
 	transport *http.Transport
 	used      atomic.Int64 // unix nanoseconds
+	dropped   atomic.Int64 // time of the last dropIdle, unix nanoseconds
+}
+
+// dropIdle closes the idle connections, which may be as silent as one that gives no answer. It
+// does so at most once per silence, since slow work looks the same and a new connection costs 1 ms.
+func (l *link) dropIdle(now time.Time) {
+	last := l.dropped.Load()
+	if now.UnixNano()-last < silence.Nanoseconds() || !l.dropped.CompareAndSwap(last, now.UnixNano()) {
+		return
+	}
+	l.transport.CloseIdleConnections()
 }
 
 // links holds a link for each target or node in recent use.
--- a/gateway/shot.go
+++ b/gateway/shot.go
@@ -20,6 +20,8 @@
 	fired bool
 	err   *errkind.Error // why nothing was or will be sent
 	conn  atomic.Pointer[guardedConn]
+	// reused says that the connection had carried a request before.
+	reused atomic.Bool
 }
 
 // fire is called by the connection before the first byte.
@@ -59,6 +61,7 @@
 func (s *shot) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*guardedConn); ok {
+			s.reused.Store(info.Reused)
 			s.conn.Store(c)
 			c.shot.Store(s)
 		}
