--- a/integration/requests_traffic_test.go
+++ b/integration/requests_traffic_test.go
@@ -322,12 +322,19 @@
 	return list
 }
 
-// linksOf returns the links of a kind between the nodes and processes of a cluster.
+// linksOf returns all links of a kind.
 func linksOf(c *cluster.Cluster, kind cluster.Kind) []*cluster.Link {
 	seen := make(map[*cluster.Link]bool)
 	var list []*cluster.Link
+	var ends []*cluster.Process
+	for _, m := range c.Control {
+		ends = append(ends, &m.Process)
+	}
 	for _, n := range c.Nodes {
-		for _, l := range c.Links(&n.Process) {
+		ends = append(ends, &n.Process)
+	}
+	for _, p := range ends {
+		for _, l := range c.Links(p) {
 			if l.Kind == kind && !seen[l] {
 				seen[l] = true
 				list = append(list, l)
