gate: no slot for a request whose deadline no longer fits the service time

Cause: the deadline was compared with the service time only when a request was queued. Under a flood, requests got a slot with little time left, were cut off in their work, and counted as failures of the target, which cut its adaptive limit. Ruled out: the fair queue, whose small organisations got their turns.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -48,6 +48,8 @@
 	Shed    bool // the target refused it to shed load
 	Cold    bool // the target said that it is in a cold start
 	Failed  bool // the target did not answer in time or broke the connection
+	// Allowed is the time that the target had when it did not answer in time, else zero.
+	Allowed time.Duration
 }
 
 // Stats describes a gate at one moment.
@@ -140,6 +142,8 @@
 		return nil, err
 	}
 	if w != nil {
+		ctx, cancel := withLatestStart(ctx, w.mean)
+		defer cancel()
 		if err := g.wait(ctx, w); err != nil {
 			return nil, err
 		}
@@ -164,7 +168,7 @@
 	if err := g.makeRoom(org, weight); err != nil {
 		return nil, err
 	}
-	w := &Waiter{Organisation: org, Weight: weight, ready: make(chan struct{})}
+	w := &Waiter{Organisation: org, Weight: weight, ready: make(chan struct{}), mean: g.limiter.times.mean}
 	g.queue.Push(w)
 	g.pump()
 	return w, nil
@@ -186,6 +190,16 @@
 	return errkind.New(errkind.DeadlineExceeded, "queue needs %v, deadline is in %v", need, deadline.Sub(now))
 }
 
+// withLatestStart ends the wait when the mean service time no longer fits before the deadline:
+// a request that starts later takes a slot and is most likely cut off in its work.
+func withLatestStart(ctx context.Context, mean time.Duration) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return ctx, func() {}
+	}
+	return context.WithDeadline(ctx, deadline.Add(-mean))
+}
+
 func (g *Gate) makeRoom(org api.OrganisationID, weight float64) error {
 	if g.queue.Len() < g.queueLength {
 		return nil
--- a/gate/limit.go
+++ b/gate/limit.go
@@ -68,6 +68,9 @@
 		l.startCold(now)
 		return
 	}
+	if o.Failed && l.tooShort(o.Allowed) {
+		return
+	}
 	if o.Shed || o.Failed {
 		l.cut(now, shedFactor)
 		l.holdRamp(now, o.Shed)
@@ -87,6 +90,12 @@
 	}
 }
 
+// tooShort says that a time allowed by the caller's deadline was within the usual spread of service
+// times, so that a timeout says nothing about the target.
+func (l *limiter) tooShort(allowed time.Duration) bool {
+	return allowed > 0 && allowed < jumpFactor*l.times.moving()
+}
+
 // detectColdStart starts the ramp again after a jump of latency.
 func (l *limiter) detectColdStart(now time.Time) {
 	atFirstStep := l.cold && l.rampSize <= l.coldSlots
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"time"
+
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/plugin"
 )
@@ -13,6 +15,7 @@
 
 	ready chan struct{} // closed when the waiter got a slot or was refused
 	err   error         // set before ready is closed
+	mean  time.Duration // service time of the target when the waiter was queued
 }
 
 // Queue orders the waiting requests of one target. The gate serialises all calls.
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -193,7 +193,7 @@
 
 func (r *run) failureAfterStart(ctx context.Context, err error) *errkind.Error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		r.outcome = gate.Outcome{Failed: true}
+		r.outcome = gate.Outcome{Failed: true, Allowed: time.Since(r.began)}
 		return errkind.New(errkind.TargetTimeout, "target %s gave no answer in time", r.place.target)
 	}
 	if ctx.Err() != nil {
