--- /dev/null
+++ b/integration/loss_test.go
@@ -0,0 +1,117 @@
+package integration
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/zinniapier/zinniapier/internal/cluster"
+)
+
+// keys is the number of keys under background traffic.
+const keys = 20
+
+// killAll ends processes at the same moment.
+func killAll(processes ...*cluster.Process) {
+	done := make(chan struct{})
+	for _, p := range processes {
+		go func() {
+			p.Kill()
+			done <- struct{}{}
+		}()
+	}
+	for range processes {
+		<-done
+	}
+}
+
+// TestHostLost guards against keys of a lost host that stay without an owner, and against a new
+// owner before the lease of the old one has ended.
+func TestHostLost(t *testing.T) {
+	c, key := start(t, quotesOnly(3, "a", "b", "c", "a"))
+	tr := startTraffic(t, c, key, keys)
+	time.Sleep(settle)
+	tr.without(c.Nodes[0])
+	lost := time.Now()
+	killAll(c.Host(c.Nodes[0])...)
+	time.Sleep(3 * time.Second)
+	list := tr.finish()
+	tr.expectUnavailable("host_lost_unavailable", list, lost, lost.Add(3*time.Second), servedAgain)
+}
+
+// TestControlLeaderLost guards against an election that outlasts the leases of nodes, and
+// against a new leader that gives grants of live nodes away.
+func TestControlLeaderLost(t *testing.T) {
+	c, key := start(t, quotesOnly(3, "a", "b", "c"))
+	tr := startTraffic(t, c, key, keys)
+	time.Sleep(settle)
+	old := leader(t, c)
+	lost := time.Now()
+	old.Kill()
+	leader(t, c, others(c, old)...)
+	measure(t, "control_leader_lost_election", time.Since(lost))
+	time.Sleep(3 * time.Second)
+	list := tr.finish()
+	tr.expectUnavailable("control_leader_lost_unavailable", list, lost, lost.Add(3*time.Second), servedAgain)
+	moved(t, list, 0)
+}
+
+// moved checks how many keys changed their owner.
+func moved(t *testing.T, list []*sample, most int) {
+	t.Helper()
+	owners := make(map[string]map[string]bool)
+	for _, s := range list {
+		if s.ok {
+			if owners[s.key] == nil {
+				owners[s.key] = make(map[string]bool)
+			}
+			owners[s.key][string(s.instance)] = true
+		}
+	}
+	count := 0
+	for _, set := range owners {
+		if len(set) > 1 {
+			count++
+		}
+	}
+	if count > most {
+		t.Errorf("%d keys moved, at most %d had to", count, most)
+	}
+}
+
+// TestZoneLost guards against a zone loss that leaves keys unserved: several hosts and a control
+// member end at the same moment.
+func TestZoneLost(t *testing.T) {
+	c, key := start(t, quotesOnly(3, "a", "a", "b", "c"))
+	tr := startTraffic(t, c, key, keys)
+	time.Sleep(settle)
+	lead := leader(t, c)
+	gone := append(c.Host(c.Nodes[0]), c.Host(c.Nodes[1])...)
+	gone = append(gone, &others(c, lead)[0].Process)
+	tr.without(c.Nodes[0], c.Nodes[1])
+	lost := time.Now()
+	killAll(gone...)
+	time.Sleep(3 * time.Second)
+	list := tr.finish()
+	tr.expectUnavailable("zone_lost_unavailable", list, lost, lost.Add(3*time.Second), servedAgain)
+}
+
+// TestTargetLost guards against a node that keeps the grants of its dead target.
+func TestTargetLost(t *testing.T) {
+	is := is.New(t)
+	c, key := start(t, quotesOnly(3, "a", "b", "c"))
+	tr := startTraffic(t, c, key, keys)
+	time.Sleep(settle)
+	lost := time.Now()
+	c.Targets[0].Kill()
+	time.Sleep(3 * time.Second)
+	// The new instance is another target, which owns nothing at first.
+	c.Targets[0].Restart()
+	awaitTargets(t, c, readyLimit)
+	list := tr.finish()
+	tr.expectUnavailable("target_lost_unavailable", list, lost, lost.Add(3*time.Second), servedAgain)
+	for _, s := range list {
+		is.True(s.err == nil) // the node answers for its dead target
+	}
+}
--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -34,17 +34,41 @@
 }
 
 // start runs a deployment with the services and one organisation, waits until every partition
-// is granted, and returns the organisation key.
+// is granted, and returns the organisation key. Services are applied once all targets serve, so
+// that partitions are spread at once and not moved off the first target one by one.
 func start(t *testing.T, o cluster.Options) (*cluster.Cluster, string) {
 	t.Helper()
 	c := cluster.New(t, o)
 	c.Start()
+	awaitTargets(t, c, readyLimit)
 	c.Change(api.Change{Kind: api.ApplyServices, Services: services()})
 	key := c.AddOrganisation(organisation, 5000, 5000)
 	awaitGranted(t, c, readyLimit)
 	return c, key
 }
 
+func awaitTargets(t *testing.T, c *cluster.Cluster, limit time.Duration) {
+	t.Helper()
+	cluster.Eventually(t, limit, func() error {
+		status, err := c.Operator().Status(context.Background())
+		if err != nil {
+			return err
+		}
+		serving := 0
+		for _, n := range status.Nodes {
+			for _, target := range n.Targets {
+				if target.State == api.TargetServing {
+					serving++
+				}
+			}
+		}
+		if serving < len(c.Targets) {
+			return fmt.Errorf("%d of %d targets serve", serving, len(c.Targets))
+		}
+		return nil
+	})
+}
+
 func awaitGranted(t *testing.T, c *cluster.Cluster, limit time.Duration) {
 	t.Helper()
 	cluster.Eventually(t, limit, func() error {
