internal/cluster: find the process of a connection by sock_diag

The switchboard walked /proc/net/tcp for each new connection. With about 14,000 sockets in the table (closed ones of other tests on the machine) that took tens of milliseconds of a core each, and a burst of 50 connections starved the proxies until members and nodes lost their leases. The programs were ruled out: without traffic the same deployment kept its leases for 5 s.

--- a/internal/cluster/sockets.go
+++ b/internal/cluster/sockets.go
@@ -6,15 +6,13 @@
 	"fmt"
 	"net/netip"
 	"os"
-	"path/filepath"
 	"strings"
 )
 
 // socket is a row of /proc/net/tcp.
 type socket struct {
-	local, remote netip.AddrPort
-	listening     bool
-	inode         string
+	local     netip.AddrPort
+	listening bool
 }
 
 // stateListen is the state of a listening socket in /proc/net/tcp.
@@ -38,20 +36,17 @@
 
 // Columns of /proc/net/tcp.
 const (
-	columnLocal  = 1
-	columnRemote = 2
-	columnState  = 3
-	columnInode  = 9
+	columnLocal = 1
+	columnState = 3
 )
 
 func parseSocket(line string) (socket, bool) {
 	columns := strings.Fields(line)
-	if len(columns) <= columnInode {
+	if len(columns) <= columnState {
 		return socket{}, false
 	}
-	local, ok1 := parseHexAddress(columns[columnLocal])
-	remote, ok2 := parseHexAddress(columns[columnRemote])
-	return socket{local, remote, columns[columnState] == stateListen, columns[columnInode]}, ok1 && ok2
+	local, ok := parseHexAddress(columns[columnLocal])
+	return socket{local, columns[columnState] == stateListen}, ok
 }
 
 // parseHexAddress reads an address such as 0100007F:1F90, whose IP number is in little-endian order.
@@ -80,9 +75,15 @@
 
 // holds says whether the process has the socket with the inode open.
 func holds(pid int, inode string) bool {
-	links, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
-	for _, link := range links {
-		if name, err := os.Readlink(link); err == nil && name == "socket:["+inode+"]" {
+	dir := fmt.Sprintf("/proc/%d/fd/", pid)
+	d, err := os.Open(dir)
+	if err != nil {
+		return false
+	}
+	defer d.Close()
+	names, _ := d.Readdirnames(-1)
+	for _, name := range names {
+		if link, err := os.Readlink(dir + name); err == nil && link == "socket:["+inode+"]" {
 			return true
 		}
 	}
--- a/internal/cluster/switchboard.go
+++ b/internal/cluster/switchboard.go
@@ -100,12 +100,12 @@
 func (c *Cluster) dialler(conn net.Conn) *Process {
 	local := conn.RemoteAddr().(*net.TCPAddr).AddrPort()
 	remote := conn.LocalAddr().(*net.TCPAddr).AddrPort()
-	s, found := findSocket(func(s socket) bool { return s.local == unmap(local) && s.remote == unmap(remote) })
-	if !found {
+	inode, err := inodeOf(unmap(local), unmap(remote))
+	if err != nil {
 		return nil
 	}
 	for _, p := range c.processes() {
-		if pid := p.PID(); pid != 0 && holds(pid, s.inode) {
+		if pid := p.PID(); pid != 0 && holds(pid, inode) {
 			return p
 		}
 	}
