--- a/internal/cluster/valve.go
+++ b/internal/cluster/valve.go
@@ -54,17 +54,30 @@
 
 func (v *valve) release() { v.update(func() { v.released = true }) }
 
-func (v *valve) birth() uint64 {
+// connection is what the valve knows of one direction of one connection.
+type connection struct {
+	generation uint64
+	// established says that the valve was open both ways at some moment since the dial. The
+	// handshake of TCP needs both directions, so no data passes on a connection before that,
+	// even in a direction that is not cut.
+	established bool
+}
+
+func (v *valve) connect() *connection {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.generation
+	return &connection{generation: v.generation, established: !v.anyCut()}
 }
 
+func (v *valve) anyCut() bool { return v.cut[stream.Upstream] || v.cut[stream.Downstream] }
+
 // open says whether data of a connection may pass now, and returns a channel that is closed at the next change.
-func (v *valve) open(d stream.Direction, birth uint64) (bool, <-chan struct{}) {
+func (v *valve) open(d stream.Direction, c *connection) (bool, <-chan struct{}) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.released || !v.cut[d] && birth == v.generation, v.changed
+	c.established = c.established || !v.anyCut()
+	passes := c.established && !v.cut[d] && c.generation == v.generation
+	return v.released || passes, v.changed
 }
 
 // toxicType is the name under which valveToxic is registered with toxiproxy.
@@ -86,8 +99,8 @@
 	return v.(*valve)
 }
 
-// NewState implements toxics.StatefulToxic: it records the generation of a new connection.
-func (t *valveToxic) NewState() any { return t.valve().birth() }
+// NewState implements toxics.StatefulToxic: it records the state of the valve at the dial.
+func (t *valveToxic) NewState() any { return t.valve().connect() }
 
 // Pipe implements toxics.Toxic.
 func (t *valveToxic) Pipe(stub *toxics.ToxicStub) {
@@ -109,7 +122,7 @@
 
 // step moves one chunk or waits; it returns false at the end.
 func (f *flow) step() bool {
-	open, changed := f.valve.open(f.direction, f.stub.State.(uint64))
+	open, changed := f.valve.open(f.direction, f.stub.State.(*connection))
 	switch {
 	case !open:
 		return f.wait(changed)
