internal/cluster: one look at the processes finds all sockets of a burst

A profile of TestControlLeaderCutOff showed half of the harness's time in readlink over the open files of all processes, once for each new connection. While requests wait for an owner, each holds a connection of its own, and the proxies then delayed heartbeats past their 150 ms: 1.5 s, 1.5 s and 2.1 s without an answer in three runs.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -45,6 +45,8 @@
 	addresses map[string]bool
 	links     map[linkKey]*Link
 	closing   bool
+
+	owners socketOwners
 }
 
 type linkKey struct {
--- a/internal/cluster/sockets.go
+++ b/internal/cluster/sockets.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"strings"
+	"sync"
 )
 
 // socket is a row of /proc/net/tcp.
@@ -73,19 +74,41 @@
 	return found
 }
 
-// holds says whether the process has the socket with the inode open.
-func holds(pid int, inode string) bool {
+// socketOwners remembers which process has which socket open. One look at the processes finds the
+// sockets of all connections that are opened in a burst.
+type socketOwners struct {
+	mu    sync.Mutex
+	known map[string]*Process // by inode
+}
+
+// find returns the process that has the socket open, or nil.
+func (o *socketOwners) find(inode string, processes []*Process) *Process {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if p := o.known[inode]; p != nil {
+		return p
+	}
+	o.known = make(map[string]*Process)
+	for _, p := range processes {
+		if pid := p.PID(); pid != 0 {
+			o.look(p, pid)
+		}
+	}
+	return o.known[inode]
+}
+
+func (o *socketOwners) look(p *Process, pid int) {
 	dir := fmt.Sprintf("/proc/%d/fd/", pid)
 	d, err := os.Open(dir)
 	if err != nil {
-		return false
+		return
 	}
 	defer d.Close()
 	names, _ := d.Readdirnames(-1)
 	for _, name := range names {
-		if link, err := os.Readlink(dir + name); err == nil && link == "socket:["+inode+"]" {
-			return true
+		link, err := os.Readlink(dir + name)
+		if inode, isSocket := strings.CutPrefix(link, "socket:["); err == nil && isSocket {
+			o.known[strings.TrimSuffix(inode, "]")] = p
 		}
 	}
-	return false
 }
--- a/internal/cluster/switchboard.go
+++ b/internal/cluster/switchboard.go
@@ -104,12 +104,7 @@
 	if err != nil {
 		return nil
 	}
-	for _, p := range c.processes() {
-		if pid := p.PID(); pid != 0 && holds(pid, inode) {
-			return p
-		}
-	}
-	return nil
+	return c.owners.find(inode, c.processes())
 }
 
 func unmap(a netip.AddrPort) netip.AddrPort { return netip.AddrPortFrom(a.Addr().Unmap(), a.Port()) }
