operator, ctl, member: mutual TLS for operators, change ids for resends

Cause: the operator listener stayed plain when TLS was configured, and zinniactl kept the change id to itself, so an operator who lost an answer could not resend the same change.

--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -17,6 +17,7 @@
 	"github.com/juju/errors"
 
 	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/config"
 	"github.com/zinniapier/zinniapier/errkind"
 	"github.com/zinniapier/zinniapier/operator"
 )
@@ -46,6 +47,8 @@
 	timeout     time.Duration
 	baseVersion uint64
 	baseGiven   bool
+	changeID    string
+	tls         config.TLSFiles
 }
 
 // exit ends the run from within kingpin, for flags such as --help.
@@ -115,6 +118,11 @@
 	k.Flag("timeout", "Time limit of each call, over all control members.").Default("10s").DurationVar(&a.timeout)
 	k.Flag("base-version", "Configuration version that a change is based on. Default: the current one, read first.").
 		PlaceHolder("N").IsSetByUser(&a.baseGiven).Uint64Var(&a.baseVersion)
+	k.Flag("change-id", "Id of the change; repeat a change whose outcome is unknown under the same id. Default: random.").
+		PlaceHolder("ID").StringVar(&a.changeID)
+	k.Flag("tls-certificate", "PEM file of the operator's certificate.").PlaceHolder("FILE").StringVar(&a.tls.Certificate)
+	k.Flag("tls-key", "PEM file of the certificate's private key.").PlaceHolder("FILE").StringVar(&a.tls.Key)
+	k.Flag("tls-authority", "PEM file of the authority of the control members.").PlaceHolder("FILE").StringVar(&a.tls.Authority)
 	a.fileCommands(k)
 	a.statusCommand(k)
 	a.placeCommands(k)
@@ -131,7 +139,11 @@
 		if len(addresses) == 0 {
 			addresses = []string{defaultControl}
 		}
-		client, err := operator.New(operator.Options{Addresses: addresses, Timeout: a.timeout})
+		pair, err := a.tls.Load()
+		if err != nil {
+			return err
+		}
+		client, err := operator.New(operator.Options{Addresses: addresses, Timeout: a.timeout, TLS: pair.Client})
 		if err != nil {
 			return errors.New(errkind.From(err).Message)
 		}
@@ -139,19 +151,27 @@
 	}
 }
 
-// change submits a change that is based on --base-version or on the current version.
+// change submits a change that is based on --base-version or on the current version. When the
+// outcome is unknown, the error names the id and version for a resend, which gets the first answer.
 func (a *app) change(ctx context.Context, c *operator.Client, change api.Change) (uint64, error) {
-	change.ID = api.NewID()
-	if a.baseGiven {
-		change.BaseVersion = a.baseVersion
-		return c.Change(ctx, change)
+	change.ID = a.changeID
+	if change.ID == "" {
+		change.ID = api.NewID()
+	}
+	change.BaseVersion = a.baseVersion
+	if !a.baseGiven {
+		current, err := c.Configuration(ctx)
+		if err != nil {
+			return 0, err
+		}
+		change.BaseVersion = current.Version
 	}
-	current, err := c.Configuration(ctx)
-	if err != nil {
-		return 0, err
+	version, err := c.Change(ctx, change)
+	if kind := errkind.Of(err); err != nil && exitCode(kind) == ExitNoAnswer {
+		return version, errkind.New(kind, "%s; repeat with --change-id %s --base-version %d",
+			errkind.From(err).Message, change.ID, change.BaseVersion)
 	}
-	change.BaseVersion = current.Version
-	return c.Change(ctx, change)
+	return version, err
 }
 
 // submit is a command that makes one change and prints the new version.
--- a/internal/cluster/calls.go
+++ b/internal/cluster/calls.go
@@ -160,7 +160,11 @@
 	for _, m := range members {
 		addresses = append(addresses, m.Settings.OperatorListen)
 	}
-	client, err := operator.New(operator.Options{Addresses: addresses, Timeout: callLimit})
+	pair, err := members[0].Settings.TLS.Load()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	client, err := operator.New(operator.Options{Addresses: addresses, Timeout: callLimit, TLS: pair.Client})
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/member/member.go
+++ b/member/member.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -37,7 +38,7 @@
 		return nil, errors.Trace(err)
 	}
 	m := &Member{settings: settings, server: rpc.NewServer(pair.Server)}
-	if err := m.listen(); err != nil {
+	if err := m.listen(pair.Server); err != nil {
 		m.closeListeners()
 		return nil, errors.Trace(err)
 	}
@@ -48,12 +49,12 @@
 	return m, nil
 }
 
-func (m *Member) listen() (err error) {
+func (m *Member) listen(config *tls.Config) (err error) {
 	s := &m.settings
 	if m.rpc, err = daemon.Listen("rpc", s.RPCListen); err != nil {
 		return err
 	}
-	if m.operator, err = daemon.Listen("operator", s.OperatorListen); err != nil {
+	if m.operator, err = daemon.ListenTLS("operator", s.OperatorListen, config); err != nil {
 		return err
 	}
 	if s.StatusListen == "" {
@@ -95,6 +96,7 @@
 		Log:               &replicaLog{m.replica},
 		Machine:           machine,
 		OperatorAddresses: operatorAddresses(s.Peers),
+		OperatorTLS:       pair.Client,
 		Lease:             milliseconds(s.Timing.LeaseMs),
 		Margin:            milliseconds(s.Timing.DriftMarginMs),
 	})
--- a/operator/call.go
+++ b/operator/call.go
@@ -101,7 +101,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.attempt)
 	defer cancel()
 	// The reader without GetBody keeps the transport from resending by itself.
-	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+address+r.path, io.NopCloser(bytes.NewReader(body)))
+	req, err := http.NewRequestWithContext(ctx, r.method, c.scheme+"://"+address+r.path, io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
 		return errkind.New(errkind.Invalid, "%v", err)
 	}
--- a/operator/client.go
+++ b/operator/client.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -39,6 +40,8 @@
 	Addresses []string
 	// Timeout bounds a call over all members. Default DefaultTimeout.
 	Timeout time.Duration
+	// TLS authenticates both ends; nil means plain HTTP.
+	TLS *tls.Config
 	// AttemptTimeout bounds one request to one member. Default 2 s.
 	AttemptTimeout time.Duration
 }
@@ -48,6 +51,7 @@
 	addresses []string
 	timeout   time.Duration
 	attempt   time.Duration
+	scheme    string
 	http      *http.Client
 }
 
@@ -68,7 +72,15 @@
 	if c.attempt <= 0 {
 		c.attempt = attemptTimeout
 	}
-	c.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}}
+	c.scheme = "http"
+	if o.TLS != nil {
+		c.scheme = "https"
+	}
+	c.http = &http.Client{Transport: &http.Transport{
+		TLSClientConfig:     o.TLS,
+		MaxIdleConnsPerHost: 2,
+		IdleConnTimeout:     time.Minute,
+	}}
 	return c, nil
 }
 
