--- a/control/control_test.go
+++ b/control/control_test.go
@@ -130,6 +130,13 @@
 		cold := newNode(w, 2)
 		cold.report.Cold = true
 		w.nodes = append(w.nodes, cold)
+		load := make(map[int]float64)
+		for p := range testPartitions {
+			load[p] = 10
+		}
+		for _, n := range w.nodes {
+			n.report.PartitionLoad = load
+		}
 		for _, n := range w.nodes {
 			n.drain = 500 * time.Millisecond
 		}
@@ -148,6 +155,21 @@
 	})
 }
 
+// Guards against a new deployment without load that hands partitions to its cold targets one
+// by one, so that the first target to arrive owns nearly everything for many seconds.
+func TestIdlePartitionsSpreadAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 1)
+		w.run(time.Second)
+		cold := newNode(w, 1)
+		cold.report.Cold = true
+		w.nodes = append(w.nodes, cold)
+		w.run(3 * time.Second)
+		is.Equal(len(cold.serves), testPartitions/2)
+	})
+}
+
 // overridden returns a world with an override of a hot key that still has the owner of its
 // hash partition, and that owner.
 func overridden(t *testing.T) (w *world, owner *node, hash int) {
--- a/control/pace.go
+++ b/control/pace.go
@@ -14,6 +14,9 @@
 	paceShare = 4
 	// coldShare divides the pace of a cold target.
 	coldShare = 4
+	// idleLoad is the load of a service in requests per second and slot below which moves put
+	// nothing on a cold target, so that a new deployment spreads its partitions at once.
+	idleLoad = 0.1
 	// evacuationPatience is the time after which an evacuation is no longer paced. A zone
 	// taken out must be empty within a few seconds; the gates still bound what reaches a
 	// cold target.
@@ -30,10 +33,11 @@
 func (p *servicePlan) pace(eligible []placement.Target) *pace {
 	pc := &pace{free: make(map[api.TargetID]int), urgent: p.urgent()}
 	n := len(p.view.Assignments[p.name])
+	idle := p.idle(eligible)
 	limit := max(p.o.MovesPerTarget, n/len(eligible)/paceShare)
 	for _, t := range eligible {
 		free := limit
-		if t.Cold {
+		if t.Cold && !idle {
 			free = max(1, limit/coldShare)
 		}
 		pc.free[t.ID] = max(0, free-p.into[t.ID])
@@ -41,6 +45,18 @@
 	return pc
 }
 
+// idle says whether the service has next to no load on its targets.
+func (p *servicePlan) idle(eligible []placement.Target) bool {
+	var load, slots float64
+	for _, partition := range p.partitions {
+		load += partition.Load
+	}
+	for _, t := range eligible {
+		slots += t.Capacity
+	}
+	return load < idleLoad*slots
+}
+
 // urgent says whether an evacuation has taken too long.
 func (p *servicePlan) urgent() bool {
 	if len(p.evacuate) == 0 {
--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -56,6 +56,34 @@
 	})
 }
 
+// awaitSpread waits until that many targets each own at least half of an even share of the
+// service's partitions. The first target that announces itself owns all of them at first.
+func awaitSpread(t *testing.T, c *cluster.Cluster, service string, targets int) {
+	t.Helper()
+	cluster.Eventually(t, readyLimit, func() error {
+		status, err := c.Operator().Status(context.Background())
+		if err != nil {
+			return err
+		}
+		for _, s := range status.Services {
+			if s.Name == service && sharesOf(s, targets) < targets {
+				return fmt.Errorf("%s is owned as %v", service, s.Owned)
+			}
+		}
+		return allGranted(status)
+	})
+}
+
+// sharesOf counts the targets that own at least half of an even share.
+func sharesOf(s api.ServiceStatus, targets int) (n int) {
+	for _, owned := range s.Owned {
+		if owned*targets*2 >= s.Partitions {
+			n++
+		}
+	}
+	return n
+}
+
 func allGranted(status *api.Status) error {
 	for _, s := range status.Services {
 		if s.Granted < s.Partitions {
@@ -94,6 +122,7 @@
 func TestOwnerAnswersFromAnyNode(t *testing.T) {
 	is := is.New(t)
 	c, key := start(t, cluster.Options{Control: 3, Hosts: hosts("a", "b", "c")})
+	awaitSpread(t, c, "quotes", 3)
 	owners := make(map[string]bool)
 	for i := range 20 {
 		path := fmt.Sprintf("/quotes/tower-%d", i)
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -41,10 +41,9 @@
 	dir     string
 	command func(program, settings string) (*exec.Cmd, error)
 
-	mu        sync.Mutex
-	addresses map[string]bool
-	links     map[linkKey]*Link
-	closing   bool
+	mu      sync.Mutex
+	links   map[linkKey]*Link
+	closing bool
 }
 
 type linkKey struct {
@@ -82,7 +81,7 @@
 	t.Helper()
 	c := &Cluster{
 		t: t, dir: t.TempDir(), command: command,
-		addresses: make(map[string]bool), links: make(map[linkKey]*Link),
+		links: make(map[linkKey]*Link),
 	}
 	t.Cleanup(c.close)
 	c.declare(o)
