control, state: services checked by the server, overrides conflict with no operator

Cause 1: only zinniactl checked cycles, routes and deadlines, so another client could have an invalid services file accepted; deadlines above 60 s outlived the memory of barred attempts. Cause 2: an override that the leader adds by itself raised the version that operators base changes on, so a hot key could refuse an operator who had read the version before. Ruled out: a second version for distribution, which every node and tool would have to know. A change is now accepted from the version of the last operator change on; equal bases still have one winner.

--- a/api/control.go
+++ b/api/control.go
@@ -39,13 +39,17 @@
 
 // Configuration is what operators decide. Version is the log index of the last accepted change.
 type Configuration struct {
-	Version       uint64            `json:"version"`
-	Services      Services          `json:"services"`
-	Organisations []Organisation    `json:"organisations"`
-	Keys          []OrganisationKey `json:"keys"`
-	ZonesOut      []string          `json:"zones_out"`
-	TargetsOut    []TargetID        `json:"targets_out"`
-	Overrides     []Override        `json:"overrides"`
+	Version uint64 `json:"version"`
+	// OperatorVersion is the log index of the last accepted change by an operator. A change that
+	// is based on it or a later version is accepted: overrides, which the leader adds by itself,
+	// raise Version but conflict with nothing.
+	OperatorVersion uint64            `json:"operator_version"`
+	Services        Services          `json:"services"`
+	Organisations   []Organisation    `json:"organisations"`
+	Keys            []OrganisationKey `json:"keys"`
+	ZonesOut        []string          `json:"zones_out"`
+	TargetsOut      []TargetID        `json:"targets_out"`
+	Overrides       []Override        `json:"overrides"`
 }
 
 // Assignments maps each service divided by key to its partitions.
--- a/config/services.go
+++ b/config/services.go
@@ -41,6 +41,10 @@
 	return p.err()
 }
 
+// MaxDeadlineMs bounds the deadline of a service in milliseconds. Nodes remember attempts for
+// longer than that, so that a barred attempt can never start.
+const MaxDeadlineMs = 60_000
+
 func fillService(s *api.Service) {
 	setDefault(&s.DeadlineMs, DefaultDeadlineMs)
 	if s.Divided() {
@@ -51,7 +55,7 @@
 
 func (p *problems) service(path string, s *api.Service) {
 	p.name(path+".name", s.Name)
-	p.between(path+".deadline_ms", s.DeadlineMs, 1, maxSpanMs)
+	p.between(path+".deadline_ms", s.DeadlineMs, 1, MaxDeadlineMs)
 	p.plugin(path+".target_choice", s.TargetChoice)
 	p.plugin(path+".placement", s.Placement)
 	if s.Divided() {
--- a/control/operator.go
+++ b/control/operator.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/config"
 	"github.com/zinniapier/zinniapier/errkind"
 	"github.com/zinniapier/zinniapier/placement"
 	"github.com/zinniapier/zinniapier/state"
@@ -140,7 +141,7 @@
 	if err := decode(body, change); err != nil {
 		return nil, err
 	}
-	if err := checkPolicies(change.Services); err != nil {
+	if err := checkServices(change.Services); err != nil {
 		return nil, err
 	}
 	data, err := state.EncodeChange(change)
@@ -160,12 +161,21 @@
 	return result, nil
 }
 
-// checkPolicies checks names of plug-ins here, because members of different releases may
-// know different ones and the state machine must decide the same on all.
-func checkPolicies(s *api.Services) *errkind.Error {
+// checkServices fills in the defaults of services and checks them as zinniactl does, since
+// other clients may submit changes. Errors: Invalid.
+func checkServices(s *api.Services) *errkind.Error {
 	if s == nil {
 		return nil
 	}
+	if err := config.CheckServices(s); err != nil {
+		return errkind.From(err)
+	}
+	return checkPolicies(s)
+}
+
+// checkPolicies checks names of plug-ins here, because members of different releases may
+// know different ones and the state machine must decide the same on all.
+func checkPolicies(s *api.Services) *errkind.Error {
 	for _, v := range s.Services {
 		if v.Placement == "" {
 			continue
--- a/state/change.go
+++ b/state/change.go
@@ -24,7 +24,7 @@
 
 func (m *Machine) decide(next *api.ControlState, c *api.Change) *api.ChangeResult {
 	current := next.Configuration.Version
-	if c.BaseVersion != current {
+	if c.BaseVersion < next.Configuration.OperatorVersion || c.BaseVersion > current {
 		err := errkind.New(errkind.Conflict, "based on version %d, current is %d", c.BaseVersion, current)
 		return &api.ChangeResult{Version: current, Error: err}
 	}
@@ -34,6 +34,7 @@
 		return &api.ChangeResult{Version: current, Error: err}
 	}
 	changed.Configuration.Version = changed.Index
+	changed.Configuration.OperatorVersion = changed.Index
 	*next = changed
 	e.state = next
 	m.publish(e, e.prune())
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -141,6 +141,7 @@
 func TestOverrides(t *testing.T) {
 	is := is.New(t)
 	m := newTester(t)
+	base := m.View().Configuration.Version
 	hash := api.PartitionOf("hot", 4)
 	epoch := m.View().Assignments["quotes"][hash].Epoch
 	m.batch(Batch{Grants: []Grant{{Step: step(hash, epoch), Target: "t1", Session: "s1"}}})
@@ -148,6 +149,9 @@
 	is.Equal(m.View().Assignments["quotes"][4], api.Assignment{State: api.Granted, Target: "t1", Session: "s1", Epoch: api.Epoch(m.index)})
 	is.Equal(m.View().Configuration.Overrides, []api.Override{{Service: "quotes", Key: "hot", Partition: 4, Version: m.index}})
 	is.Equal(m.View().Configuration.Version, m.index)
+	// An override that the leader adds must not refuse the operator who read the version before it.
+	is.Equal(kind(m.change(api.Change{ID: "zone", BaseVersion: base, Kind: api.ZoneOut, Name: "z"})), errkind.Kind(""))
+	is.Equal(kind(m.change(api.Change{ID: "late", BaseVersion: base, Kind: api.ZoneIn, Name: "z"})), errkind.Conflict)
 	for i := range MaxOverrides {
 		m.batch(Batch{Overrides: []OverrideKey{{"quotes", fmt.Sprint(i)}}})
 	}
