tokens: refuse at once what one central bucket would refuse; floors at idle nodes

The node now counts all arrivals; the authority keeps a shadow bucket over them and marks an organisation whose shadow is empty as exhausted. Demand includes the tokens of requests in progress, which left nothing for new requests at a node with slow ones.

--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -48,10 +48,22 @@
 	Issued   int64 `json:"issued"`   // the greatest Issued that the node has received
 	Settled  int64 `json:"settled"`  // tokens spent for good
 	Returned int64 `json:"returned"` // tokens given back unused
-	// Demand is the number of tokens that the node wants to hold now.
+	// Arrivals counts all requests of the organisation that asked for a token, refused ones too.
+	Arrivals int64 `json:"arrivals"`
+	// Demand is the number of tokens that the node wants to hold now, those of requests in
+	// progress included.
 	Demand int64 `json:"demand"`
 }
 
+// TokenReply is the leader's answer to a TokenReport.
+type TokenReply struct {
+	Issued int64 `json:"issued"` // tokens issued to the session, cumulative
+	// Floor is the number of tokens that the node keeps even without demand.
+	Floor int64 `json:"floor"`
+	// Exhausted says that one central bucket would be empty, so that waiting is of no use.
+	Exhausted bool `json:"exhausted"`
+}
+
 // HeartbeatRequest renews the session of a node.
 type HeartbeatRequest struct {
 	Session SessionID
@@ -115,8 +127,8 @@
 	Peers        []Peer
 	PeersVersion uint64
 	PeersChanged bool
-	// Issued is the cumulative number of tokens issued to the session by organisation.
-	Issued map[OrganisationID]int64
+	// Tokens holds the organisations for which the session has an account at the leader.
+	Tokens map[OrganisationID]TokenReply
 	// Members are the addresses of the control members' rpc listeners.
 	Members []string
 }
--- a/control/fake_test.go
+++ b/control/fake_test.go
@@ -257,7 +257,7 @@
 
 func (n *node) take(sent time.Time, r *api.HeartbeatReply) {
 	n.leaseEnd = sent.Add(r.Lease)
-	n.issued = max(n.issued, r.Issued["org"])
+	n.issued = max(n.issued, r.Tokens["org"].Issued)
 	if r.Configuration != nil {
 		n.config = r.Configuration
 	}
--- a/control/reply.go
+++ b/control/reply.go
@@ -10,12 +10,12 @@
 )
 
 // reply builds the answer from committed state only.
-func (l *leader) reply(view *api.ControlState, s *session, issued map[api.OrganisationID]int64, now time.Time) *api.HeartbeatReply {
+func (l *leader) reply(view *api.ControlState, s *session, tokens map[api.OrganisationID]api.TokenReply, now time.Time) *api.HeartbeatReply {
 	r := &api.HeartbeatReply{
 		Term:          l.term,
 		ConfigVersion: view.Configuration.Version,
 		MapVersion:    view.MapVersion,
-		Issued:        issued,
+		Tokens:        tokens,
 	}
 	if !s.final {
 		r.Lease = l.o.Lease
--- a/control/session.go
+++ b/control/session.go
@@ -37,7 +37,7 @@
 	}
 	s.last = *req
 	s.deadline = received.Add(l.o.Lease + l.o.Margin)
-	issued := l.authority.Report(now, req.Session, req.Tokens)
+	tokens := l.authority.Report(now, req.Session, req.Tokens)
 	plan := l.takeReleased(view, req)
 	if req.Final {
 		l.end(req.Session, s)
@@ -47,7 +47,7 @@
 	if l.updatePeer(s) {
 		plan = true
 	}
-	return l.reply(view, s, issued, now), plan, nil
+	return l.reply(view, s, tokens, now), plan, nil
 }
 
 // admit finds or creates the session. A session whose lease has ended here stays out
--- a/session/beat.go
+++ b/session/beat.go
@@ -112,7 +112,7 @@
 	next.LeaseUntil = sent.Add(reply.Lease)
 	s.noteLapse(time.Now())
 	s.lapsed = !next.LeaseValid(time.Now())
-	s.o.Tokens.Apply(reply.Term, reply.Issued)
+	s.o.Tokens.Apply(reply.Term, reply.Tokens)
 	s.members.learn(reply.Members)
 	s.publish(next)
 	return nil
--- a/session/session.go
+++ b/session/session.go
@@ -42,7 +42,7 @@
 // TokenAccount is the node side of the fleet-wide limits; tokens.Account implements it.
 type TokenAccount interface {
 	Report() map[api.OrganisationID]api.TokenReport
-	Apply(term uint64, issued map[api.OrganisationID]int64)
+	Apply(term uint64, replies map[api.OrganisationID]api.TokenReply)
 	// Expire is called when the lease has run out.
 	Expire()
 	// Reset is called when a new session begins.
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -86,10 +86,10 @@
 
 type fakeTokens struct{ expired, reset atomic.Int64 }
 
-func (f *fakeTokens) Report() map[api.OrganisationID]api.TokenReport { return nil }
-func (f *fakeTokens) Apply(uint64, map[api.OrganisationID]int64)     {}
-func (f *fakeTokens) Expire()                                        { f.expired.Add(1) }
-func (f *fakeTokens) Reset()                                         { f.reset.Add(1) }
+func (f *fakeTokens) Report() map[api.OrganisationID]api.TokenReport      { return nil }
+func (f *fakeTokens) Apply(uint64, map[api.OrganisationID]api.TokenReply) {}
+func (f *fakeTokens) Expire()                                             { f.expired.Add(1) }
+func (f *fakeTokens) Reset()                                              { f.reset.Add(1) }
 
 func startSession(t *testing.T, o Options, members ...string) (*Session, *fakeTokens, chan error) {
 	t.Helper()
--- a/tokens/account.go
+++ b/tokens/account.go
@@ -68,8 +68,8 @@
 	return &Account{o: o, orgs: make(map[api.OrganisationID]*orgAccount)}
 }
 
-// Take returns a token of the organisation. It waits in order of arrival until ctx ends,
-// for at most 2 s. Errors: Unauthenticated for an organisation that is not configured,
+// Take returns a token of the organisation. Unless the organisation is exhausted, it waits
+// in order of arrival until ctx ends, for at most 2 s. Errors: Unauthenticated for an organisation that is not configured,
 // NoLease without a session lease, RateLimited otherwise.
 func (a *Account) Take(ctx context.Context, id api.OrganisationID) (*Token, error) {
 	limits := a.o.Organisation(id)
@@ -88,16 +88,19 @@
 		return token, nil
 	}
 	if w == nil {
-		return nil, errkind.New(errkind.RateLimited, "organisation %s is beyond its rate and burst", id)
+		return nil, beyondRate(id)
 	}
-	return a.await(ctx, org, w)
+	return a.await(ctx, id, org, w)
 }
 
-func (a *Account) await(ctx context.Context, org *orgAccount, w *waiter) (*Token, error) {
+func (a *Account) await(ctx context.Context, id api.OrganisationID, org *orgAccount, w *waiter) (*Token, error) {
 	timer := time.NewTimer(maxTakeWait)
 	defer timer.Stop()
 	select {
 	case token := <-w.ready:
+		if token == nil {
+			return nil, beyondRate(id)
+		}
 		return token, nil
 	case <-ctx.Done():
 	case <-timer.C:
@@ -106,6 +109,10 @@
 	return nil, errkind.New(errkind.RateLimited, "no token in time")
 }
 
+func beyondRate(id api.OrganisationID) error {
+	return errkind.New(errkind.RateLimited, "organisation %s is beyond its rate and burst", id)
+}
+
 // maxWaiters is the number of requests that the organisation's whole rate and burst could
 // serve within maxTakeWait. A request behind that many others cannot get a token in time.
 func maxWaiters(o *api.Organisation) int {
@@ -152,9 +159,10 @@
 	return reports
 }
 
-// Apply takes over the cumulative numbers of issued tokens that a leader of the term sent.
-// Lower terms and lower numbers are ignored, so that late and repeated replies are harmless.
-func (a *Account) Apply(term uint64, issued map[api.OrganisationID]int64) {
+// Apply takes over the answers that a leader of the term sent. Lower terms and lower numbers
+// of issued tokens are ignored, so that late and repeated replies are harmless. Waiting
+// requests of an exhausted organisation that got no token are refused.
+func (a *Account) Apply(term uint64, replies map[api.OrganisationID]api.TokenReply) {
 	a.mu.Lock()
 	stale := term < a.term
 	a.term = max(term, a.term)
@@ -163,11 +171,17 @@
 		return
 	}
 	now := a.o.Now()
-	for id, count := range issued {
+	kick := false
+	for id, reply := range replies {
 		if a.o.Organisation(id) == nil {
 			continue
 		}
-		a.account(id).apply(now, count)
+		if a.account(id).apply(now, reply) {
+			kick = true
+		}
+	}
+	if kick {
+		a.o.Kick()
 	}
 }
 
--- a/tokens/account_org.go
+++ b/tokens/account_org.go
@@ -34,7 +34,7 @@
 }
 
 type waiter struct {
-	ready chan *Token // buffered for one token
+	ready chan *Token // buffered for one token; nil means refused
 }
 
 // orgAccount is the account of one organisation. At any time
@@ -55,35 +55,45 @@
 	lowWater int64
 	kicked   bool // a heartbeat was asked for since the last issue
 	lastKick time.Time
-	arrivals int64
-	measured time.Time
-	rate     float64 // arrivals per second
+	// exhausted is what the last reply said: a request without a token is refused at once.
+	exhausted bool
+	floor     int64 // tokens kept without demand
+	arrived   int64 // requests of the session
+	arrivals  int64 // requests since measured
+	measured  time.Time
+	rate      float64 // arrivals per second
 }
 
-// take returns a token, or a place in the queue, or neither when the queue holds limit
-// waiters. kick says that a heartbeat should be sent at once.
+// take returns a token, or a place in the queue, or neither when the organisation is
+// exhausted or the queue holds limit waiters. kick says that a heartbeat should be sent at once.
 func (o *orgAccount) take(now time.Time, limit int) (t *Token, w *waiter, kick bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.sweep(now)
+	o.arrived++
+	o.arrivals++
 	if o.free > 0 && len(o.waiters) == 0 {
-		o.arrivals++
 		t = o.issue(now)
-		return t, nil, o.short(now, o.free <= o.lowWater)
+		return t, nil, o.free <= o.lowWater && o.refill(now)
 	}
-	if len(o.waiters) >= limit {
+	if o.exhausted || len(o.waiters) >= limit {
 		return nil, nil, false
 	}
-	o.arrivals++
 	w = &waiter{ready: make(chan *Token, 1)}
 	o.waiters = append(o.waiters, w)
-	return nil, w, o.short(now, true)
+	return nil, w, o.kick(now)
 }
 
-// short says whether a heartbeat should be asked for: once after each issue, and not more
+// refill says whether a heartbeat should be asked for although no request waits: not more
 // than once in half a heartbeat, since an organisation beyond its rate is always short.
-func (o *orgAccount) short(now time.Time, low bool) bool {
-	if !low || o.kicked || now.Sub(o.lastKick) < o.beat/2 {
+func (o *orgAccount) refill(now time.Time) bool {
+	return now.Sub(o.lastKick) >= o.beat/2 && o.kick(now)
+}
+
+// kick says whether a heartbeat should be asked for, once before each reply. Requests that
+// wait are not held back further; the session keeps the least distance of heartbeats.
+func (o *orgAccount) kick(now time.Time) bool {
+	if o.kicked {
 		return false
 	}
 	o.kicked = true
@@ -117,6 +127,9 @@
 		}
 	}
 	t := <-w.ready
+	if t == nil {
+		return
+	}
 	if leaseValid {
 		o.refund(t, now)
 		return
@@ -167,12 +180,18 @@
 	if configured {
 		demand = o.demand(now)
 	}
-	if idle := o.free - demand; idle > 0 {
+	if idle := o.free - max(demand, o.floor); idle > 0 {
 		o.free -= idle
 		o.returned += idle
 	}
-	report := api.TokenReport{Issued: o.issued, Settled: o.settled, Returned: o.returned, Demand: demand}
-	return report, o.issued - o.settled - o.returned
+	outstanding := o.issued - o.settled - o.returned
+	return api.TokenReport{
+		Issued:   o.issued,
+		Settled:  o.settled,
+		Returned: o.returned,
+		Arrivals: o.arrived,
+		Demand:   demand + outstanding - o.free,
+	}, outstanding
 }
 
 func (o *orgAccount) demand(now time.Time) int64 {
@@ -197,17 +216,29 @@
 	o.measured = now
 }
 
-func (o *orgAccount) apply(now time.Time, issued int64) {
+// apply takes over a reply and returns whether another heartbeat should be asked for.
+func (o *orgAccount) apply(now time.Time, reply api.TokenReply) (kick bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.kicked = false
-	if issued <= o.issued {
-		return
+	o.floor, o.exhausted = reply.Floor, reply.Exhausted
+	if reply.Issued > o.issued {
+		o.free += reply.Issued - o.issued
+		o.issued = reply.Issued
+		o.serveWaiters(now)
+		o.lowWater = o.free / lowWaterShare
 	}
-	o.free += issued - o.issued
-	o.issued = issued
-	o.serveWaiters(now)
-	o.lowWater = o.free / lowWaterShare
+	if o.exhausted {
+		o.refuseWaiters()
+	}
+	return len(o.waiters) > 0 && o.refill(now)
+}
+
+func (o *orgAccount) refuseWaiters() {
+	for _, w := range o.waiters {
+		w.ready <- nil
+	}
+	o.waiters = nil
 }
 
 // expire returns the free tokens and settles the taken ones, so that none of the lapsed
@@ -221,13 +252,15 @@
 	o.unsettled = nil
 	o.returned += o.free
 	o.free = 0
+	o.exhausted = false
 }
 
 func (o *orgAccount) reset() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.generation++
-	o.issued, o.settled, o.returned, o.free = 0, 0, 0, 0
+	o.issued, o.settled, o.returned, o.free, o.arrived = 0, 0, 0, 0, 0
+	o.exhausted, o.floor = false, 0
 	o.unsettled = nil
 	o.kicked = false
 }
--- a/tokens/account_test.go
+++ b/tokens/account_test.go
@@ -46,7 +46,9 @@
 	})
 }
 
-func issue(a *Account, term uint64, n int64) { a.Apply(term, map[api.OrganisationID]int64{acme: n}) }
+func issue(a *Account, term uint64, n int64) {
+	a.Apply(term, map[api.OrganisationID]api.TokenReply{acme: {Issued: n}})
+}
 
 // takeNow takes a token without waiting.
 func takeNow(a *Account) *Token {
--- a/tokens/authority.go
+++ b/tokens/authority.go
@@ -18,9 +18,11 @@
 type Authority struct {
 	// span is the session lease plus the drift margin: tokens of a session that has been
 	// silent for so long can no longer be spent.
-	span     time.Duration
-	start    time.Time // end of the wait of a new leader
-	buckets  map[api.OrganisationID]*bucket
+	span    time.Duration
+	start   time.Time // end of the wait of a new leader
+	buckets map[api.OrganisationID]*bucket
+	// active holds the buckets with an arrival within activeSpan.
+	active   map[api.OrganisationID]*bucket
 	sessions map[api.SessionID]*holder
 }
 
@@ -31,6 +33,8 @@
 	outstanding int64 // sum over the holders
 	last        time.Time
 	removed     bool
+	shadow      shadow
+	lastArrival time.Time
 	// wanted is the sum of the unmet demand in the last reports of the holders.
 	wanted int64
 }
@@ -44,7 +48,9 @@
 // account is the state of one session and organisation; all counts are cumulative.
 type account struct {
 	issued, settled, returned int64
+	arrivals                  int64
 	wanted                    int64
+	floor                     int64
 }
 
 func (a *account) outstanding() int64 { return a.issued - a.settled - a.returned }
@@ -57,6 +63,7 @@
 		span:     span,
 		start:    now.Add(span),
 		buckets:  make(map[api.OrganisationID]*bucket),
+		active:   make(map[api.OrganisationID]*bucket),
 		sessions: make(map[api.SessionID]*holder),
 	}
 }
@@ -77,37 +84,54 @@
 			a.buckets[o.ID] = b
 		}
 		b.rate, b.burst, b.removed = o.Rate, o.Burst, false
+		b.shadow.configure(now, o.Rate, o.Burst, a.span/reportLagShare)
 		b.refill(now)
 	}
 }
 
 // Report takes in the report of a session, renews the validity of its tokens and returns
-// the cumulative number of tokens issued to it by organisation. Repeated and reordered
-// reports do no harm, because counts never fall. It costs time only in the organisations
-// of the report; the caller runs Advance at its own interval.
-func (a *Authority) Report(now time.Time, session api.SessionID, reports map[api.OrganisationID]api.TokenReport) map[api.OrganisationID]int64 {
-	h := a.sessions[session]
-	if h == nil {
-		h = &holder{accounts: make(map[api.OrganisationID]*account)}
-		a.sessions[session] = h
-	}
+// the answers by organisation. Repeated and reordered reports do no harm, because counts
+// never fall. It costs time only in the organisations of the report, those of earlier
+// reports and the active ones; the caller runs Advance at its own interval.
+func (a *Authority) Report(now time.Time, session api.SessionID, reports map[api.OrganisationID]api.TokenReport) map[api.OrganisationID]api.TokenReply {
+	h := a.holder(session)
 	h.deadline = now.Add(a.span)
-	issued := make(map[api.OrganisationID]int64)
 	for id, r := range reports {
 		b := a.buckets[id]
 		if b == nil {
 			continue
 		}
 		b.refill(now)
-		acc := h.update(b, id, r)
+		a.noteArrivals(now, id, b, h.update(b, id, r))
+	}
+	a.setFloors(now, h)
+	replies := make(map[api.OrganisationID]api.TokenReply, len(h.accounts))
+	for id, acc := range h.accounts {
+		b := a.buckets[id]
 		if !now.Before(a.start) {
 			b.issue(acc)
 		}
+		replies[id] = api.TokenReply{Issued: acc.issued, Floor: acc.floor, Exhausted: b.shadow.empty}
 	}
-	for id, acc := range h.accounts {
-		issued[id] = acc.issued
+	return replies
+}
+
+func (a *Authority) holder(session api.SessionID) *holder {
+	h := a.sessions[session]
+	if h == nil {
+		h = &holder{accounts: make(map[api.OrganisationID]*account)}
+		a.sessions[session] = h
+	}
+	return h
+}
+
+// noteArrivals feeds the new arrivals of a report into the shadow bucket.
+func (a *Authority) noteArrivals(now time.Time, id api.OrganisationID, b *bucket, arrived int64) {
+	b.shadow.arrive(now, arrived)
+	if arrived > 0 && !b.removed {
+		b.lastArrival = now
+		a.active[id] = b
 	}
-	return issued
 }
 
 // EndSession ends the demand of a session. Its outstanding tokens count until the span
@@ -142,6 +166,7 @@
 	for id, b := range a.buckets {
 		if b.removed && b.full() && !a.held(id) {
 			delete(a.buckets, id)
+			delete(a.active, id)
 		}
 	}
 }
@@ -168,25 +193,33 @@
 	return list
 }
 
-// update takes in one report. The first report of an account is its baseline: a leader
-// takes over what the node holds, without gain for the level.
-func (h *holder) update(b *bucket, id api.OrganisationID, r api.TokenReport) *account {
+// update takes in one report and returns the number of new arrivals. The first report of
+// an account is its baseline: a leader takes over what the node holds, without gain for
+// the level, and cannot tell which arrivals an earlier leader has counted.
+func (h *holder) update(b *bucket, id api.OrganisationID, r api.TokenReport) (arrived int64) {
 	acc := h.accounts[id]
 	if acc == nil {
-		acc = &account{issued: max(r.Issued, 0), settled: max(r.Settled, 0), returned: max(r.Returned, 0)}
+		acc = &account{issued: max(r.Issued, 0), settled: max(r.Settled, 0), returned: max(r.Returned, 0), arrivals: r.Arrivals}
 		acc.issued = max(acc.issued, acc.settled+acc.returned)
 		h.accounts[id] = acc
 		b.outstanding += acc.outstanding()
 	}
 	acc.take(b, r)
 	b.clamp()
+	b.want(acc, r.Demand)
+	arrived = max(r.Arrivals-acc.arrivals, 0)
+	acc.arrivals += arrived
+	return arrived
+}
+
+// want notes the number of tokens that the session should hold.
+func (b *bucket) want(acc *account, demand int64) {
 	b.wanted -= acc.wanted
-	acc.wanted = max(r.Demand-acc.outstanding(), 0)
+	acc.wanted = max(demand-acc.outstanding(), 0)
 	if b.removed {
 		acc.wanted = 0
 	}
 	b.wanted += acc.wanted
-	return acc
 }
 
 // take applies the growth of the cumulative counts. Growth beyond the outstanding tokens
@@ -203,7 +236,7 @@
 // issue gives the account its share of the level, in proportion to its unmet demand. The
 // share is rounded up, because with many small demands each would round down to nothing.
 func (b *bucket) issue(acc *account) {
-	if acc.wanted <= 0 || b.level < 1 {
+	if b.removed || acc.wanted <= 0 || b.level < 1 {
 		return
 	}
 	share := math.Ceil(b.level * float64(acc.wanted) / float64(b.wanted))
--- a/tokens/authority_test.go
+++ b/tokens/authority_test.go
@@ -87,7 +87,7 @@
 
 func (f *fleet) process(i int) {
 	m := take(&f.requests, i)
-	m.issued = f.authority.Report(f.now, m.session, map[api.OrganisationID]api.TokenReport{testOrg: m.report})[testOrg]
+	m.issued = f.authority.Report(f.now, m.session, map[api.OrganisationID]api.TokenReport{testOrg: m.report})[testOrg].Issued
 	f.replies = append(f.replies, m)
 }
 
