--- a/bench/command.go
+++ b/bench/command.go
@@ -24,6 +24,7 @@
 	rounds     int
 	seed       uint64
 	members    int
+	burst      float64
 	json       bool
 }
 
@@ -41,6 +42,7 @@
 	compare.Flag("rounds", "Runs of each variant; they alternate.").Default("2").IntVar(&f.rounds)
 	compare.Flag("seed", "Seed of the first round.").Default("1").Uint64Var(&f.seed)
 	compare.Flag("members", "Control members.").Default("1").IntVar(&f.members)
+	compare.Flag("burst", "Burst of every organisation in tokens; 0 keeps the deployment's.").Float64Var(&f.burst)
 	compare.Flag("json", "Print JSON.").BoolVar(&f.json)
 	command, err := app.Parse(args)
 	if err != nil {
@@ -58,6 +60,9 @@
 
 func (f *compareFlags) run(ctx context.Context, out io.Writer) error {
 	deployment := Deployments()[f.deployment]
+	if f.burst > 0 {
+		deployment.setBurst(f.burst)
+	}
 	var reports []Report
 	for round := range f.rounds {
 		for _, name := range []string{f.a, f.b} {
@@ -95,6 +100,12 @@
 	return n
 }
 
+func (d Deployment) setBurst(burst float64) {
+	for i := range d.Tenants {
+		d.Tenants[i].Organisation.Burst = burst
+	}
+}
+
 // printReports prints one column for each report.
 func printReports(out io.Writer, reports []Report) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
@@ -111,8 +122,10 @@
 	row("p50 ms", func(r *Report) string { return fmt.Sprintf("%.1f", r.P50Ms) })
 	row("p99 ms", func(r *Report) string { return fmt.Sprintf("%.1f", r.P99Ms) })
 	row("p99.9 ms", func(r *Report) string { return fmt.Sprintf("%.1f", r.P999Ms) })
+	row("p99 ms within rate", func(r *Report) string { return fmt.Sprintf("%.1f", r.P99WithinMs) })
 	row("worst-served share", func(r *Report) string { return fmt.Sprintf("%.3f", r.WorstShare) })
 	row("refused within rate", func(r *Report) string { return fmt.Sprint(r.WrongfulRefusals) })
+	row("  of these, organisation never beyond rate", func(r *Report) string { return fmt.Sprint(r.WrongfulWithin) })
 	row("run more than once", func(r *Report) string { return fmt.Sprint(r.RepeatedRuns) })
 	row("false not-run", func(r *Report) string { return fmt.Sprint(r.FalseNotRun) })
 	row("overshoot", func(r *Report) string { return fmt.Sprintf("%.0f", r.Overshoot) })
--- a/bench/load.go
+++ b/bench/load.go
@@ -53,6 +53,8 @@
 	Seed     uint64
 	// Timeout bounds one request.
 	Timeout time.Duration
+	// Skew sends the whole traffic of each organisation to a single node in the second half.
+	Skew bool
 }
 
 type arrival struct {
@@ -85,6 +87,9 @@
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].at < list[j].at })
 	for i := range list {
+		if l.Skew && list[i].at >= l.Duration/2 {
+			list[i].node = list[i].tenant % len(l.Nodes)
+		}
 		list[i].id = fmt.Sprintf("r%d-%d", l.Seed, i)
 	}
 	return list
--- a/bench/report.go
+++ b/bench/report.go
@@ -35,6 +35,8 @@
 	P50Ms      float64 `json:"p50_ms"`
 	P99Ms      float64 `json:"p99_ms"`
 	P999Ms     float64 `json:"p99_9_ms"`
+	// P99WithinMs is the 99th percentile of the organisations that stayed within rate and burst.
+	P99WithinMs float64 `json:"p99_within_rate_ms"`
 	// WorstShare is the smallest part served of what one central bucket would admit, over organisations.
 	WorstShare        float64            `json:"worst_served_share"`
 	WorstOrganisation api.OrganisationID `json:"worst_served_organisation"`
@@ -42,6 +44,8 @@
 	// have made. An organisation beyond its rate is refused something in either case, and
 	// which of its requests that hits is chance; for it, only the shortfall in number counts.
 	WrongfulRefusals int `json:"wrongful_refusals"`
+	// WrongfulWithin is the part of WrongfulRefusals of organisations that stayed within rate and burst.
+	WrongfulWithin int `json:"wrongful_refusals_within_rate"`
 	// RepeatedRuns counts requests that may not be repeated and ran more than once.
 	RepeatedRuns int `json:"repeated_runs"`
 	// FalseNotRun counts requests that were refused as not run, yet ran.
@@ -108,6 +112,7 @@
 
 func (r *Report) addOrganisations(d Deployment, samples []Sample, counters TargetCounters) {
 	r.WorstShare = 1
+	within := hdrhistogram.New(1, histogramMax, histogramPrecision)
 	for _, t := range d.Tenants {
 		org := t.Organisation
 		admissible, served, wrongful, beyondRate := compareWithBucket(org, samples)
@@ -115,6 +120,10 @@
 			wrongful = max(0, admissible-served)
 		}
 		r.WrongfulRefusals += wrongful
+		if !beyondRate {
+			r.WrongfulWithin += wrongful
+			recordServed(within, org.ID, samples)
+		}
 		if admissible > 0 {
 			if share := float64(served) / float64(admissible); share < r.WorstShare {
 				r.WorstShare = share
@@ -125,6 +134,15 @@
 		sort.Slice(admitted, func(i, j int) bool { return admitted[i] < admitted[j] })
 		r.Overshoot = max(r.Overshoot, overshoot(org.Rate, org.Burst, admitted))
 	}
+	r.P99WithinMs = quantileMs(within, 99)
+}
+
+func recordServed(h *hdrhistogram.Histogram, org api.OrganisationID, samples []Sample) {
+	for i := range samples {
+		if s := &samples[i]; s.Organisation == org && s.Served() {
+			_ = h.RecordValue(min(s.Latency.Microseconds(), histogramMax))
+		}
+	}
 }
 
 // compareWithBucket feeds the arrivals of an organisation into one central bucket.
--- a/bench/run.go
+++ b/bench/run.go
@@ -84,7 +84,7 @@
 
 func (r Run) options(folder string, rec *recorder) local.Options {
 	o := local.Options{
-		Members: r.Members,
+		Members: r.members(),
 		DataDir: folder,
 		Gate:    r.Variant.Gate,
 		Traffic: r.Variant.Traffic,
@@ -107,6 +107,14 @@
 	return o
 }
 
+// members returns the number of control members. A failover needs a majority that goes on.
+func (r Run) members() int {
+	if r.Scenario == scenarioFailover {
+		return max(r.Members, failoverMembers)
+	}
+	return r.Members
+}
+
 // services returns the services with the plug-ins of the variant.
 func (r Run) services() *api.Services {
 	list := &api.Services{}
@@ -147,6 +155,7 @@
 		Duration:   r.Duration,
 		Seed:       r.Seed,
 		Timeout:    requestTimeout,
+		Skew:       r.Scenario == scenarioSkew,
 	}
 	disturbed := make(chan error, 1)
 	start := time.Now()
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -17,11 +17,30 @@
 type Scenario func(ctx context.Context, d *local.Deployment, p ServicePool, duration time.Duration) error
 
 var scenarios = map[string]Scenario{
-	"steady":     func(context.Context, *local.Deployment, ServicePool, time.Duration) error { return nil },
-	"stragglers": stragglers,
-	"cold":       coldStarts,
-	"zone":       zoneOutAndIn,
-	"shed":       shedding,
+	"steady": undisturbed,
+	// The load itself moves to single nodes; see Load.Skew.
+	scenarioSkew:     undisturbed,
+	scenarioFailover: failover,
+	"stragglers":     stragglers,
+	"cold":           coldStarts,
+	"zone":           zoneOutAndIn,
+	"shed":           shedding,
+}
+
+// Names of scenarios that change more than what happens while the load runs.
+const (
+	scenarioSkew     = "skew"
+	scenarioFailover = "failover"
+)
+
+func undisturbed(context.Context, *local.Deployment, ServicePool, time.Duration) error { return nil }
+
+// failover stops the leading control member after half of the time.
+func failover(ctx context.Context, d *local.Deployment, _ ServicePool, duration time.Duration) error {
+	if !sleepUntil(ctx, time.Now().Add(duration/2)) {
+		return ctx.Err()
+	}
+	return d.StopLeader(ctx)
 }
 
 // ScenarioNames returns the names of the scenarios in order.
@@ -39,6 +58,7 @@
 	straggleDelayMs = 200
 	straggleShare   = 0.3
 	shedSpan        = 300 * time.Millisecond
+	failoverMembers = 3
 )
 
 // stragglers makes another random target slow for a moment, over and over.
--- /dev/null
+++ b/local/failover.go
@@ -0,0 +1,58 @@
+package local
+
+import (
+	"context"
+	"sync"
+
+	"github.com/juju/errors"
+
+	"github.com/zinniapier/zinniapier/member"
+)
+
+// runningMembers holds the functions that end the control members, by name.
+type runningMembers struct {
+	mu    sync.Mutex
+	stops map[string]func()
+}
+
+func (r *runningMembers) start(ctx context.Context, names []string, members []*member.Member) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stops = make(map[string]func())
+	for i, m := range members {
+		r.stops[names[i]] = serveAll(ctx, "member", []*member.Member{m})
+	}
+}
+
+// stop ends a member and waits for its end. It returns false for one that does not run.
+func (r *runningMembers) stop(name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	stop, found := r.stops[name]
+	if found {
+		stop()
+		delete(r.stops, name)
+	}
+	return found
+}
+
+func (r *runningMembers) stopAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, stop := range r.stops {
+		stop()
+		delete(r.stops, name)
+	}
+}
+
+// StopLeader ends the leading control member for good.
+func (d *Deployment) StopLeader(ctx context.Context) error {
+	status, err := d.operator.Status(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if !d.running.stop(status.Leader) {
+		return errors.NotFoundf("running control member %q", status.Leader)
+	}
+	return nil
+}
--- a/local/local.go
+++ b/local/local.go
@@ -54,6 +54,8 @@
 
 	operator *operator.Client
 	control  []string // rpc addresses
+	names    []string // of the control members
+	running  runningMembers
 }
 
 // New opens all listeners. It fails when an address cannot be bound or a folder cannot be written.
@@ -92,6 +94,7 @@
 			return err
 		}
 		d.Members = append(d.Members, m)
+		d.names = append(d.names, p.Name)
 		d.control = append(d.control, p.RPCAddress)
 		operators = append(operators, p.OperatorAddress)
 	}
@@ -178,13 +181,13 @@
 // control members, so that every request in progress is answered. It returns the error of ctx.
 func (d *Deployment) Serve(ctx context.Context) error {
 	background := context.WithoutCancel(ctx)
-	stopMembers := serveAll(background, "members", d.Members)
+	d.running.start(background, d.names, d.Members)
 	stopNodes := serveAll(background, "nodes", d.Nodes)
 	stopTargets := serveAll(background, "targets", d.Targets)
 	<-ctx.Done()
 	stopTargets()
 	stopNodes()
-	stopMembers()
+	d.running.stopAll()
 	return ctx.Err()
 }
 
