--- a/local/failover.go
+++ b/local/failover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -45,14 +46,18 @@
 	}
 }
 
-// StopLeader ends the leading control member for good.
+// StopLeader ends the leading control member for good. A member that has just lost sight of
+// the leader names none, so the status is read until one is named or ctx ends.
 func (d *Deployment) StopLeader(ctx context.Context) error {
-	status, err := d.operator.Status(ctx)
-	if err != nil {
-		return errors.Trace(err)
+	for {
+		status, err := d.operator.Status(ctx)
+		if err == nil && status.Leader != "" && d.running.stop(status.Leader) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Annotate(ctx.Err(), "no leading control member to stop")
+		case <-time.After(readyPoll):
+		}
 	}
-	if !d.running.stop(status.Leader) {
-		return errors.NotFoundf("running control member %q", status.Leader)
-	}
-	return nil
 }
