integration, tokens: each limit test was seen to fail with its mechanism broken

TestLimitHoldsUnderLosses: new leader that starts at once with a full bucket, 25.9 requests beyond the bound; intact -3.6 to -8.0 in 4 runs. TestExcessOfOneLeavesOthersAlone: no waiting for tokens, 4 refusals within the rate; every organisation marked exhausted, 2; intact 0 in 4 runs. TestWithdrawnKeyStops: node ignores the change, served for 4.7 s; lease that never ends, 4.7 s at the cut-off node; intact 0.68 s there. It first used keyed requests, and then the lease that never ends went unnoticed (0.61 s), because the owner's grant had ended; it now posts orders, which any target takes. Rapid models, mechanism broken: level alone within the burst, 0.31 beyond the bound; tokens of a silent session back to the level, 2.63; floor issued without count, 3.99; new leader without wait, 0.87; shadow without allowance for the report lag, 1 refusal within the rate. Without calling back idle tokens a request waits 355 ms instead of 235 ms at burst 8 on 8 nodes (TestIdleTokensComeBack); the rapid model did not notice that within 3,000 checks. Flaky, not caused here: node-3 ended at start (1 of 9 runs); one run with a broken lease failed in its set-up after 55 s on a machine at load 20.

--- a/integration/limits_test.go
+++ b/integration/limits_test.go
@@ -185,7 +185,7 @@
 	var wg sync.WaitGroup
 	last := make([]time.Time, len(c.Nodes))
 	for i, n := range c.Nodes {
-		wg.Go(func() { last[i] = lastServed(ctx, t, n, secret) })
+		wg.Go(func() { last[i] = lastServed(ctx, n, secret) })
 	}
 	time.Sleep(300 * time.Millisecond)
 	heal := cluster.CutAll(c.Between([]*cluster.Process{&c.Nodes[0].Process}, control))
@@ -200,12 +200,14 @@
 	}
 }
 
-// lastServed sends requests over one connection until ctx ends and returns the time of the
+// lastServed sends requests over open connections until ctx ends and returns the time of the
 // last one that was served.
-func lastServed(ctx context.Context, t *testing.T, n *cluster.Node, key string) (last time.Time) {
+func lastServed(ctx context.Context, n *cluster.Node, key string) (last time.Time) {
 	for ctx.Err() == nil {
-		a := request(t, n, cluster.Request{Path: "/quotes/a", OrganisationKey: key})
-		if a.Status == http.StatusOK {
+		one, cancel := context.WithTimeout(context.Background(), time.Second)
+		a, err := n.Do(one, cluster.Request{Method: "POST", Path: "/orders", OrganisationKey: key})
+		cancel()
+		if err == nil && a.Status == http.StatusOK {
 			last = time.Now()
 		}
 		time.Sleep(10 * time.Millisecond)
--- a/tokens/fleet_test.go
+++ b/tokens/fleet_test.go
@@ -176,3 +176,29 @@
 		}
 	})
 }
+
+// Guards against idle tokens at other nodes that keep a request waiting, with a burst as
+// small as the number of nodes.
+func TestIdleTokensComeBack(t *testing.T) {
+	const nodes, rate, burst = 8, 4, 8
+	s := newSim(nodes, rate, burst)
+	delay := func() time.Duration { return 5 * time.Millisecond }
+	for i := range nodes { // each node estimates a rate and holds a token
+		s.arrive(s.nodes[i], 0)
+		s.step(delay, math.MaxInt)
+	}
+	for range 160 { // 0.8 s: the nodes' estimates have not decayed to nothing
+		s.step(delay, math.MaxInt)
+	}
+	for range 3 {
+		s.arrive(s.nodes[0], 0)
+	}
+	s.longest = 0
+	for range 200 {
+		s.step(delay, math.MaxInt)
+	}
+	t.Logf("longest wait %v", s.longest)
+	if s.refused > 0 || s.longest > 300*time.Millisecond {
+		t.Fatalf("%d refused, longest wait %v", s.refused, s.longest)
+	}
+}
