--- a/tokens/account_test.go
+++ b/tokens/account_test.go
@@ -217,3 +217,23 @@
 	is.Equal(idle.Demand, int64(0))
 	is.Equal(idle.Issued, idle.Settled+idle.Returned)
 }
+
+// Guards against requests of an exhausted organisation that wait for a refill, and against
+// arrivals that the authority does not hear of because they were refused.
+func TestExhaustedRefusesAtOnce(t *testing.T) {
+	is := is.New(t)
+	a := newTestAccount(&fakeClock{now: time.Now()}, nil)
+	waiting := make(chan error, 1)
+	go func() {
+		_, err := a.Take(context.Background(), acme)
+		waiting <- err
+	}()
+	for a.Report()[acme].Waiting < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	a.Apply(1, map[api.OrganisationID]api.TokenReply{acme: {Exhausted: true}})
+	is.Equal(errkind.Of(<-waiting), errkind.RateLimited)
+	_, err := a.Take(context.Background(), acme)
+	is.Equal(errkind.Of(err), errkind.RateLimited)
+	is.Equal(a.Report()[acme].Arrivals, int64(2))
+}
--- a/tokens/authority.go
+++ b/tokens/authority.go
@@ -104,7 +104,12 @@
 			continue
 		}
 		b.refill(now)
-		a.noteArrivals(now, id, b, h.update(b, id, r))
+		first := h.accounts[id] == nil
+		arrived := h.update(b, id, r)
+		b.shadow.arrive(now, arrived)
+		if arrived > 0 || first && r.Arrivals > 0 {
+			a.noteActive(now, id, b)
+		}
 	}
 	a.setFloors(now, h)
 	replies := make(map[api.OrganisationID]api.TokenReply, len(h.accounts))
@@ -127,15 +132,6 @@
 	return h
 }
 
-// noteArrivals feeds the new arrivals of a report into the shadow bucket.
-func (a *Authority) noteArrivals(now time.Time, id api.OrganisationID, b *bucket, arrived int64) {
-	b.shadow.arrive(now, arrived)
-	if arrived > 0 && !b.removed {
-		b.lastArrival = now
-		a.active[id] = b
-	}
-}
-
 // EndSession ends the demand of a session. Its outstanding tokens count until the span
 // has passed since its last report.
 func (a *Authority) EndSession(session api.SessionID) {
--- a/tokens/authority_test.go
+++ b/tokens/authority_test.go
@@ -283,3 +283,19 @@
 	f.roundTrip(0, 50)
 	is.Equal(f.authority.Status(f.now)[0].Outstanding, 50.0)
 }
+
+// Guards against a request that waits at a node which the organisation has not used yet.
+func TestFloorAtIdleNodes(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(100, 60)
+	f.now = f.now.Add(time.Minute)
+	f.floorTrip(1)
+	is.Equal(f.nodes[1].issued, int64(0)) // not active
+	f.nodes[0].arrived = 1
+	f.roundTrip(0, 1)
+	f.floorTrip(1)
+	is.Equal(f.nodes[1].issued, int64(7)) // 60 / 4 / 2 sessions
+	f.now = f.now.Add(activeSpan + time.Second)
+	reply := f.authority.Report(f.now, f.nodes[1].session, nil)[testOrg]
+	is.Equal(reply.Floor, int64(0)) // goes back when the organisation is idle everywhere
+}
--- a/tokens/floor.go
+++ b/tokens/floor.go
@@ -17,6 +17,11 @@
 	filledShare = 2
 )
 
+func (a *Authority) noteActive(now time.Time, id api.OrganisationID, b *bucket) {
+	b.lastArrival = now
+	a.active[id] = b
+}
+
 // setFloors gives the session a floor in each active organisation. A new leader lets the
 // nodes keep what they hold, since it cannot issue anything yet.
 func (a *Authority) setFloors(now time.Time, h *holder) {
