capacity: measure the slopes behind the capacity page

The two-year size cannot be run on one machine, so the page extrapolates from lines fitted to measured points. zinnia-bench slopes takes the points: stand-in nodes replay net/rpc heartbeats against a real control member, messages are measured on an established gob stream, commits run on real members with fsync.

Ruled out: a second process for the nodes, because no program of this system starts another; replayed frames make the node's side small, and a bare server measures it.

--- a/bench/command.go
+++ b/bench/command.go
@@ -12,6 +12,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/juju/errors"
 
+	"github.com/zinniapier/zinniapier/capacity"
 	"github.com/zinniapier/zinniapier/telemetry"
 )
 
@@ -42,6 +43,9 @@
 	compare.Flag("seed", "Seed of the first round.").Default("1").Uint64Var(&f.seed)
 	compare.Flag("members", "Control members.").Default("1").IntVar(&f.members)
 	compare.Flag("json", "Print JSON.").BoolVar(&f.json)
+	slopes := app.Command("slopes", "Measures how the costs of the parts grow with their sizes.")
+	only := slopes.Flag("only", "Measure this slope alone.").Enum(capacity.Names()...)
+	slopesJSON := slopes.Flag("json", "Print JSON.").Bool()
 	command, err := app.Parse(args)
 	if err != nil {
 		return errors.Trace(err)
@@ -52,10 +56,23 @@
 	switch command {
 	case compare.FullCommand():
 		return f.run(ctx, out)
+	case slopes.FullCommand():
+		return runSlopes(ctx, out, *only, *slopesJSON)
 	}
 	return errors.NotFoundf("command %q", command)
 }
 
+func runSlopes(ctx context.Context, out io.Writer, only string, asJSON bool) error {
+	list, err := capacity.Run(ctx, only, capacity.DefaultSizes())
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		return capacity.WriteJSON(out, list)
+	}
+	return capacity.WriteTable(out, list)
+}
+
 func (f *compareFlags) run(ctx context.Context, out io.Writer) error {
 	deployment := Deployments()[f.deployment]
 	var reports []Report
--- /dev/null
+++ b/capacity/messages.go
@@ -0,0 +1,106 @@
+package capacity
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+
+	"github.com/juju/errors"
+
+	"github.com/zinniapier/zinniapier/api"
+)
+
+// wire is an established gob stream: the types have been described, as on a connection of
+// net/rpc after its first message.
+type wire struct {
+	buffer bytes.Buffer
+	enc    *gob.Encoder
+	dec    *gob.Decoder
+}
+
+func newWire() *wire {
+	w := &wire{}
+	w.enc, w.dec = gob.NewEncoder(&w.buffer), gob.NewDecoder(&w.buffer)
+	return w
+}
+
+// pass encodes and decodes a reply and returns its size in bytes.
+func (w *wire) pass(r *api.HeartbeatReply) (size int, out *api.HeartbeatReply, err error) {
+	if err := w.enc.Encode(r); err != nil {
+		return 0, nil, errors.Trace(err)
+	}
+	size = w.buffer.Len()
+	out = new(api.HeartbeatReply)
+	return size, out, errors.Trace(w.dec.Decode(out))
+}
+
+// encodeOnly encodes a reply and drops the bytes.
+func (w *wire) encodeOnly(r *api.HeartbeatReply) error {
+	defer w.buffer.Reset()
+	return errors.Trace(w.enc.Encode(r))
+}
+
+// replySlopes measures a reply of growing size: its bytes, its encoding, and both ways together.
+func replySlopes(z Sizes, what, x string, sizes []int, build func(n int) *api.HeartbeatReply) ([]Slope, error) {
+	list := []Slope{
+		{Name: what, X: x, Y: "bytes", Method: MethodSize},
+		{Name: what + ", encoding", X: x, Y: "us", Method: MethodLoop},
+		{Name: what + ", encoding and decoding", X: x, Y: "us", Method: MethodLoop},
+	}
+	for _, n := range sizes {
+		r := build(n)
+		w := newWire()
+		if _, _, err := w.pass(r); err != nil {
+			return nil, err
+		}
+		size, _, err := w.pass(r)
+		if err != nil {
+			return nil, err
+		}
+		both, err := repeat(z.Loop, func() error { _, _, err := w.pass(r); return err })
+		if err != nil {
+			return nil, err
+		}
+		encoding, err := repeat(z.Loop, func() error { return w.encodeOnly(r) })
+		if err != nil {
+			return nil, err
+		}
+		for i, y := range []float64{float64(size), encoding.microseconds, both.microseconds} {
+			list[i].add(n, y)
+		}
+	}
+	return list, nil
+}
+
+func mapFull(_ context.Context, z Sizes) ([]Slope, error) {
+	return replySlopes(z, "full map", "partitions", z.Partitions, func(n int) *api.HeartbeatReply {
+		return &api.HeartbeatReply{Map: sampleUpdates(n), MapFull: true}
+	})
+}
+
+func mapDelta(_ context.Context, z Sizes) ([]Slope, error) {
+	return replySlopes(z, "delta of the map", "changed assignments", z.Updates, func(n int) *api.HeartbeatReply {
+		return &api.HeartbeatReply{Map: sampleUpdates(n)}
+	})
+}
+
+func peersList(_ context.Context, z Sizes) ([]Slope, error) {
+	return replySlopes(z, "full list of peers", "nodes", z.Peers, func(n int) *api.HeartbeatReply {
+		return &api.HeartbeatReply{Peers: samplePeers(n), PeersChanged: true}
+	})
+}
+
+func configurationSize(_ context.Context, z Sizes) ([]Slope, error) {
+	list, err := replySlopes(z, "configuration by organisations", "organisations", z.Entries,
+		func(n int) *api.HeartbeatReply {
+			return &api.HeartbeatReply{Configuration: &api.Configuration{Organisations: sampleOrganisations(n)}}
+		})
+	if err != nil {
+		return nil, err
+	}
+	byKeys, err := replySlopes(z, "configuration by organisation keys", "organisation keys", z.Entries,
+		func(n int) *api.HeartbeatReply {
+			return &api.HeartbeatReply{Configuration: &api.Configuration{Keys: sampleKeys(n)}}
+		})
+	return append(list, byKeys...), err
+}
--- /dev/null
+++ b/capacity/view.go
@@ -0,0 +1,25 @@
+package capacity
+
+import (
+	"bytes"
+	"encoding/gob"
+
+	"github.com/juju/errors"
+
+	"github.com/zinniapier/zinniapier/api"
+)
+
+// viewFrom builds the view of an encoded reply, with the assignments in lists by service
+// as the session keeps them.
+func viewFrom(data []byte) (*api.View, error) {
+	var r api.HeartbeatReply
+	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&r); err != nil {
+		return nil, errors.Trace(err)
+	}
+	v := &api.View{Configuration: r.Configuration, Peers: r.Peers, Assignments: api.Assignments{}}
+	for _, u := range r.Map {
+		v.Assignments[u.Service] = append(v.Assignments[u.Service], u.Assignment)
+	}
+	v.Index = api.NewViewIndex(v)
+	return v, nil
+}
