capacity: slopes of placement, idle connections and the limit of one leader

The first run on default sizes failed in plan-partitions: the control loop refuses heartbeats with 'the control loop is busy' while it places 16,384 to 65,536 unowned partitions, since it plans on the goroutine that answers. That is a limit of the design, not of the measurement, so the stand-ins send such heartbeats again. A longer heartbeat timeout was ruled out: a node asks the next member after 150 ms.

--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -38,6 +38,8 @@
 		Requests:      []int{32, 64, 96},
 		Members:       []int{1, 2, 3},
 		Hosts:         []int{1, 2, 3},
+		Beats:         20,
+		Connections:   []int{2, 4, 8},
 		Window:        200 * time.Millisecond,
 		Loop:          2 * time.Millisecond,
 		PlanLease:     400 * time.Millisecond,
--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -62,7 +62,12 @@
 
 // replay sends heartbeats of all stand-ins for the window, spread evenly over the interval.
 func (f fleet) replay(window time.Duration) (load, error) {
-	beats := max(int(window/api.DefaultHeartbeat), 2)
+	return f.replayBeats(max(int(window/api.DefaultHeartbeat), 2), api.DefaultHeartbeat)
+}
+
+// replayBeats sends the given number of heartbeats from each stand-in. With an interval of
+// 0 each heartbeat follows the reply to the one before.
+func (f fleet) replayBeats(beats int, interval time.Duration) (load, error) {
 	for _, s := range f {
 		if err := s.prepare(beats); err != nil {
 			return load{}, err
@@ -70,7 +75,7 @@
 	}
 	liveHeap()
 	begin, used := time.Now(), processTime()
-	if err := f.run(begin); err != nil {
+	if err := f.run(begin, interval); err != nil {
 		return load{}, err
 	}
 	l := load{beats: beats * len(f), used: processTime() - used, elapsed: time.Since(begin)}
@@ -82,13 +87,13 @@
 	return l, nil
 }
 
-func (f fleet) run(begin time.Time) error {
+func (f fleet) run(begin time.Time, interval time.Duration) error {
 	failures := make(chan error, len(f))
 	var wait sync.WaitGroup
 	for i, s := range f {
-		offset := api.DefaultHeartbeat * time.Duration(i) / time.Duration(len(f))
+		offset := interval * time.Duration(i) / time.Duration(len(f))
 		wait.Go(func() {
-			if err := s.replay(begin.Add(offset), api.DefaultHeartbeat); err != nil {
+			if err := s.replay(begin.Add(offset), interval); err != nil {
 				failures <- err
 			}
 		})
--- a/capacity/heartbeat.go
+++ b/capacity/heartbeat.go
@@ -19,19 +19,28 @@
 	transport float64 // processor time of a stand-in per heartbeat in microseconds
 }
 
+func startFleetLeader(ctx context.Context, organisations int) (*group, error) {
+	g, err := startGroup(ctx, groupOptions{members: 1, tick: longTick, lease: fleetLease})
+	if err != nil {
+		return nil, err
+	}
+	for _, o := range sampleOrganisations(organisations) {
+		if err := g.members[0].change(ctx, api.Change{Kind: api.PutOrganisation, Organisation: &o}); err != nil {
+			g.close()
+			return nil, err
+		}
+	}
+	return g, nil
+}
+
 // measureFleet runs stand-in nodes against a group of one member with a disk.
 func measureFleet(ctx context.Context, z Sizes, nodes, targets, organisations int) (heartbeatCost, error) {
-	g, err := startGroup(ctx, groupOptions{members: 1, tick: longTick, lease: fleetLease})
+	g, err := startFleetLeader(ctx, organisations)
 	if err != nil {
 		return heartbeatCost{}, err
 	}
 	defer g.close()
 	m := g.members[0]
-	for _, o := range sampleOrganisations(organisations) {
-		if err := m.change(ctx, api.Change{Kind: api.PutOrganisation, Organisation: &o}); err != nil {
-			return heartbeatCost{}, err
-		}
-	}
 	before := liveHeap()
 	f, err := newFleet(m.listen.Addr().String(), nodes, targets, organisations)
 	if err != nil {
@@ -107,3 +116,36 @@
 		return measureFleet(ctx, z, z.NodesHeld, 1, n)
 	})
 }
+
+// heartbeatLimit measures how many heartbeats a second the leader answers when stand-ins
+// in the same process send without pause.
+func heartbeatLimit(ctx context.Context, z Sizes) ([]Slope, error) {
+	rate := Slope{Name: "heartbeats answered without pause", X: "nodes", Y: "1/s", Method: MethodClock}
+	used := Slope{Name: "leader and stand-ins without pause", X: "nodes", Y: "us/heartbeat", Method: MethodProcess}
+	for _, n := range z.Nodes {
+		l, err := saturate(ctx, n, max(z.Beats/n, 2))
+		if err != nil {
+			return nil, err
+		}
+		rate.add(n, float64(l.beats)/l.elapsed.Seconds())
+		used.add(n, microseconds(l.used)/float64(l.beats))
+	}
+	return []Slope{rate, used}, nil
+}
+
+func saturate(ctx context.Context, nodes, beats int) (load, error) {
+	g, err := startFleetLeader(ctx, 4)
+	if err != nil {
+		return load{}, err
+	}
+	defer g.close()
+	f, err := newFleet(g.members[0].listen.Addr().String(), nodes, 1, 4)
+	if err != nil {
+		return load{}, err
+	}
+	defer f.close()
+	if err := f.settle(); err != nil {
+		return load{}, err
+	}
+	return f.replayBeats(beats, 0)
+}
--- a/capacity/plan.go
+++ b/capacity/plan.go
@@ -10,6 +10,7 @@
 )
 
 const (
+	grantLimit = time.Minute
 	// planNodes is the number of nodes that share the targets of the plan.
 	planNodes = 8
 	// planTick is the default interval of the control loop.
@@ -41,13 +42,15 @@
 	return quietTick(m, f, z.Window/2)
 }
 
-// awaitGrants sends heartbeats until all partitions are granted.
+// awaitGrants sends heartbeats until all partitions are granted. The loop refuses
+// heartbeats while it places many partitions; those are sent again.
 func (f fleet) awaitGrants(ctx context.Context, m *groupMember, partitions int) error {
-	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	ctx, cancel := context.WithTimeout(ctx, grantLimit)
 	defer cancel()
 	for granted(m) < partitions {
 		for _, s := range f {
-			if _, err := s.beat(); err != nil {
+			var refused refusal
+			if _, err := s.beat(); err != nil && !errors.As(err, &refused) {
 				return err
 			}
 		}
--- a/capacity/slope.go
+++ b/capacity/slope.go
@@ -51,6 +51,8 @@
 	Requests      []int
 	Members       []int // control members
 	Hosts         []int // whole nodes with a sample target
+	Beats         int   // heartbeats sent without pause, all nodes together
+	Connections   []int // idle connections of the request hop
 	// Window is the time of one measurement under load.
 	Window time.Duration
 	// Loop is the least time of a repeated operation.
@@ -76,6 +78,8 @@
 		Requests:      []int{1000, 2000, 4000, 8000},
 		Members:       []int{1, 3, 5},
 		Hosts:         []int{2, 4, 8},
+		Beats:         60_000,
+		Connections:   []int{100, 400, 1600},
 		Window:        3 * time.Second,
 		Loop:          200 * time.Millisecond,
 		PlanLease:     4 * time.Second,
@@ -95,8 +99,10 @@
 		{"heartbeat-nodes", heartbeatNodes},
 		{"heartbeat-targets", heartbeatTargets},
 		{"heartbeat-organisations", heartbeatOrganisations},
+		{"heartbeat-limit", heartbeatLimit},
 		{"plan-partitions", planPartitions},
 		{"plan-targets", planTargets},
+		{"placement", placements},
 		{"map-full", mapFull},
 		{"map-delta", mapDelta},
 		{"peers", peersList},
@@ -108,6 +114,7 @@
 		{"view", nodeView},
 		{"spread", spread},
 		{"node-idle", idleNodes},
+		{"connections", connections},
 		{"request", requests},
 	}
 }
--- a/capacity/standin.go
+++ b/capacity/standin.go
@@ -20,6 +20,11 @@
 	ioLimit    = 5 * time.Second
 )
 
+// refusal is an error that the leader answered.
+type refusal string
+
+func (r refusal) Error() string { return string(r) }
+
 // standIn is a node that speaks the heartbeat protocol of net/rpc. During a measurement it
 // replays frames encoded before, so that its side costs little more than two system calls.
 type standIn struct {
@@ -96,7 +101,10 @@
 	reply := new(api.HeartbeatReply)
 	if header.Error != "" {
 		// net/rpc sends an empty struct in place of the reply.
-		return nil, errors.Wrap(s.dec.Decode(&struct{}{}), errors.New(header.Error))
+		if err := s.dec.Decode(&struct{}{}); err != nil {
+			return nil, errors.Trace(err)
+		}
+		return nil, refusal(header.Error)
 	}
 	if err := s.dec.Decode(reply); err != nil {
 		return nil, errors.Trace(err)
