capacity: keep the encoded bytes alive while a view is weighed, weigh the encoder

The memory of a view came out below the size of its own structs (46 bytes for each partition): the encoded message was freed between the two collections and so was subtracted.

The heap of leader and stand-ins grew with the square of the nodes.

--- a/capacity/memory.go
+++ b/capacity/memory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"runtime"
 
 	"github.com/juju/errors"
 
@@ -157,5 +158,7 @@
 		view, err = viewFrom(data)
 		return view
 	})
+	// The encoded bytes count before and after; freed in between they would be subtracted.
+	runtime.KeepAlive(data)
 	return view, bytes, err
 }
--- a/capacity/messages.go
+++ b/capacity/messages.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/gob"
+	"io"
+	"runtime"
 
 	"github.com/juju/errors"
 
@@ -85,9 +87,36 @@
 }
 
 func peersList(_ context.Context, z Sizes) ([]Slope, error) {
-	return replySlopes(z, "full list of peers", "nodes", z.Peers, func(n int) *api.HeartbeatReply {
-		return &api.HeartbeatReply{Peers: samplePeers(n), PeersChanged: true}
+	list, err := replySlopes(z, "full list of peers", "nodes", z.Peers, peersReply)
+	if err != nil {
+		return nil, err
+	}
+	kept := Slope{Name: "kept by the encoder of a connection", X: "nodes", Y: "KB", Method: MethodHeap}
+	for _, n := range z.Peers {
+		y, err := keptByEncoder(peersReply(n))
+		if err != nil {
+			return nil, err
+		}
+		kept.add(n, y/1000)
+	}
+	return append(list, kept), nil
+}
+
+func peersReply(n int) *api.HeartbeatReply {
+	return &api.HeartbeatReply{Peers: samplePeers(n), PeersChanged: true}
+}
+
+// keptByEncoder returns the bytes that an encoder holds after it has sent a reply; gob
+// keeps the buffer of the largest message for as long as the connection lives.
+func keptByEncoder(r *api.HeartbeatReply) (float64, error) {
+	var err error
+	bytes := heapOf(func() *gob.Encoder {
+		enc := gob.NewEncoder(io.Discard)
+		err = enc.Encode(r)
+		return enc
 	})
+	runtime.KeepAlive(r)
+	return bytes, errors.Trace(err)
 }
 
 func configurationSize(_ context.Context, z Sizes) ([]Slope, error) {
