--- a/capacity/slope.go
+++ b/capacity/slope.go
@@ -112,6 +112,7 @@
 		{"snapshot", snapshots},
 		{"memory-leader", leaderMemory},
 		{"view", nodeView},
+		{"outside", outsideMessages},
 		{"spread", spread},
 		{"node-idle", idleNodes},
 		{"connections", connections},
