--- a/bench/command.go
+++ b/bench/command.go
@@ -46,6 +46,11 @@
 	slopes := app.Command("slopes", "Measures how the costs of the parts grow with their sizes.")
 	only := slopes.Flag("only", "Measure this slope alone.").Enum(capacity.Names()...)
 	slopesJSON := slopes.Flag("json", "Print JSON.").Bool()
+	var p pathFlags
+	path := app.Command("path", "Measures the cost of the path: direct, own node, one hop.")
+	path.Flag("duration", "Time of each way.").Default("3s").DurationVar(&p.duration)
+	path.Flag("workers", "Concurrent callers.").Default("4").IntVar(&p.workers)
+	path.Flag("json", "Print JSON.").BoolVar(&p.json)
 	command, err := app.Parse(args)
 	if err != nil {
 		return errors.Trace(err)
@@ -56,21 +61,30 @@
 	switch command {
 	case compare.FullCommand():
 		return f.run(ctx, out)
+	case path.FullCommand():
+		return p.run(ctx, out)
 	case slopes.FullCommand():
 		return runSlopes(ctx, out, *only, *slopesJSON)
 	}
 	return errors.NotFoundf("command %q", command)
 }
 
-func runSlopes(ctx context.Context, out io.Writer, only string, asJSON bool) error {
-	list, err := capacity.Run(ctx, only, capacity.DefaultSizes())
+// pathFlags are the flags of the path command.
+type pathFlags struct {
+	duration time.Duration
+	workers  int
+	json     bool
+}
+
+func (p *pathFlags) run(ctx context.Context, out io.Writer) error {
+	reports, err := MeasurePath(ctx, p.duration, p.workers)
 	if err != nil {
 		return err
 	}
-	if asJSON {
-		return capacity.WriteJSON(out, list)
+	if p.json {
+		return errors.Trace(json.NewEncoder(out).Encode(reports))
 	}
-	return capacity.WriteTable(out, list)
+	return printPaths(out, reports)
 }
 
 func (f *compareFlags) run(ctx context.Context, out io.Writer) error {
