--- a/capacity/connections.go
+++ b/capacity/connections.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
-	"net/http/httptest"
 	"runtime"
 	"sync"
 
@@ -30,11 +30,14 @@
 func idleConnections(ctx context.Context, n int) (float64, error) {
 	arrived := make(chan struct{}, n)
 	release := make(chan struct{})
-	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+	url, stop, err := serve(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		arrived <- struct{}{}
 		<-release
 	}))
-	defer server.Close()
+	if err != nil {
+		return 0, err
+	}
+	defer stop()
 	transport := &http.Transport{MaxIdleConnsPerHost: n}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport}
@@ -42,7 +45,7 @@
 	var wait sync.WaitGroup
 	failures := make(chan error, n)
 	for range n {
-		wait.Go(func() { failures <- get(ctx, client, server.URL) })
+		wait.Go(func() { failures <- get(ctx, client, url) })
 	}
 	// All requests run at the same time, so that none reuses the connection of another.
 	for range n {
@@ -58,6 +61,18 @@
 	return heapAndStacks() - before, nil
 }
 
+// serve answers HTTP on a free loopback port until stop is called.
+func serve(handler http.Handler) (url string, stop func(), err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, errors.Trace(err)
+	}
+	server := &http.Server{Handler: handler}
+	// Serve returns when stop closes the server.
+	go func() { _ = server.Serve(l) }()
+	return "http://" + l.Addr().String(), func() { _ = server.Close() }, nil
+}
+
 func get(ctx context.Context, client *http.Client, url string) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
--- a/capacity/request.go
+++ b/capacity/request.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,9 +38,12 @@
 	if err != nil {
 		return nil, err
 	}
-	direct := httptest.NewServer(sample.Handler())
-	defer direct.Close()
-	paths, err := d.paths(direct.URL)
+	direct, stop, err := serve(sample.Handler())
+	if err != nil {
+		return nil, err
+	}
+	defer stop()
+	paths, err := d.paths(direct)
 	if err != nil {
 		return nil, err
 	}
