--- a/bench/command.go
+++ b/bench/command.go
@@ -12,6 +12,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/juju/errors"
 
+	"github.com/zinniapier/zinniapier/capacity"
 	"github.com/zinniapier/zinniapier/telemetry"
 )
 
@@ -44,6 +45,9 @@
 	compare.Flag("members", "Control members.").Default("1").IntVar(&f.members)
 	compare.Flag("burst", "Burst of every organisation in tokens; 0 keeps the deployment's.").Float64Var(&f.burst)
 	compare.Flag("json", "Print JSON.").BoolVar(&f.json)
+	slopes := app.Command("slopes", "Measures how the costs of the parts grow with their sizes.")
+	only := slopes.Flag("only", "Measure this slope alone.").Enum(capacity.Names()...)
+	slopesJSON := slopes.Flag("json", "Print JSON.").Bool()
 	var p pathFlags
 	path := app.Command("path", "Measures the cost of the path: direct, own node, one hop.")
 	path.Flag("duration", "Time of each way.").Default("3s").DurationVar(&p.duration)
@@ -61,6 +65,8 @@
 		return f.run(ctx, out)
 	case path.FullCommand():
 		return p.run(ctx, out)
+	case slopes.FullCommand():
+		return runSlopes(ctx, out, *only, *slopesJSON)
 	}
 	return errors.NotFoundf("command %q", command)
 }
