--- a/gate/gate.go
+++ b/gate/gate.go
@@ -56,6 +56,10 @@
 	Queued  int
 	Limit   int
 	Cold    bool
+	// Detected counts the cold starts inferred from a jump of latency, Stated those that the
+	// target itself signalled by a refusal.
+	Detected int
+	Stated   int
 }
 
 // Gate admits requests to one target. It is safe for concurrent use.
@@ -282,5 +286,8 @@
 		Queued:  g.queue.Len(),
 		Limit:   g.limiter.limit(),
 		Cold:    g.limiter.cold,
+
+		Detected: g.limiter.detected,
+		Stated:   g.limiter.stated,
 	}
 }
--- a/gate/limit.go
+++ b/gate/limit.go
@@ -26,6 +26,8 @@
 	adaptive float64
 	cutAt    time.Time
 	times    latencies
+
+	detected, stated int // cold starts since the gate was made
 }
 
 func (l *limiter) limit() int {
@@ -65,6 +67,7 @@
 // observe adjusts the limit to the outcome of a request that ran while running others did.
 func (l *limiter) observe(now time.Time, o Outcome, running int) {
 	if o.Cold {
+		l.stated++
 		l.startCold(now)
 		return
 	}
@@ -91,6 +94,7 @@
 func (l *limiter) detectColdStart(now time.Time) {
 	atFirstStep := l.cold && l.rampSize <= l.coldSlots
 	if !atFirstStep && l.times.jumped() {
+		l.detected++
 		l.startCold(now)
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -172,6 +172,17 @@
 
 func milliseconds(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
 
+// Gates describes the gates of the local targets.
+func (n *Node) Gates() map[api.TargetID]gate.Stats {
+	stats := make(map[api.TargetID]gate.Stats)
+	for _, report := range n.registry.Targets() {
+		if t := (localTargets{n.registry}).Lookup(report.ID); t != nil {
+			stats[report.ID] = t.Gate().Snapshot()
+		}
+	}
+	return stats
+}
+
 // CallerAddr returns the address of the caller listener, host:port.
 func (n *Node) CallerAddr() string { return n.caller.Addr().String() }
 
