bench: measure with warm gates, loads within rates, flood and hot keys; placement and zone measures

Cause: runs started while the gates were still in their first ramp. A run now waits until all gates have ended the ramp.

The path report also counts allocations, since processor time varies by a fifth between runs on a busy machine.

--- a/bench/command.go
+++ b/bench/command.go
@@ -19,6 +19,7 @@
 type compareFlags struct {
 	deployment string
 	scenario   string
+	load       string
 	a, b       string
 	duration   time.Duration
 	rounds     int
@@ -35,6 +36,7 @@
 	compare := app.Command("compare", "Measures two variants in turn, with the same load.")
 	compare.Flag("deployment", "lichtwerk or board.").Default("lichtwerk").EnumVar(&f.deployment, "lichtwerk", "board")
 	compare.Flag("scenario", "Disturbance.").Default("steady").EnumVar(&f.scenario, ScenarioNames()...)
+	compare.Flag("load", "over has an organisation beyond its rate, within has none.").Default("over").EnumVar(&f.load, loads...)
 	compare.Flag("a", "First variant.").Default("default").EnumVar(&f.a, VariantNames()...)
 	compare.Flag("b", "Second variant.").Default("no-hedge").EnumVar(&f.b, VariantNames()...)
 	compare.Flag("duration", "Time of each run.").Default("6s").DurationVar(&f.duration)
@@ -94,6 +96,7 @@
 				Deployment: deployment,
 				Variant:    v,
 				Scenario:   f.scenario,
+				Load:       f.load,
 				Duration:   f.duration,
 				Seed:       f.seed + uint64(round),
 				Members:    f.members,
@@ -108,7 +111,20 @@
 	if f.json {
 		return errors.Trace(json.NewEncoder(out).Encode(reports))
 	}
-	return printReports(out, reports)
+	if err := printReports(out, reports); err != nil {
+		return err
+	}
+	return printLoadAverage(out)
+}
+
+// printLoadAverage prints the load average of the machine, by which other work is judged.
+func printLoadAverage(out io.Writer) error {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return errors.Trace(err)
+	}
+	_, err = fmt.Fprintf(out, "load average: %s", text)
+	return errors.Trace(err)
 }
 
 // targets returns the number of targets, which is also the number of nodes.
@@ -136,6 +152,13 @@
 	row("p50 ms", func(r *Report) string { return fmt.Sprintf("%.1f", r.P50Ms) })
 	row("p99 ms", func(r *Report) string { return fmt.Sprintf("%.1f", r.P99Ms) })
 	row("p99.9 ms", func(r *Report) string { return fmt.Sprintf("%.1f", r.P999Ms) })
+	row("others p99 ms", func(r *Report) string { return fmt.Sprintf("%.1f", r.OthersP99Ms) })
+	row("failed", func(r *Report) string { return fmt.Sprint(r.Failed) })
+	row("imbalance", func(r *Report) string { return fmt.Sprintf("%.2f", r.Imbalance) })
+	row("partitions moved", func(r *Report) string { return fmt.Sprint(r.Moved) })
+	row("cold detected/stated", func(r *Report) string { return fmt.Sprintf("%d/%d", r.Detected, r.Stated) })
+	row("zone change p99 ms", func(r *Report) string { return fmt.Sprintf("%.1f", r.ChangeP99Ms) })
+	row("zone last work ms", func(r *Report) string { return fmt.Sprintf("%.0f", r.LastWorkMs) })
 	row("worst-served share", func(r *Report) string { return fmt.Sprintf("%.3f", r.WorstShare) })
 	row("refused within rate", func(r *Report) string { return fmt.Sprint(r.WrongfulRefusals) })
 	row("run more than once", func(r *Report) string { return fmt.Sprint(r.RepeatedRuns) })
--- a/bench/deployment.go
+++ b/bench/deployment.go
@@ -37,12 +37,18 @@
 	Offered float64 `json:"offered"`
 	// Keys is the number of distinct keys that it uses.
 	Keys int `json:"keys"`
+	// KeyExponent skews the popularity of the keys by Zipf's law; 0 means all are equal.
+	KeyExponent float64 `json:"key_exponent,omitempty"`
+	// FirstServiceOnly restricts the organisation to the first service.
+	FirstServiceOnly bool `json:"first_service_only,omitempty"`
 }
 
 const (
 	largeTenants    = 3
 	smallTenants    = 5
 	excessiveFactor = 4
+	// usualShare is the part of its rate that an organisation sends.
+	usualShare = 0.8
 )
 
 // tenants returns eight organisations, three of them large; the first large one sends several
@@ -55,7 +61,7 @@
 		if i < largeTenants {
 			rate = total * largeShare / largeTenants
 		}
-		offered := rate * 0.8
+		offered := rate * usualShare
 		if i == 0 {
 			offered = rate * excessiveFactor
 		}
--- a/bench/load.go
+++ b/bench/load.go
@@ -69,6 +69,7 @@
 	rng := rand.New(rand.NewPCG(l.Seed, 1))
 	var list []arrival
 	for t, tenant := range l.Deployment.Tenants {
+		pickKey := keyPicker(rng, tenant)
 		for at := time.Duration(0); ; {
 			at += time.Duration(rng.ExpFloat64() / tenant.Offered * float64(time.Second))
 			if at >= l.Duration {
@@ -77,8 +78,8 @@
 			list = append(list, arrival{
 				at:     at,
 				tenant: t,
-				pool:   l.pickPool(rng.Float64()),
-				key:    rng.IntN(tenant.Keys),
+				pool:   l.pickPool(rng.Float64(), tenant),
+				key:    pickKey(),
 				node:   rng.IntN(len(l.Nodes)),
 			})
 		}
@@ -90,7 +91,19 @@
 	return list
 }
 
-func (l *Load) pickPool(u float64) int {
+// keyPicker returns a function that draws the keys of an organisation.
+func keyPicker(rng *rand.Rand, t OfferedTenant) func() int {
+	if t.KeyExponent == 0 {
+		return func() int { return rng.IntN(t.Keys) }
+	}
+	zipf := rand.NewZipf(rng, t.KeyExponent, 1, uint64(t.Keys-1))
+	return func() int { return int(zipf.Uint64()) }
+}
+
+func (l *Load) pickPool(u float64, t OfferedTenant) int {
+	if t.FirstServiceOnly {
+		return 0
+	}
 	for i, pool := range l.Deployment.Services {
 		if u < pool.Share {
 			return i
--- a/bench/path.go
+++ b/bench/path.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -29,6 +30,10 @@
 	// CPUUs is the processor time of the whole process for each request, caller and target
 	// included, in microseconds.
 	CPUUs float64 `json:"cpu_us_per_request"`
+	// Allocs and AllocBytes are the heap allocations of the whole process for each request.
+	// Unlike the times, they do not depend on other work on the machine.
+	Allocs     float64 `json:"allocs_per_request"`
+	AllocBytes float64 `json:"alloc_bytes_per_request"`
 }
 
 // pathRate lets the limiter never refuse a request of the measurement.
@@ -121,6 +126,7 @@
 	var failed atomic.Int64
 	histograms := make([]*hdrhistogram.Histogram, workers)
 	before := processorTime()
+	heap := heapAllocations()
 	start := time.Now()
 	var wg sync.WaitGroup
 	for w := range workers {
@@ -140,6 +146,7 @@
 	wg.Wait()
 	elapsed := time.Since(start)
 	used := processorTime() - before
+	allocated := heapAllocations()
 	for _, h := range histograms[1:] {
 		histograms[0].Merge(h)
 	}
@@ -153,6 +160,8 @@
 		P50Us:      float64(h.ValueAtQuantile(50)),
 		P99Us:      float64(h.ValueAtQuantile(99)),
 		CPUUs:      float64(used.Microseconds()) / n,
+		Allocs:     float64(allocated.Mallocs-heap.Mallocs) / n,
+		AllocBytes: float64(allocated.TotalAlloc-heap.TotalAlloc) / n,
 	}, nil
 }
 
@@ -176,6 +185,12 @@
 	return nil
 }
 
+func heapAllocations() runtime.MemStats {
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats
+}
+
 // processorTime returns the user and system time of this process.
 func processorTime() time.Duration {
 	var usage syscall.Rusage
@@ -187,11 +202,11 @@
 // printPaths prints one row for each way, with ratios to the first.
 func printPaths(out io.Writer, reports []PathReport) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "way\trequests/s\tp50 us\tp99 us\tCPU us/request\tp50 ratio\tCPU ratio\t")
+	fmt.Fprintln(w, "way\trequests/s\tp50 us\tp99 us\tCPU us/request\tp50 ratio\tCPU ratio\tallocs\talloc bytes\t")
 	base := reports[0]
 	for _, r := range reports {
-		fmt.Fprintf(w, "%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.2f\t\n",
-			r.Name, r.Throughput, r.P50Us, r.P99Us, r.CPUUs, r.P50Us/base.P50Us, r.CPUUs/base.CPUUs)
+		fmt.Fprintf(w, "%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.2f\t%.0f\t%.0f\t\n",
+			r.Name, r.Throughput, r.P50Us, r.P99Us, r.CPUUs, r.P50Us/base.P50Us, r.CPUUs/base.CPUUs, r.Allocs, r.AllocBytes)
 	}
 	return errors.Trace(w.Flush())
 }
--- a/bench/report.go
+++ b/bench/report.go
@@ -52,6 +52,8 @@
 	Overruns  int                  `json:"cold_overruns"`
 	Kinds     map[errkind.Kind]int `json:"refusals"`
 	Broken    int                  `json:"broken"`
+
+	PolicyReport
 }
 
 // NewReport derives the measures from the samples of a run.
--- a/bench/run.go
+++ b/bench/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +17,8 @@
 const (
 	startLimit     = 30 * time.Second
 	requestTimeout = 5 * time.Second
+	// coldRamp is short enough for a run to cover the whole ramp of a cold target.
+	coldRamp = 500 * time.Millisecond
 )
 
 // Run describes one measured run.
@@ -24,6 +27,8 @@
 	Variant    Variant
 	// Scenario names the disturbance; see ScenarioNames.
 	Scenario string
+	// Load is "over" or "within".
+	Load     string
 	Duration time.Duration
 	Seed     uint64
 	// Members is the number of control members. Default 1.
@@ -36,14 +41,30 @@
 
 	mu       sync.Mutex
 	admitted map[api.OrganisationID][]time.Duration
+	// firstZone holds the starts at targets of the first availability zone.
+	firstZone []time.Duration
 }
 
-func (r *recorder) record(org api.OrganisationID) {
+// record returns the function that notes the starts at targets of a zone.
+func (r *recorder) record(zone string) func(org api.OrganisationID) {
+	return func(org api.OrganisationID) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.start.IsZero() {
+			return
+		}
+		at := time.Since(r.start)
+		r.admitted[org] = append(r.admitted[org], at)
+		if zone == zoneName(0) {
+			r.firstZone = append(r.firstZone, at)
+		}
+	}
+}
+
+func (r *recorder) inFirstZone() []time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.start.IsZero() {
-		r.admitted[org] = append(r.admitted[org], time.Since(r.start))
-	}
+	return slices.Clone(r.firstZone)
 }
 
 func (r *recorder) begin(now time.Time) {
@@ -58,6 +79,7 @@
 	if !ok {
 		return Report{}, errors.NotFoundf("scenario %q", r.Scenario)
 	}
+	r.Deployment = r.Deployment.shaped(r.Load, r.Scenario)
 	folder, err := os.MkdirTemp("", "zinnia-bench-")
 	if err != nil {
 		return Report{}, errors.Trace(err)
@@ -91,15 +113,17 @@
 	}
 	for _, p := range r.Deployment.Services {
 		for range p.Targets {
+			zone := zoneName(len(o.Hosts) % r.Deployment.Zones)
 			o.Hosts = append(o.Hosts, local.Host{
-				Zone: zoneName(len(o.Hosts) % r.Deployment.Zones),
+				Zone: zone,
 				Targets: []target.SampleOptions{{
 					Service:      p.Service.Name,
 					Slots:        p.Slots,
 					ChecksGrants: true,
 					Behaviour:    behaviour(p),
 					Warm:         true,
-					Started:      rec.record,
+					Ramp:         coldRamp,
+					Started:      rec.record(zone),
 				}},
 			})
 		}
@@ -136,7 +160,32 @@
 		}
 		keys[t.Organisation.ID] = secret
 	}
-	return keys, d.AwaitReady(ctx)
+	if err := d.AwaitReady(ctx); err != nil {
+		return nil, err
+	}
+	return keys, awaitWarm(ctx, d)
+}
+
+// awaitWarm waits until the gates have ended the ramp with which they start. A run that
+// begins earlier measures that ramp instead of its scenario.
+func awaitWarm(ctx context.Context, d *local.Deployment) error {
+	for !warm(d) {
+		if !sleepUntil(ctx, time.Now().Add(watchInterval)) {
+			return errors.Annotate(ctx.Err(), "gates are still cold")
+		}
+	}
+	return nil
+}
+
+func warm(d *local.Deployment) bool {
+	for _, n := range d.Nodes {
+		for _, stats := range n.Gates() {
+			if stats.Cold {
+				return false
+			}
+		}
+	}
+	return true
 }
 
 func (r Run) measure(ctx context.Context, d *local.Deployment, scenario Scenario, keys map[api.OrganisationID]string, rec *recorder) (Report, error) {
@@ -151,13 +200,25 @@
 	disturbed := make(chan error, 1)
 	start := time.Now()
 	rec.begin(start)
+	watching, stop := context.WithCancel(ctx)
+	defer stop()
+	w := newWatcher(d, start)
+	watched := make(chan struct{})
+	go func() {
+		w.run(watching, r.Duration/2)
+		close(watched)
+	}()
 	go func() { disturbed <- scenario(ctx, d, r.Deployment.Services[0], r.Duration) }()
 	samples := load.Run(ctx)
 	elapsed := time.Since(start)
+	stop()
+	<-watched
 	if err := <-disturbed; err != nil {
 		return Report{}, errors.Annotatef(err, "scenario %s", r.Scenario)
 	}
-	return NewReport(r.Variant.Name, r.Deployment, elapsed, samples, collect(d, rec)), nil
+	report := NewReport(r.Variant.Name, r.Deployment, elapsed, samples, collect(d, rec))
+	report.PolicyReport = newPolicyReport(r.Deployment, samples, w, rec.inFirstZone())
+	return report, nil
 }
 
 func collect(d *local.Deployment, rec *recorder) TargetCounters {
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -17,13 +17,18 @@
 type Scenario func(ctx context.Context, d *local.Deployment, p ServicePool, duration time.Duration) error
 
 var scenarios = map[string]Scenario{
-	"steady":     func(context.Context, *local.Deployment, ServicePool, time.Duration) error { return nil },
+	"steady":     undisturbed,
 	"stragglers": stragglers,
 	"cold":       coldStarts,
 	"zone":       zoneOutAndIn,
 	"shed":       shedding,
+	"flood":      undisturbed,
+	"hot-keys":   undisturbed,
 }
 
+// undisturbed leaves the deployment alone; the load makes the scenario.
+func undisturbed(context.Context, *local.Deployment, ServicePool, time.Duration) error { return nil }
+
 // ScenarioNames returns the names of the scenarios in order.
 func ScenarioNames() []string {
 	names := make([]string, 0, len(scenarios))
