--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -81,7 +81,7 @@
 
 func (h *hop) header() http.Header {
 	c := h.call
-	out := c.header.Clone()
+	out := attemptHeader(c.header)
 	setOnce(out, api.HeaderHop, "1")
 	if c.org != "" {
 		setOnce(out, api.HeaderOrganisation, string(c.org))
