--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -125,7 +125,7 @@
 }
 
 func (r *run) request(ctx context.Context, address string) *http.Request {
-	h := attemptHeader(r.call.header)
+	h := r.call.header.Clone()
 	if r.call.org != "" {
 		setOnce(h, api.HeaderOrganisation, string(r.call.org))
 	}
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"maps"
 	"net/http"
 	"net/textproto"
 	"strings"
@@ -9,9 +8,6 @@
 	"github.com/zinniapier/zinniapier/api"
 )
 
-// internalHeaders is the greatest number of headers that an attempt adds.
-const internalHeaders = 12
-
 // hopByHop are the headers that belong to one connection. Expect is answered by the
 // server itself, and trailers are not passed on.
 var hopByHop = map[string]bool{
@@ -46,7 +42,7 @@
 // lists of values are shared with in.
 func endToEnd(in http.Header) http.Header {
 	listed := connectionListed(in)
-	out := make(http.Header, len(in)+1)
+	out := make(http.Header, len(in)+10)
 	for name, values := range in {
 		if hopByHop[name] || isInternal(name) || listed[name] {
 			continue
@@ -56,14 +52,6 @@
 	return out
 }
 
-// attemptHeader returns a copy to which an attempt adds its own headers. The lists of values
-// are shared: setOnce replaces them, and nothing on the path changes one.
-func attemptHeader(h http.Header) http.Header {
-	out := make(http.Header, len(h)+internalHeaders)
-	maps.Copy(out, h)
-	return out
-}
-
 // copyAnswerHeader adds the headers of an answer that go to the caller.
 func copyAnswerHeader(to, from http.Header) {
 	listed := connectionListed(from)
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -81,7 +81,7 @@
 
 func (h *hop) header() http.Header {
 	c := h.call
-	out := attemptHeader(c.header)
+	out := c.header.Clone()
 	setOnce(out, api.HeaderHop, "1")
 	if c.org != "" {
 		setOnce(out, api.HeaderOrganisation, string(c.org))
