gate: a straggling target is not taken for a cold one

Cause: the median of 8 latencies passes 4 times the moving median in about a fifth of the looks when 3 in 10 requests straggle, so the gate fell back to 2 slots and queued the rest. Now the 4th lowest of 16 must have jumped: a cold start slows down nearly all requests. Ruled out: a longer median alone; with 3 in 10 slow, 8 of 16 are slow in 7% of the looks.

--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -175,6 +176,25 @@
 	}
 }
 
+// Guards against a straggling target, part of whose requests are slow, that is taken for a
+// cold one and so loses most of its slots.
+func TestStragglerIsNotTakenForColdStart(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 1))
+	g := New(Options{Slots: 20, NoColdStart: true})
+	g.limiter.noRamp = false
+	served(t, g, 2*windowSize, Outcome{Latency: 5 * time.Millisecond})
+	for range 10_000 {
+		o := Outcome{Latency: 5 * time.Millisecond}
+		if rng.Float64() < 0.3 {
+			o.Latency = 200 * time.Millisecond
+		}
+		served(t, g, 1, o)
+	}
+	is.Equal(g.Snapshot().Detected, 0)
+	is.True(g.Snapshot().Limit >= 10)
+}
+
 // Guards against a limit that shedding drives to zero, which would never recover.
 func TestSheddingLowersTheLimitButNotBelowOne(t *testing.T) {
 	is := is.New(t)
--- a/gate/latency.go
+++ b/gate/latency.go
@@ -9,9 +9,12 @@
 	// windowSize is the number of latencies behind one median: large enough to be
 	// steady, small enough to follow a change of load within a second of traffic.
 	windowSize = 64
-	// recentSize is the number of latencies that must have jumped, by their median, so
-	// that one slow request is not taken for a cold start.
-	recentSize = 8
+	// recentSize is the number of latencies that are compared with the earlier ones.
+	recentSize = 16
+	// jumpRank is the rank among them, from the lowest, that must have jumped. A cold start
+	// slows down nearly all requests, a straggling target only a part: when 3 in 10 are slow,
+	// 13 of 16 are slow less than once in 10,000 times.
+	jumpRank = 3
 	// baselineWindows is the number of windows over which the lowest median counts.
 	baselineWindows = 8
 	// jumpFactor is the ratio to the moving median that signals a cold start.
@@ -73,31 +76,34 @@
 	return slices.Min(l.medians[:n])
 }
 
-// current returns the median of the last few service times; zero when there are too few.
-func (l *latencies) current() time.Duration {
+// current returns the service time of a rank among the last few; zero when there are too few.
+func (l *latencies) current(rank int) time.Duration {
 	if l.count < recentSize {
 		return 0
 	}
-	return median(l.recent[:])
+	return ranked(l.recent[:], rank)
 }
 
-// jumped says whether the last few service times are far above the moving median.
+// jumped says whether nearly all of the last few service times are far above the moving median.
 func (l *latencies) jumped() bool {
 	base := l.moving()
-	now := l.current()
+	now := l.current(jumpRank)
 	return base > 0 && now > jumpFactor*base && now-base > jumpFloor
 }
 
 // raised says whether the last few service times are well above the baseline.
 func (l *latencies) raised() bool {
 	base := l.baseline()
-	now := l.current()
+	now := l.current(recentSize / 2)
 	return base > 0 && now > 2*base && now-base > jumpFloor
 }
 
-func median(values []time.Duration) time.Duration {
+func median(values []time.Duration) time.Duration { return ranked(values, len(values)/2) }
+
+// ranked returns the value of a rank, counted from 0 for the lowest.
+func ranked(values []time.Duration, rank int) time.Duration {
 	var sorted [windowSize]time.Duration
 	n := copy(sorted[:], values)
 	slices.Sort(sorted[:n])
-	return sorted[n/2]
+	return sorted[rank]
 }
