--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -27,24 +27,48 @@
 	segment, once := 1, false
 	return &api.Services{Services: []api.Service{
 		{Name: "quotes", Key: &api.KeySource{PathSegment: &segment}, Partitions: 32,
-			Routes: []api.Route{{Prefix: "/quotes"}}},
+			Routes: []api.Route{{Prefix: "/quotes"}, {Prefix: "/lamps", Open: true}}},
 		{Name: "orders", Routes: []api.Route{{Prefix: "/orders", Idempotent: &once}}},
 		{Name: "open", Routes: []api.Route{{Prefix: "/open", Open: true}}},
 	}}
 }
 
 // start runs a deployment with the services and one organisation, waits until every partition
-// is granted, and returns the organisation key.
+// is granted, and returns the organisation key. Services are applied once all targets serve, so
+// that partitions are spread at once and not moved off the first target one by one.
 func start(t *testing.T, o cluster.Options) (*cluster.Cluster, string) {
 	t.Helper()
 	c := cluster.New(t, o)
 	c.Start()
+	awaitTargets(t, c, readyLimit)
 	c.Change(api.Change{Kind: api.ApplyServices, Services: services()})
 	key := c.AddOrganisation(organisation, 5000, 5000)
 	awaitGranted(t, c, readyLimit)
 	return c, key
 }
 
+func awaitTargets(t *testing.T, c *cluster.Cluster, limit time.Duration) {
+	t.Helper()
+	cluster.Eventually(t, limit, func() error {
+		status, err := c.Operator().Status(context.Background())
+		if err != nil {
+			return err
+		}
+		serving := 0
+		for _, n := range status.Nodes {
+			for _, target := range n.Targets {
+				if target.State == api.TargetServing {
+					serving++
+				}
+			}
+		}
+		if serving < len(c.Targets) {
+			return fmt.Errorf("%d of %d targets serve", serving, len(c.Targets))
+		}
+		return nil
+	})
+}
+
 func awaitGranted(t *testing.T, c *cluster.Cluster, limit time.Duration) {
 	t.Helper()
 	cluster.Eventually(t, limit, func() error {
@@ -56,6 +80,34 @@
 	})
 }
 
+// awaitSpread waits until that many targets each own at least half of an even share of the
+// service's partitions. The first target that announces itself owns all of them at first.
+func awaitSpread(t *testing.T, c *cluster.Cluster, service string, targets int) {
+	t.Helper()
+	cluster.Eventually(t, readyLimit, func() error {
+		status, err := c.Operator().Status(context.Background())
+		if err != nil {
+			return err
+		}
+		for _, s := range status.Services {
+			if s.Name == service && sharesOf(s, targets) < targets {
+				return fmt.Errorf("%s is owned as %v", service, s.Owned)
+			}
+		}
+		return allGranted(status)
+	})
+}
+
+// sharesOf counts the targets that own at least half of an even share.
+func sharesOf(s api.ServiceStatus, targets int) (n int) {
+	for _, owned := range s.Owned {
+		if owned*targets*2 >= s.Partitions {
+			n++
+		}
+	}
+	return n
+}
+
 func allGranted(status *api.Status) error {
 	for _, s := range status.Services {
 		if s.Granted < s.Partitions {
@@ -94,6 +146,7 @@
 func TestOwnerAnswersFromAnyNode(t *testing.T) {
 	is := is.New(t)
 	c, key := start(t, cluster.Options{Control: 3, Hosts: hosts("a", "b", "c")})
+	awaitSpread(t, c, "quotes", 3)
 	owners := make(map[string]bool)
 	for i := range 20 {
 		path := fmt.Sprintf("/quotes/tower-%d", i)
