--- a/bench/load.go
+++ b/bench/load.go
@@ -31,10 +31,12 @@
 	Arrival time.Duration
 	// Latency counts from the scheduled arrival, so that a stalled generator hides nothing.
 	Latency time.Duration
-	Status  int
-	Kind    errkind.Kind // empty when served
-	NotRun  bool
-	Broken  bool // the answer was cut off or no answer came
+	// Late is by how much the generator sent after the scheduled arrival.
+	Late   time.Duration
+	Status int
+	Kind   errkind.Kind // empty when served
+	NotRun bool
+	Broken bool // the answer was cut off or no answer came
 }
 
 // Served says whether the caller got a whole successful answer.
@@ -53,6 +55,8 @@
 	Seed     uint64
 	// Timeout bounds one request.
 	Timeout time.Duration
+	// Skew sends the whole traffic of each organisation to a single node in the second half.
+	Skew bool
 }
 
 type arrival struct {
@@ -69,6 +73,7 @@
 	rng := rand.New(rand.NewPCG(l.Seed, 1))
 	var list []arrival
 	for t, tenant := range l.Deployment.Tenants {
+		pickKey := keyPicker(rng, tenant)
 		for at := time.Duration(0); ; {
 			at += time.Duration(rng.ExpFloat64() / tenant.Offered * float64(time.Second))
 			if at >= l.Duration {
@@ -77,20 +82,35 @@
 			list = append(list, arrival{
 				at:     at,
 				tenant: t,
-				pool:   l.pickPool(rng.Float64()),
-				key:    rng.IntN(tenant.Keys),
+				pool:   l.pickPool(rng.Float64(), tenant),
+				key:    pickKey(),
 				node:   rng.IntN(len(l.Nodes)),
 			})
 		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].at < list[j].at })
 	for i := range list {
+		if l.Skew && list[i].at >= l.Duration/2 {
+			list[i].node = list[i].tenant % len(l.Nodes)
+		}
 		list[i].id = fmt.Sprintf("r%d-%d", l.Seed, i)
 	}
 	return list
 }
 
-func (l *Load) pickPool(u float64) int {
+// keyPicker returns a function that draws the keys of an organisation.
+func keyPicker(rng *rand.Rand, t OfferedTenant) func() int {
+	if t.KeyExponent == 0 {
+		return func() int { return rng.IntN(t.Keys) }
+	}
+	zipf := rand.NewZipf(rng, t.KeyExponent, 1, uint64(t.Keys-1))
+	return func() int { return int(zipf.Uint64()) }
+}
+
+func (l *Load) pickPool(u float64, t OfferedTenant) int {
+	if t.FirstServiceOnly {
+		return 0
+	}
 	for i, pool := range l.Deployment.Services {
 		if u < pool.Share {
 			return i
@@ -149,6 +169,7 @@
 	}
 	req.Header.Set("Authorization", "Bearer "+l.Keys[tenant.Organisation.ID])
 	req.Header.Set(HeaderRequestID, a.id)
+	sample.Late = time.Since(start) - a.at
 	l.receive(client, req, &sample)
 	sample.Latency = time.Since(start) - a.at
 	return sample
--- a/capacity/spread.go
+++ b/capacity/spread.go
@@ -29,10 +29,10 @@
 // idleTokens is an account without traffic.
 type idleTokens struct{}
 
-func (idleTokens) Report() map[api.OrganisationID]api.TokenReport { return nil }
-func (idleTokens) Apply(uint64, map[api.OrganisationID]int64)     {}
-func (idleTokens) Expire()                                        {}
-func (idleTokens) Reset()                                         {}
+func (idleTokens) Report() map[api.OrganisationID]api.TokenReport      { return nil }
+func (idleTokens) Apply(uint64, map[api.OrganisationID]api.TokenReply) {}
+func (idleTokens) Expire()                                             {}
+func (idleTokens) Reset()                                              {}
 
 // sessions are sessions of the real node side in this process.
 type sessions struct {
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -44,6 +44,8 @@
 	mu      sync.Mutex
 	links   map[linkKey]*Link
 	closing bool
+
+	owners socketOwners
 }
 
 type linkKey struct {
--- a/internal/cluster/sockets.go
+++ b/internal/cluster/sockets.go
@@ -6,15 +6,14 @@
 	"fmt"
 	"net/netip"
 	"os"
-	"path/filepath"
 	"strings"
+	"sync"
 )
 
 // socket is a row of /proc/net/tcp.
 type socket struct {
-	local, remote netip.AddrPort
-	listening     bool
-	inode         string
+	local     netip.AddrPort
+	listening bool
 }
 
 // stateListen is the state of a listening socket in /proc/net/tcp.
@@ -38,20 +37,17 @@
 
 // Columns of /proc/net/tcp.
 const (
-	columnLocal  = 1
-	columnRemote = 2
-	columnState  = 3
-	columnInode  = 9
+	columnLocal = 1
+	columnState = 3
 )
 
 func parseSocket(line string) (socket, bool) {
 	columns := strings.Fields(line)
-	if len(columns) <= columnInode {
+	if len(columns) <= columnState {
 		return socket{}, false
 	}
-	local, ok1 := parseHexAddress(columns[columnLocal])
-	remote, ok2 := parseHexAddress(columns[columnRemote])
-	return socket{local, remote, columns[columnState] == stateListen, columns[columnInode]}, ok1 && ok2
+	local, ok := parseHexAddress(columns[columnLocal])
+	return socket{local, columns[columnState] == stateListen}, ok
 }
 
 // parseHexAddress reads an address such as 0100007F:1F90, whose IP number is in little-endian order.
@@ -78,13 +74,41 @@
 	return found
 }
 
-// holds says whether the process has the socket with the inode open.
-func holds(pid int, inode string) bool {
-	links, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
-	for _, link := range links {
-		if name, err := os.Readlink(link); err == nil && name == "socket:["+inode+"]" {
-			return true
+// socketOwners remembers which process has which socket open. One look at the processes finds the
+// sockets of all connections that are opened in a burst.
+type socketOwners struct {
+	mu    sync.Mutex
+	known map[string]*Process // by inode
+}
+
+// find returns the process that has the socket open, or nil.
+func (o *socketOwners) find(inode string, processes []*Process) *Process {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if p := o.known[inode]; p != nil {
+		return p
+	}
+	o.known = make(map[string]*Process)
+	for _, p := range processes {
+		if pid := p.PID(); pid != 0 {
+			o.look(p, pid)
+		}
+	}
+	return o.known[inode]
+}
+
+func (o *socketOwners) look(p *Process, pid int) {
+	dir := fmt.Sprintf("/proc/%d/fd/", pid)
+	d, err := os.Open(dir)
+	if err != nil {
+		return
+	}
+	defer d.Close()
+	names, _ := d.Readdirnames(-1)
+	for _, name := range names {
+		link, err := os.Readlink(dir + name)
+		if inode, isSocket := strings.CutPrefix(link, "socket:["); err == nil && isSocket {
+			o.known[strings.TrimSuffix(inode, "]")] = p
 		}
 	}
-	return false
 }
