integration: unavailable time does not depend on the order of the requests

control_leader_and_node_lost_unavailable was 2581 ms and 2505 ms because requests of two senders were appended without an order; the requests themselves show no such gap.

--- a/integration/checker_test.go
+++ b/integration/checker_test.go
@@ -41,6 +41,8 @@
 	is.Equal(gap, 50*time.Millisecond)
 	gap, _ = unavailable(list, []string{"k"}, at(0), at(200))
 	is.Equal(gap, 140*time.Millisecond)
+	gap, _ = unavailable([]*sample{list[1], list[0]}, []string{"k"}, at(0), at(80))
+	is.Equal(gap, 50*time.Millisecond) // in any order of the requests
 	gap, key := unavailable(list, []string{"k", "silent"}, at(0), at(80))
 	is.Equal(gap, 80*time.Millisecond)
 	is.Equal(key, "silent")
--- a/integration/traffic_test.go
+++ b/integration/traffic_test.go
@@ -154,9 +154,7 @@
 func (tr *traffic) snapshot() []*sample {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	list := slices.Clone(tr.samples)
-	slices.SortFunc(list, func(a, b *sample) int { return a.end.Compare(b.end) })
-	return list
+	return byEnd(tr.samples)
 }
 
 // stop ends the sending, waits for the answers and returns all requests.
@@ -206,7 +204,7 @@
 	owners := make(map[string]api.TargetID)
 	newest := make(map[string]*sample)
 	byKey := make(map[string][]*sample)
-	for _, s := range list {
+	for _, s := range byEnd(list) {
 		if s.ok {
 			byKey[s.key] = append(byKey[s.key], s)
 		}
@@ -235,6 +233,12 @@
 	return found
 }
 
+func byEnd(list []*sample) []*sample {
+	sorted := slices.Clone(list)
+	slices.SortFunc(sorted, func(a, b *sample) int { return a.end.Compare(b.end) })
+	return sorted
+}
+
 func byStart(list []*sample) []*sample {
 	sorted := slices.Clone(list)
 	slices.SortFunc(sorted, func(a, b *sample) int { return a.start.Compare(b.start) })
@@ -254,7 +258,7 @@
 		}
 		last[k] = at
 	}
-	for _, s := range list {
+	for _, s := range byEnd(list) {
 		if s.ok && s.end.After(from) && s.end.Before(to) {
 			note(s.key, s.end)
 		}
