gateway: the owner's node waits for a grant that it has not learned of yet

TestZoneOutAndIn failed once: a request was refused as wrong-owner after 3 s, the whole deadline, while others for its key were answered. Cause: the first node learns of a grant up to one heartbeat before the owner's node; its two quick retries after 25 and 75 ms were both refused, and then it waited for an owner other than the right one. The owner's node now waits up to 250 ms for the epoch.

--- a/gateway/internal.go
+++ b/gateway/internal.go
@@ -46,7 +46,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	a, e := g.dispatch(ctx, v, c, p, t, id, true)
+	a, e := g.dispatch(ctx, g.awaitEpoch(ctx, v, c.ref, p.epoch), c, p, t, id, true)
 	if e != nil {
 		g.refuse(w, e)
 		return
@@ -54,6 +54,35 @@
 	g.deliver(w, r.Method, a)
 }
 
+// epochWait bounds the wait for a grant that the first node has learned of earlier than this one.
+// A node learns of it with its next heartbeat, after 100 ms at most by default.
+const epochWait = 250 * time.Millisecond
+
+// awaitEpoch returns a view that knows the epoch of the partition, or the latest one after
+// epochWait. Refusals meanwhile would use up the attempts of the call, which then waits for
+// another owner although this node is the owner.
+func (g *Gateway) awaitEpoch(ctx context.Context, v *api.View, ref api.PartitionRef, epoch api.Epoch) *api.View {
+	if ref.Partition < 0 {
+		return v
+	}
+	limit := time.NewTimer(epochWait)
+	defer limit.Stop()
+	for v.Owner(ref).Epoch < epoch {
+		changed := *g.changed.Load()
+		if v = g.view(); v.Owner(ref).Epoch >= epoch {
+			break
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			return g.view()
+		case <-ctx.Done():
+			return v
+		}
+	}
+	return v
+}
+
 // checkPeer refuses what does not come from a node of the system.
 func (g *Gateway) checkPeer(r *http.Request, id string) *errkind.Error {
 	if g.tls != nil && (r.TLS == nil || len(r.TLS.VerifiedChains) == 0) {
--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -27,7 +27,9 @@
 	segment, once := 1, false
 	return &api.Services{Services: []api.Service{
 		{Name: "quotes", Key: &api.KeySource{PathSegment: &segment}, Partitions: 32,
-			Routes: []api.Route{{Prefix: "/quotes"}, {Prefix: "/lamps", Open: true}}},
+			// A hot key stays with its first owner for one deadline after it got its own assignment.
+			DeadlineMs: 3000,
+			Routes:     []api.Route{{Prefix: "/quotes"}, {Prefix: "/lamps", Open: true}}},
 		{Name: "orders", Routes: []api.Route{{Prefix: "/orders", Idempotent: &once}}},
 		{Name: "open", Routes: []api.Route{{Prefix: "/open", Open: true}}},
 	}}
