--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -25,6 +25,8 @@
 	"cold":           coldStarts,
 	"zone":           zoneOutAndIn,
 	"shed":           shedding,
+	"flood":          undisturbed,
+	"hot-keys":       undisturbed,
 }
 
 // Names of scenarios that change more than what happens while the load runs.
@@ -33,6 +35,7 @@
 	scenarioFailover = "failover"
 )
 
+// undisturbed leaves the deployment alone; the load makes the scenario.
 func undisturbed(context.Context, *local.Deployment, ServicePool, time.Duration) error { return nil }
 
 // failover stops the leading control member after half of the time.
--- a/gate/limit.go
+++ b/gate/limit.go
@@ -26,6 +26,8 @@
 	adaptive float64
 	cutAt    time.Time
 	times    latencies
+
+	detected, stated int // cold starts since the gate was made
 }
 
 func (l *limiter) limit() int {
@@ -65,9 +67,13 @@
 // observe adjusts the limit to the outcome of a request that ran while running others did.
 func (l *limiter) observe(now time.Time, o Outcome, running int) {
 	if o.Cold {
+		l.stated++
 		l.startCold(now)
 		return
 	}
+	if o.Failed && l.tooShort(o.Allowed) {
+		return
+	}
 	if o.Shed || o.Failed {
 		l.cut(now, shedFactor)
 		l.holdRamp(now, o.Shed)
@@ -87,10 +93,17 @@
 	}
 }
 
+// tooShort says that a time allowed by the caller's deadline was within the usual spread of service
+// times, so that a timeout says nothing about the target.
+func (l *limiter) tooShort(allowed time.Duration) bool {
+	return allowed > 0 && allowed < jumpFactor*l.times.moving()
+}
+
 // detectColdStart starts the ramp again after a jump of latency.
 func (l *limiter) detectColdStart(now time.Time) {
 	atFirstStep := l.cold && l.rampSize <= l.coldSlots
 	if !atFirstStep && l.times.jumped() {
+		l.detected++
 		l.startCold(now)
 	}
 }
--- a/integration/limits_test.go
+++ b/integration/limits_test.go
@@ -16,11 +16,11 @@
 	"github.com/zinniapier/zinniapier/target"
 )
 
-// traffic is what callers of an organisation got.
-type traffic struct{ served, limited, other atomic.Int64 }
+// steadyLoad is what callers of an organisation got.
+type steadyLoad struct{ served, limited, other atomic.Int64 }
 
 // send posts orders at a fixed rate per second, to the nodes in turn, until ctx ends.
-func (tr *traffic) send(ctx context.Context, wg *sync.WaitGroup, key string, rate float64, nodes ...*cluster.Node) {
+func (tr *steadyLoad) send(ctx context.Context, wg *sync.WaitGroup, key string, rate float64, nodes ...*cluster.Node) {
 	wg.Go(func() {
 		ticker := time.NewTicker(time.Duration(float64(time.Second) / rate))
 		defer ticker.Stop()
@@ -35,7 +35,7 @@
 	})
 }
 
-func (tr *traffic) request(n *cluster.Node, key string) {
+func (tr *steadyLoad) request(n *cluster.Node, key string) {
 	ctx, cancel := context.WithTimeout(context.Background(), requestLimit)
 	defer cancel()
 	a, err := n.Do(ctx, cluster.Request{Method: "POST", Path: "/orders", OrganisationKey: key})
@@ -100,7 +100,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
 	defer cancel()
 	var wg sync.WaitGroup
-	var got traffic
+	var got steadyLoad
 	got.send(ctx, &wg, key, 4*rate, c.Nodes...)
 	var readings []reading
 	wg.Go(func() { readings = watch(ctx, c) })
@@ -117,25 +117,6 @@
 	is.True(got.limited.Load() > 0)
 }
 
-func leader(t *testing.T, c *cluster.Cluster) *cluster.Control {
-	t.Helper()
-	var found *cluster.Control
-	cluster.Eventually(t, readyLimit, func() error {
-		status, err := c.Operator().Status(context.Background())
-		if err != nil {
-			return err
-		}
-		for _, m := range c.Control {
-			if m.Name == status.Leader {
-				found = m
-				return nil
-			}
-		}
-		return errkind.New(errkind.NoQuorum, "no leader is named")
-	})
-	return found
-}
-
 // TestExcessOfOneLeavesOthersAlone guards against refusals of an organisation within its rate,
 // wherever its requests arrive, while another one sends four times its own.
 func TestExcessOfOneLeavesOthersAlone(t *testing.T) {
@@ -149,7 +130,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), seconds*time.Second)
 	defer cancel()
 	var wg sync.WaitGroup
-	var quiet, loud traffic
+	var quiet, loud steadyLoad
 	loud.send(ctx, &wg, loudKey, 4*rate, c.Nodes...)
 	quiet.send(ctx, &wg, quietKey, 0.4*rate, c.Nodes...)
 	quiet.send(ctx, &wg, quietKey, 0.4*rate, c.Nodes[1])
