gateway: keep trying an owner that does not know of its grant yet

Cause: the map reaches nodes up to a heartbeat (100 ms) apart. A request that came to the owner's node before its own view was refused there as wrong-owner, was repeated after 25 and 50 ms, had then used up its 3 attempts, and waited for another owner until its deadline. A refused retry budget had the same end. Such a refusal costs no attempt now, and the wait goes on by a backoff of at most 200 ms, still under the retry budget. Ruled out: a hang in the gate or a connection; the lost requests had not run, and two of them had the same key 100 ms apart, during a move.

--- a/gateway/route.go
+++ b/gateway/route.go
@@ -14,6 +14,8 @@
 	// ownerBackoff is the first wait before the same owner is tried again; it doubles.
 	// A new connection takes about 1 ms, so a passing fault is over by then.
 	ownerBackoff = 25 * time.Millisecond
+	// longestOwnerBackoff bounds the wait once an owner has learnt of its grant.
+	longestOwnerBackoff = 200 * time.Millisecond
 	// viewPoll is the interval at which waiting requests look at the view when no
 	// publication wakes them.
 	viewPoll = 50 * time.Millisecond
@@ -73,15 +75,11 @@
 }
 
 // waitForOwner waits until the partition has another owner, or until the same one may be
-// tried again under the attempt and retry budgets. It says whether to go on.
+// tried again. It says whether to go on.
 func (g *Gateway) waitForOwner(ctx context.Context, c *call, tried api.Assignment, e *errkind.Error, backoff *time.Duration) bool {
-	var again <-chan time.Time
-	if tried.State == api.Granted && c.left > 1 {
-		timer := time.NewTimer(*backoff)
-		defer timer.Stop()
-		again = timer.C
-		*backoff *= 2
-	}
+	again := time.NewTimer(*backoff)
+	defer again.Stop()
+	*backoff = min(2**backoff, longestOwnerBackoff)
 	for {
 		changed := *g.changed.Load()
 		v := g.view()
@@ -93,16 +91,29 @@
 			return false
 		case <-changed:
 		case <-time.After(viewPoll):
-		case <-again:
-			again = nil
-			if g.retries.spend() {
-				c.left--
+		case <-again.C:
+			if tried.State == api.Granted && g.mayTryAgain(c, e) {
 				return true
 			}
+			again.Reset(*backoff)
 		}
 	}
 }
 
+// mayTryAgain decides whether a call goes to the same owner again, and pays for it. An owner
+// that does not know of its grant yet costs no attempt: the map may reach other nodes one
+// heartbeat earlier than it.
+func (g *Gateway) mayTryAgain(c *call, e *errkind.Error) bool {
+	notYet := e.Kind == errkind.WrongOwner || e.Kind == errkind.NoOwner
+	if !notYet && c.left <= 1 || !g.retries.spend() {
+		return false
+	}
+	if !notYet {
+		c.left--
+	}
+	return true
+}
+
 // routeAnywhere sends the call to any serving target. A call that has not run, or may be
 // repeated, goes to another target under the attempt and retry budgets.
 func (g *Gateway) routeAnywhere(ctx context.Context, c *call) (*answer, *errkind.Error) {
