gate: pause after a refusal in a cold start

Cause: a target that collapsed in a cold start refuses everything for a while (200 ms in the sample); the gate kept sending 2 at a time, and each refusal is an answer to a caller, since the target has seen the request. Now nothing is sent for 25 ms, doubling to 100 ms, and then one probe at a time.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -157,7 +157,7 @@
 	defer g.mu.Unlock()
 	now := g.now()
 	g.limiter.advance(now)
-	if g.queue.Len() == 0 && g.running < g.limiter.limit() {
+	if g.queue.Len() == 0 && g.limiter.bears(g.running+1) {
 		g.load.advance(now, g.running)
 		g.running++
 		return nil, nil
@@ -225,7 +225,7 @@
 
 // pump hands free slots to waiters. The caller holds the lock.
 func (g *Gate) pump() {
-	for g.running < g.limiter.limit() {
+	for g.limiter.bears(g.running + 1) {
 		w := g.queue.Pop()
 		if w == nil {
 			return
@@ -249,6 +249,24 @@
 	g.limiter.advance(now)
 	g.load.advance(now, g.running)
 	g.running--
+	if o.Cold {
+		g.pause()
+	}
+	g.pump()
+}
+
+// pause sends nothing for a while to a target that refused a request in a cold start. The
+// caller holds the lock.
+func (g *Gate) pause() {
+	if span := g.limiter.startPause(); span > 0 {
+		time.AfterFunc(span, g.resume)
+	}
+}
+
+func (g *Gate) resume() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limiter.paused = false
 	g.pump()
 }
 
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -195,6 +195,22 @@
 	is.True(g.Snapshot().Limit >= 10)
 }
 
+// Guards against requests that are sent one after another into a target that refuses them
+// all, and against a pause that never ends.
+func TestRefusalInColdStartPauses(t *testing.T) {
+	is := is.New(t)
+	g := New(Options{Slots: 20})
+	served(t, g, 1, Outcome{Cold: true})
+	ctx, cancel := context.WithTimeout(context.Background(), firstPause/2)
+	defer cancel()
+	_, err := g.Acquire(ctx, "a", 1)
+	is.Equal(errkind.Of(err), errkind.DeadlineExceeded)
+	probe := mustAcquire(t, g) // after the pause
+	is.Equal(g.limiter.bears(2), false)
+	probe.Release(Outcome{Latency: time.Millisecond})
+	is.Equal(g.limiter.bears(2), true)
+}
+
 // Guards against a limit that shedding drives to zero, which would never recover.
 func TestSheddingLowersTheLimitButNotBelowOne(t *testing.T) {
 	is := is.New(t)
--- a/gate/limit.go
+++ b/gate/limit.go
@@ -27,6 +27,9 @@
 	cutAt    time.Time
 	times    latencies
 
+	paused bool          // nothing is sent for the moment
+	pause  time.Duration // length of the last pause; zero once the target has served
+
 	detected, stated int // cold starts since the gate was made
 }
 
@@ -79,6 +82,7 @@
 	if o.Latency <= 0 {
 		return
 	}
+	l.pause = 0
 	l.times.add(o.Latency)
 	l.detectColdStart(now)
 	if l.times.raised() {
