placement: moves start only for an excess beyond chance

Cause: in steady state the measured load of a target (about 160 requests/s over 1.5 s) varies by 6%, so one of 7 targets passes the tolerance of 10% in a third of the plans, and partitions moved without need; each move holds up its keys. Moves now start at 3 standard deviations and then go on to the tolerance. Ruled out: the same bound for the end of the moves; TestBalancedByLoad shows that it leaves more than 15% after a real shift. A slower meter would delay the answer to hot keys as well.

--- a/placement/balanced.go
+++ b/placement/balanced.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/zinniapier/zinniapier/api"
@@ -17,6 +18,12 @@
 	// tolerance is the excess over the mean utilisation that is left alone when loads
 	// differ; measured loads fluctuate, and each move interrupts a key.
 	tolerance = 0.1
+	// noiseSigmas is the excess over the mean, in standard deviations of the measured load,
+	// that starts no moves; once they start, they go on to the tolerance. Of 7 equally loaded targets, one passes it in 1 of 100 plans.
+	noiseSigmas = 3.0
+	// measuredSeconds is the time that one measured load stands for: requests that arrive at
+	// random in that time make its variance.
+	measuredSeconds = 1.5
 	// coldPenalty multiplies the utilisation of a cold target when an unowned partition
 	// is placed, so that warm targets come first.
 	coldPenalty = 2.0
@@ -205,6 +212,9 @@
 // level moves partitions from the most to the least utilised target while that lowers
 // the greater of the two.
 func (b *balance) level(maxMoves int) {
+	if !b.uniform && b.withinNoise() {
+		return
+	}
 	for ; b.relocate < maxMoves; b.relocate++ {
 		if !b.levelOnce() {
 			return
@@ -233,6 +243,18 @@
 	return true
 }
 
+// withinNoise says whether no target exceeds the mean by more than chance explains.
+func (b *balance) withinNoise() bool {
+	mean := b.mean()
+	for _, x := range b.eligible {
+		expected := mean * x.Capacity
+		if x.weight-expected > noiseSigmas*math.Sqrt(expected/measuredSeconds) {
+			return false
+		}
+	}
+	return true
+}
+
 // bestItem returns the partition whose move leaves the two targets most even, or -1 when
 // no move lowers the greater utilisation of the two.
 func bestItem(from, to *bin) int {
