--- a/bench/command.go
+++ b/bench/command.go
@@ -13,6 +13,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/juju/errors"
 
+	"github.com/zinniapier/zinniapier/capacity"
 	"github.com/zinniapier/zinniapier/telemetry"
 )
 
@@ -26,6 +27,7 @@
 	rounds     int
 	seed       uint64
 	members    int
+	burst      float64
 	json       bool
 }
 
@@ -44,7 +46,11 @@
 	compare.Flag("rounds", "Runs of each variant; they alternate.").Default("2").IntVar(&f.rounds)
 	compare.Flag("seed", "Seed of the first round.").Default("1").Uint64Var(&f.seed)
 	compare.Flag("members", "Control members.").Default("1").IntVar(&f.members)
+	compare.Flag("burst", "Burst of every organisation in tokens; 0 keeps the deployment's.").Float64Var(&f.burst)
 	compare.Flag("json", "Print JSON.").BoolVar(&f.json)
+	slopes := app.Command("slopes", "Measures how the costs of the parts grow with their sizes.")
+	only := slopes.Flag("only", "Measure this slope alone.").Enum(capacity.Names()...)
+	slopesJSON := slopes.Flag("json", "Print JSON.").Bool()
 	var p pathFlags
 	path := app.Command("path", "Measures the cost of the path: direct, own node, one hop.")
 	path.Flag("duration", "Time of each way.").Default("3s").DurationVar(&p.duration)
@@ -62,6 +68,8 @@
 		return f.run(ctx, out)
 	case path.FullCommand():
 		return p.run(ctx, out)
+	case slopes.FullCommand():
+		return runSlopes(ctx, out, *only, *slopesJSON)
 	}
 	return errors.NotFoundf("command %q", command)
 }
@@ -86,6 +94,9 @@
 
 func (f *compareFlags) run(ctx context.Context, out io.Writer) error {
 	deployment := Deployments()[f.deployment]
+	if f.burst > 0 {
+		deployment.setBurst(f.burst)
+	}
 	var reports []Report
 	for round := range f.rounds {
 		names := []string{f.a, f.b}
@@ -142,6 +153,12 @@
 	return n
 }
 
+func (d Deployment) setBurst(burst float64) {
+	for i := range d.Tenants {
+		d.Tenants[i].Organisation.Burst = burst
+	}
+}
+
 func (f *compareFlags) serviceNames() []string {
 	var names []string
 	for _, p := range Deployments()[f.deployment].Services {
@@ -166,6 +183,7 @@
 	row("p50 ms", func(r *Report) string { return fmt.Sprintf("%.1f", r.P50Ms) })
 	row("p99 ms", func(r *Report) string { return fmt.Sprintf("%.1f", r.P99Ms) })
 	row("p99.9 ms", func(r *Report) string { return fmt.Sprintf("%.1f", r.P999Ms) })
+	row("p99 ms within rate", func(r *Report) string { return fmt.Sprintf("%.1f", r.P99WithinMs) })
 	row("late p50/p99 ms", func(r *Report) string { return fmt.Sprintf("%.1f/%.1f", r.LateP50Ms, r.LateP99Ms) })
 	for _, p := range f.serviceNames() {
 		row(p+" p99 ms", func(r *Report) string { return fmt.Sprintf("%.1f", r.ServiceP99Ms[p]) })
@@ -179,6 +197,7 @@
 	row("zone last work ms", func(r *Report) string { return fmt.Sprintf("%.0f", r.LastWorkMs) })
 	row("worst-served share", func(r *Report) string { return fmt.Sprintf("%.3f", r.WorstShare) })
 	row("refused within rate", func(r *Report) string { return fmt.Sprint(r.WrongfulRefusals) })
+	row("  of these, organisation never beyond rate", func(r *Report) string { return fmt.Sprint(r.WrongfulWithin) })
 	row("run more than once", func(r *Report) string { return fmt.Sprint(r.RepeatedRuns) })
 	row("false not-run", func(r *Report) string { return fmt.Sprint(r.FalseNotRun) })
 	row("overshoot", func(r *Report) string { return fmt.Sprintf("%.0f", r.Overshoot) })
