--- a/integration/planned_test.go
+++ b/integration/planned_test.go
@@ -49,7 +49,7 @@
 	}
 	measure(t, "zone_out_last_work", last)
 	is.True(last <= noNewWork) // no new work a few seconds after the zone was taken out
-	is.True(returned > 0)       // the returned zone gets work again
+	is.True(returned > 0)      // the returned zone gets work again
 	for _, s := range failed(list) {
 		t.Errorf("failed request: %v", s)
 	}
--- a/integration/traffic_test.go
+++ b/integration/traffic_test.go
@@ -23,7 +23,7 @@
 const (
 	servedAgain = time.Second     // a key is served again after a loss
 	inForce     = 4 * time.Second // a configuration is in force everywhere
-	noNewWork  = 3 * time.Second // a zone or target taken out gets no new work
+	noNewWork   = 3 * time.Second // a zone or target taken out gets no new work
 )
 
 const (
