tokens: a report with more issued tokens than the leader knows is a new baseline

When the first report at a new leader was a delayed one, later returns of the node, which the earlier leader had credited and issued again, raised the level a second time. The model also let a node take over a reply after its lease had lapsed without giving up its tokens first; session.accept does that (noteLapse before Apply), so the model now does too. Without that rule a late reply after 650 ms kept a token that the leader counted as spent.

--- a/tokens/authority.go
+++ b/tokens/authority.go
@@ -229,12 +229,16 @@
 func (b *bucket) scarce() bool { return b.waiting > int64(b.level) }
 
 // take applies the growth of the cumulative counts. The first report that a new leader gets
-// may be an old one that was delayed, so tokens of an earlier leader can turn up later. Growth
+// may be an old one that was delayed, so tokens of an earlier leader can turn up later; that
+// report is a new baseline, because the earlier leader has credited what it returns. Growth
 // of the other counts beyond the outstanding tokens would be a fault of the node and is ignored.
 func (acc *account) take(b *bucket, r api.TokenReport) {
-	if late := r.Issued - acc.issued; late > 0 {
-		acc.issued += late
-		b.outstanding += late
+	if r.Issued > acc.issued {
+		b.outstanding -= acc.outstanding()
+		acc.issued, acc.settled = r.Issued, max(r.Settled, 0)
+		acc.returned = min(max(r.Returned, 0), max(r.Issued-acc.settled, 0))
+		b.outstanding += acc.outstanding()
+		return
 	}
 	settled := min(max(r.Settled-acc.settled, 0), acc.outstanding())
 	acc.settled += settled
--- a/tokens/authority_test.go
+++ b/tokens/authority_test.go
@@ -70,11 +70,16 @@
 	f.authority.SetOrganisations(f.now, []api.Organisation{f.org})
 }
 
-func (f *fleet) send(i int, demand int64) {
-	n := f.nodes[i]
-	if !f.now.Before(n.leaseEnd) {
+// giveUpLapsed is what the session does before each heartbeat and before it takes over a reply.
+func (n *modelNode) giveUpLapsed(now time.Time) {
+	if !now.Before(n.leaseEnd) {
 		n.returned = n.issued - n.settled
 	}
+}
+
+func (f *fleet) send(i int, demand int64) {
+	n := f.nodes[i]
+	n.giveUpLapsed(f.now)
 	n.heartbeat++
 	report := api.TokenReport{Issued: n.issued, Settled: n.settled, Returned: n.returned, Arrivals: n.arrived, Demand: demand}
 	f.sendReports(i, map[api.OrganisationID]api.TokenReport{testOrg: report})
@@ -103,6 +108,7 @@
 	if n.session != m.session || n.heartbeat != m.heartbeat {
 		return // late: the node has abandoned this heartbeat
 	}
+	n.giveUpLapsed(f.now)
 	n.issued = max(n.issued, m.issued)
 	n.leaseEnd = m.sentAt.Add(testLease)
 }
