gateway: hedge after at most 3 medians

Cause: with 3 targets, a straggling one gives 1 slow answer in 10. The 95th percentile then is the straggling itself, so hedges came when the first answer did. Ruled out: a lower percentile alone; it hedges more in quiet times too.

--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -77,6 +77,10 @@
 	timesStep   = 32  // latencies between two computations of it
 	// timesLeast is the number of latencies below which no percentile is known.
 	timesLeast = 32
+	// tailFactor bounds the 95th percentile by the median. When more than 1 request in 20
+	// straggles, the percentile is the straggling itself, and a hedge that waits for it
+	// comes too late; the hedge budget still bounds the number.
+	tailFactor = 3
 )
 
 // serviceTimes holds the observed latencies by service.
@@ -110,8 +114,9 @@
 	sorted := p.values
 	n := min(p.count, timesWindow)
 	slices.Sort(sorted[:n])
-	p.p95.Store(int64(sorted[n*95/100]))
+	p.p95.Store(int64(min(sorted[n*95/100], tailFactor*sorted[n/2])))
 }
 
-// get returns the 95th percentile; zero while there are too few latencies.
+// get returns the 95th percentile, at most tailFactor medians; zero while there are too few
+// latencies.
 func (p *percentile) get() time.Duration { return time.Duration(p.p95.Load()) }
