--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -106,6 +106,26 @@
 	}
 }
 
+// Guards against partitions that move in steady state because measured loads vary by chance.
+func TestBalancedIgnoresChance(t *testing.T) {
+	is := is.New(t)
+	ts := makeTargets(7)
+	ps := make([]Partition, 70)
+	for i := range ps {
+		ps[i] = Partition{Index: i, Owner: ts[i%7].ID, Load: 16}
+		if i%7 == 0 {
+			ps[i].Load = 18.5 // 16% above, 2.4 standard deviations
+		}
+	}
+	is.Equal(len(Balanced{}.Plan("s", ps, ts, 100)), 0)
+	for i := range ps {
+		if i%7 == 0 {
+			ps[i].Load = 24
+		}
+	}
+	is.True(len(Balanced{}.Plan("s", ps, ts, 100)) > 0)
+}
+
 // Guards against moves beyond the pace, of partitions on their way, and against unowned
 // partitions that go to a cold target beside warm ones or wait for the pace.
 func TestBalancedPaceAndCold(t *testing.T) {
