control: a new leader issues tokens once every open session has reported to it

Ruled out: a committed reservation of tokens, which costs a log entry every interval. Sessions are now in the log before they get a lease, so the new leader knows whom it has to hear from; a heartbeat counts once it carries the new term, since an older one may have been delayed. A session that is silent, as one lost with the leader, still costs the whole wait. TestNewLeaderWaits now has an open session that is not heard of, and the new test fails without the early end.

--- a/api/control.go
+++ b/api/control.go
@@ -63,6 +63,9 @@
 	Assignments   Assignments   `json:"assignments"`
 	// MapVersion is the log index of the last change of Assignments.
 	MapVersion uint64 `json:"map_version"`
+	// Sessions are the open sessions in ascending order. A session is in the log before its node
+	// gets a lease or a token, so a new leader knows whom it has to hear from.
+	Sessions []SessionID `json:"sessions,omitempty"`
 }
 
 // ChangeKind names an operator change.
--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -72,7 +72,10 @@
 type HeartbeatRequest struct {
 	Session SessionID
 	// Sequence grows by one with each heartbeat of the session.
-	Sequence      uint64
+	Sequence uint64
+	// Term is the greatest raft term of which the node has received a reply. A heartbeat that
+	// carries the leader's own term was sent after the leader took over.
+	Term          uint64
 	Name          string
 	Zone          string
 	InternalAddr  string // request hop, host:port
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -20,9 +20,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, 3)
+		w.open("unheard-of")
+		w.log.lead(true)
 		w.run(700 * time.Millisecond)
 		is.Equal(w.served(), 0)
-		is.Equal(w.nodes[0].issued, int64(0)) // no token either
+		is.Equal(w.nodes[0].issued, int64(0)) // the session that is not heard of may hold tokens
 		w.run(300 * time.Millisecond)
 		is.Equal(w.served(), testPartitions)
 		is.True(w.nodes[0].issued > 0)
@@ -30,13 +32,35 @@
 		silent := w.nodes[0]
 		w.nodes = w.nodes[1:]
 		w.log.lead(true)
+		issued := w.nodes[0].issued
 		w.run(700 * time.Millisecond)
 		is.Equal(w.served(), testPartitions-len(silent.serves))
+		is.Equal(w.nodes[0].issued, issued) // the silent node may hold tokens
 		w.run(300 * time.Millisecond)
 		is.Equal(w.served(), testPartitions)
 	})
 }
 
+// Guards against a new leader that issues no tokens for a whole lease although every open
+// session has reported to it, or that takes a heartbeat sent to its predecessor's time for one.
+func TestNewLeaderIssuesOnceAllReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 3)
+		w.run(time.Second)
+		w.log.lead(true)
+		for _, n := range w.nodes {
+			n.term = 0 // the first report may be one that was delayed
+			n.demand = 30
+		}
+		issued := w.nodes[0].issued
+		w.run(90 * time.Millisecond)
+		is.Equal(w.nodes[0].issued, issued)
+		w.run(300 * time.Millisecond)
+		is.True(w.nodes[0].issued > issued)
+	})
+}
+
 // Guards against an expired session that keeps its grants, takes longer than 1 s to be
 // replaced, or gets its lease renewed while they are on their way to others.
 func TestExpiredSession(t *testing.T) {
--- a/control/fake_test.go
+++ b/control/fake_test.go
@@ -115,6 +115,17 @@
 	return w
 }
 
+// open commits a session that the leader has not heard of.
+func (w *world) open(id api.SessionID) {
+	data, err := state.EncodeBatch(&state.Batch{Term: w.log.term, Opens: []api.SessionID{id}})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	if _, _, err := w.log.Propose(context.Background(), data); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
 func (w *world) change(c api.Change) *api.ChangeResult {
 	c.ID, c.BaseVersion = api.NewID(), w.log.machine.View().Configuration.Version
 	data, err := state.EncodeChange(&c)
@@ -191,6 +202,8 @@
 	err      error
 	loseNext bool
 	issued   int64
+	demand   int64
+	term     uint64
 }
 
 type drain struct {
@@ -234,7 +247,8 @@
 	req := api.HeartbeatRequest{
 		Session: n.session, Sequence: n.sequence, Name: string(n.target), Zone: n.zone, MapVersion: n.mapV,
 		PeersVersion: n.peersV, Targets: []api.TargetReport{n.report}, Final: n.final,
-		Tokens: map[api.OrganisationID]api.TokenReport{"org": {Issued: n.issued, Demand: 10}},
+		Tokens: map[api.OrganisationID]api.TokenReport{"org": {Issued: n.issued, Demand: max(n.demand, 10)}},
+		Term:   n.term,
 	}
 	if n.config != nil {
 		req.ConfigVersion = n.config.Version
@@ -257,6 +271,7 @@
 
 func (n *node) take(sent time.Time, r *api.HeartbeatReply) {
 	n.leaseEnd = sent.Add(r.Lease)
+	n.term = r.Term
 	n.issued = max(n.issued, r.Tokens["org"].Issued)
 	if r.Configuration != nil {
 		n.config = r.Configuration
--- a/control/leader.go
+++ b/control/leader.go
@@ -23,7 +23,13 @@
 	// that this leader has not heard of may hold a lease.
 	waitUntil time.Time
 
-	sessions      map[api.SessionID]*session
+	sessions map[api.SessionID]*session
+	// opening holds the sessions that asked for a lease and are not yet in the log.
+	opening map[api.SessionID]struct{}
+	// unheard says until when an open session may stay unheard of.
+	unheard map[api.SessionID]time.Time
+	// tokensWait says that nodes unknown to the authority may hold tokens of an earlier leader.
+	tokensWait    bool
 	authority     *tokens.Authority
 	configVersion uint64
 
@@ -50,6 +56,9 @@
 		term:       term,
 		waitUntil:  now.Add(span),
 		sessions:   make(map[api.SessionID]*session),
+		opening:    make(map[api.SessionID]struct{}),
+		unheard:    make(map[api.SessionID]time.Time),
+		tokensWait: true,
 		authority:  tokens.NewAuthority(now, span),
 		released:   make(map[api.PartitionRef]api.Epoch),
 		intended:   make(map[api.PartitionRef]api.TargetID),
@@ -69,10 +78,13 @@
 	l.followConfiguration(view, now)
 	l.authority.Advance(now)
 	l.expire(view, now)
-	if l.waiting(now) {
-		return &state.Batch{Term: l.term}
+	l.endTokensWait(view, now)
+	batch := &state.Batch{Term: l.term}
+	if !l.waiting(now) {
+		batch = l.plan(view, now)
 	}
-	return l.plan(view, now)
+	l.planSessions(view, now, batch)
+	return batch
 }
 
 func (l *leader) followConfiguration(view *api.ControlState, now time.Time) {
--- a/control/session.go
+++ b/control/session.go
@@ -72,6 +72,10 @@
 		l.sessions[req.Session] = s
 		return nil, errkind.New(errkind.NoLease, "the lease has expired and its grants are being released")
 	}
+	if !opened(view, req.Session) && !req.Final {
+		l.opening[req.Session] = struct{}{}
+		return nil, errkind.New(errkind.NoQuorum, "the session is being opened")
+	}
 	s.lost = false
 	l.sessions[req.Session] = s
 	return s, nil
--- a/session/beat.go
+++ b/session/beat.go
@@ -20,6 +20,7 @@
 	return &api.HeartbeatRequest{
 		Session:       v.Session,
 		Sequence:      s.sequence,
+		Term:          v.Term,
 		Name:          s.o.Name,
 		Zone:          s.o.Zone,
 		InternalAddr:  s.o.InternalAddr,
--- a/state/batch.go
+++ b/state/batch.go
@@ -127,11 +127,34 @@
 		ref, err := e.override(o)
 		record(ref, err)
 	}
+	result.Applied += e.sessions(b.Opens, b.Closes)
 	pruned := e.prune()
 	m.publish(e, pruned)
 	return result
 }
 
+// sessions opens and closes sessions and returns how many were changed.
+func (e *editor) sessions(opens, closes []api.SessionID) (changed int) {
+	if len(opens) == 0 && len(closes) == 0 {
+		return 0
+	}
+	list := slices.Clone(e.state.Sessions)
+	for _, id := range closes {
+		if i, open := slices.BinarySearch(list, id); open {
+			list = slices.Delete(list, i, i+1)
+			changed++
+		}
+	}
+	for _, id := range opens {
+		if i, open := slices.BinarySearch(list, id); !open {
+			list = slices.Insert(list, i, id)
+			changed++
+		}
+	}
+	e.state.Sessions = list
+	return changed
+}
+
 // publish records the changed assignments under a new map version. full says that a
 // service has gone, which a delta cannot express.
 func (m *Machine) publish(e *editor, full bool) {
--- a/state/command.go
+++ b/state/command.go
@@ -39,6 +39,9 @@
 	Revokes   []Step        `json:"revokes,omitempty"`
 	Grants    []Grant       `json:"grants,omitempty"`
 	Overrides []OverrideKey `json:"overrides,omitempty"`
+	// Opens and Closes are sessions of nodes.
+	Opens  []api.SessionID `json:"opens,omitempty"`
+	Closes []api.SessionID `json:"closes,omitempty"`
 }
 
 // Empty says whether the batch has no steps.
@@ -46,7 +49,7 @@
 
 // Len returns the number of steps.
 func (b *Batch) Len() int {
-	return len(b.Releases) + len(b.Revokes) + len(b.Grants) + len(b.Overrides)
+	return len(b.Releases) + len(b.Revokes) + len(b.Grants) + len(b.Overrides) + len(b.Opens) + len(b.Closes)
 }
 
 // Step changes a partition whose assignment still has the expected epoch.
--- a/tokens/authority.go
+++ b/tokens/authority.go
@@ -70,6 +70,18 @@
 	}
 }
 
+// EndWait ends the wait of a new leader now. The caller knows that every session which may hold
+// tokens of an earlier leader has reported since. Each bucket starts from level 0.
+func (a *Authority) EndWait(now time.Time) {
+	if !now.Before(a.start) {
+		return
+	}
+	a.start = now
+	for _, b := range a.buckets {
+		b.last = now
+	}
+}
+
 // SetOrganisations replaces the rates and bursts. A lowered burst cuts the level at once;
 // tokens that are already outstanding stay valid, and nothing is issued until they have
 // fallen below the new burst. The bucket of a removed organisation is kept until it would
