--- a/tokens/authority_test.go
+++ b/tokens/authority_test.go
@@ -24,6 +24,7 @@
 	issued, settled, returned int64
 	arrived                   int64
 	heartbeat                 int // number of the outstanding heartbeat
+	term                      int // of the last reply
 }
 
 type modelMessage struct {
@@ -33,6 +34,7 @@
 	sentAt    time.Time
 	reports   map[api.OrganisationID]api.TokenReport
 	issued    int64
+	term      int // known to the node in a request, of the leader in a reply
 }
 
 type admission struct {
@@ -49,6 +51,9 @@
 	replies   []modelMessage
 	admitted  []admission
 	sessions  int
+	term      int
+	// reported holds the sessions that have sent a heartbeat to the leader after it took over.
+	reported map[api.SessionID]bool
 }
 
 func newFleet(rate, burst float64) *fleet {
@@ -66,6 +71,8 @@
 }
 
 func (f *fleet) failover() {
+	f.term++
+	f.reported = make(map[api.SessionID]bool)
 	f.authority = NewAuthority(f.now, testSpan)
 	f.authority.SetOrganisations(f.now, []api.Organisation{f.org})
 }
@@ -87,7 +94,7 @@
 
 func (f *fleet) sendReports(i int, reports map[api.OrganisationID]api.TokenReport) {
 	n := f.nodes[i]
-	f.requests = append(f.requests, modelMessage{i, n.session, n.heartbeat, f.now, reports, 0})
+	f.requests = append(f.requests, modelMessage{i, n.session, n.heartbeat, f.now, reports, 0, n.term})
 }
 
 func take(list *[]modelMessage, i int) modelMessage {
@@ -98,10 +105,25 @@
 
 func (f *fleet) process(i int) {
 	m := take(&f.requests, i)
+	f.endWait(m)
+	m.term = f.term
 	m.issued = f.authority.Report(f.now, m.session, m.reports)[testOrg].Issued
 	f.replies = append(f.replies, m)
 }
 
+// endWait ends the wait of the leader before a report that completes those of all sessions is
+// answered, as the control loop may.
+func (f *fleet) endWait(m modelMessage) {
+	f.reported[m.session] = f.reported[m.session] || m.term == f.term
+	for _, n := range f.nodes {
+		if !f.reported[n.session] {
+			return
+		}
+	}
+	f.authority.Report(f.now, m.session, m.reports)
+	f.authority.EndWait(f.now)
+}
+
 func (f *fleet) deliver(i int) {
 	m := take(&f.replies, i)
 	n := f.nodes[m.node]
@@ -110,6 +132,7 @@
 	}
 	n.giveUpLapsed(f.now)
 	n.issued = max(n.issued, m.issued)
+	n.term = max(n.term, m.term)
 	n.leaseEnd = m.sentAt.Add(testLease)
 }
 
