--- a/host/orders.go
+++ b/host/orders.go
@@ -34,6 +34,7 @@
 	version, acknowledged uint64
 	failures              int
 	failingSince          time.Time // sending time of the first unacknowledged order
+	until                 time.Time // end of the grants in the last order, on the node's clock
 }
 
 // order is one order on its way.
@@ -117,6 +118,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	until := earlier(v.LeaseUntil, now.Add(t.r.o.GrantLife))
+	if t.orders.failures > 0 && t.orders.until.After(now) {
+		// An order that repeats an unacknowledged one extends nothing: the longer the grants of
+		// a target that may be frozen run, the longer their release has to wait.
+		until = earlier(until, t.orders.until)
+	}
+	t.orders.until = until
 	t.orders.sequence++
 	o := &order{version: t.orders.version, until: until}
 	o.message = api.Orders{
