--- a/bench/load.go
+++ b/bench/load.go
@@ -13,6 +13,7 @@
 
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/internal/wait"
 )
 
 // HeaderRequestID carries the id by which targets count repeated runs.
@@ -130,7 +131,7 @@
 	var wg sync.WaitGroup
 	start := time.Now()
 	for i, a := range arrivals {
-		if !sleepUntil(ctx, start.Add(a.at)) {
+		if !wait.Until(ctx, start.Add(a.at)) {
 			samples = samples[:i]
 			break
 		}
@@ -140,21 +141,6 @@
 	return samples
 }
 
-func sleepUntil(ctx context.Context, t time.Time) bool {
-	wait := time.Until(t)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (l *Load) send(ctx context.Context, client *http.Client, start time.Time, a arrival) Sample {
 	tenant := l.Deployment.Tenants[a.tenant]
 	pool := l.Deployment.Services[a.pool]
--- a/bench/run.go
+++ b/bench/run.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/internal/wait"
 	"github.com/zinniapier/zinniapier/local"
 	"github.com/zinniapier/zinniapier/target"
 )
@@ -178,7 +179,7 @@
 // begins earlier measures that ramp instead of its scenario.
 func awaitWarm(ctx context.Context, d *local.Deployment) error {
 	for !warm(d) {
-		if !sleepUntil(ctx, time.Now().Add(watchInterval)) {
+		if !wait.For(ctx, watchInterval) {
 			return errors.Annotate(ctx.Err(), "gates are still cold")
 		}
 	}
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/internal/wait"
 	"github.com/zinniapier/zinniapier/local"
 	"github.com/zinniapier/zinniapier/target"
 )
@@ -40,7 +41,7 @@
 
 // failover stops the leading control member after half of the time.
 func failover(ctx context.Context, d *local.Deployment, _ ServicePool, duration time.Duration) error {
-	if !sleepUntil(ctx, time.Now().Add(duration/2)) {
+	if !wait.For(ctx, duration/2) {
 		return ctx.Err()
 	}
 	return d.StopLeader(ctx)
@@ -89,7 +90,7 @@
 		if err := during(ctx, t, shed, behaviour(p), shedSpan); err != nil {
 			return err
 		}
-		sleepUntil(ctx, time.Now().Add(shedSpan))
+		wait.For(ctx, shedSpan)
 	}
 	return nil
 }
@@ -98,14 +99,14 @@
 	if err := t.SetBehaviour(disturbed); err != nil {
 		return errors.Trace(err)
 	}
-	sleepUntil(ctx, time.Now().Add(span))
+	wait.For(ctx, span)
 	return errors.Trace(t.SetBehaviour(normal))
 }
 
 // coldStarts makes every fourth target fall back into a cold start, unannounced, after a third
 // of the time.
 func coldStarts(ctx context.Context, d *local.Deployment, p ServicePool, duration time.Duration) error {
-	if !sleepUntil(ctx, time.Now().Add(duration/3)) {
+	if !wait.For(ctx, duration/3) {
 		return ctx.Err()
 	}
 	for i := 0; i < len(d.Targets); i += 4 {
@@ -123,7 +124,7 @@
 func zoneOutAndIn(ctx context.Context, d *local.Deployment, _ ServicePool, duration time.Duration) error {
 	zone := zoneName(0)
 	for _, kind := range []api.ChangeKind{api.ZoneOut, api.ZoneIn} {
-		if !sleepUntil(ctx, time.Now().Add(duration/3)) {
+		if !wait.For(ctx, duration/3) {
 			return ctx.Err()
 		}
 		if err := d.Change(ctx, api.Change{Kind: kind, Name: zone}); err != nil {
--- a/bench/watch.go
+++ b/bench/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/internal/wait"
 	"github.com/zinniapier/zinniapier/local"
 )
 
@@ -38,7 +39,7 @@
 
 // run looks at intervals until ctx ends and notes the runs of the targets at half.
 func (w *watcher) run(ctx context.Context, half time.Duration) {
-	for sleepUntil(ctx, time.Now().Add(watchInterval)) {
+	for wait.For(ctx, watchInterval) {
 		w.look()
 		if w.halfRuns == nil && time.Since(w.start) >= half {
 			w.halfRuns = w.runs()
--- a/control/control.go
+++ b/control/control.go
@@ -155,12 +155,12 @@
 func (c *Control) changeLeadership(change LeadershipChange) {
 	if !change.Self {
 		if c.leader != nil {
-			c.log.Infof("leads no more, term %d", change.Term)
+			c.log.WithField("term", change.Term).Info("Leadership has ended.")
 		}
 		c.leader = nil
 		return
 	}
-	c.log.Infof("leads term %d", change.Term)
+	c.log.WithField("term", change.Term).Info("Leadership has begun.")
 	c.leader = newLeader(&c.o, c.log, change.Term, time.Now())
 }
 
@@ -217,7 +217,8 @@
 	switch r := result.(type) {
 	case *state.BatchResult:
 		for _, rejected := range r.Rejected {
-			c.log.Warnf("step on partition %d of %s rejected: %v", rejected.Ref.Partition, rejected.Ref.Service, rejected.Error)
+			c.log.WithError(rejected.Error).WithField("service", rejected.Ref.Service).
+				WithField("partition", rejected.Ref.Partition).Warn("Step rejected.")
 		}
 		telemetry.CountEvent("assignment_releases", int64(len(batch.Releases)))
 		telemetry.CountEvent("assignment_revokes", int64(len(batch.Revokes)))
@@ -237,7 +238,7 @@
 	}
 	l.inFlight = false
 	if out.err != nil {
-		c.log.Warnf("batch of %d steps not committed: %v", out.batch.Len(), out.err)
+		c.log.WithError(out.err).WithField("steps", out.batch.Len()).Warn("Batch not committed.")
 		l.retryAt = time.Now().Add(retryDelay)
 		return
 	}
--- a/control/plan.go
+++ b/control/plan.go
@@ -267,7 +267,7 @@
 	}
 	policy, err := placement.Policies.Get(name)
 	if err != nil {
-		p.log.Errorf("service %s: %v; using %s", p.name, err, placement.DefaultPolicy)
+		p.log.WithError(err).WithField("service", p.name).Error("Placement policy unknown. The default is used.")
 		return placement.Balanced{}
 	}
 	return policy
--- a/control/session.go
+++ b/control/session.go
@@ -109,7 +109,7 @@
 func (l *leader) expire(view *api.ControlState, now time.Time) {
 	for id, s := range l.sessions {
 		if !s.lost && !now.Before(s.deadline) {
-			l.log.Warnf("lease of node %s expired", s.last.Name)
+			l.log.WithField("node", s.last.Name).Warn("Lease expired.")
 			l.end(id, s)
 		}
 		if s.lost && now.After(s.deadline.Add(forgetAfter)) && !named(view, id) {
--- a/host/announce.go
+++ b/host/announce.go
@@ -130,7 +130,7 @@
 	for _, old := range previous {
 		old.replace()
 	}
-	telemetry.Logger("host").WithField("target", a.ID).WithField("service", a.Service).Info("target announced")
+	telemetry.Logger("host").WithField("target", a.ID).WithField("service", a.Service).Info("Target announced.")
 	r.o.Kick()
 	return nil
 }
--- a/host/target.go
+++ b/host/target.go
@@ -163,7 +163,7 @@
 		t.revoke(g, now)
 	}
 	telemetry.CountEvent("target_lost", 1)
-	telemetry.Logger("host").WithField("target", t.info.ID).WithField("reason", reason).Warn("target lost")
+	telemetry.Logger("host").WithField("target", t.info.ID).WithField("reason", reason).Warn("Target lost.")
 	t.r.o.Kick()
 }
 
@@ -174,7 +174,7 @@
 	}
 	t.lost = false
 	telemetry.CountEvent("target_returned", 1)
-	telemetry.Logger("host").WithField("target", t.info.ID).Info("target answers again")
+	telemetry.Logger("host").WithField("target", t.info.ID).Info("Target answers again.")
 	t.r.o.Kick()
 }
 
--- a/internal/cluster/calls.go
+++ b/internal/cluster/calls.go
@@ -15,32 +15,14 @@
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
 	"github.com/zinniapier/zinniapier/operator"
-)
-
-// Paths of the sample target for tests.
-const (
-	pathBehaviour = "/zinnia/behaviour"
-	pathCounters  = "/zinnia/counters"
+	"github.com/zinniapier/zinniapier/target"
 )
 
 // callLimit bounds a helper's call.
 const callLimit = 10 * time.Second
 
-// Echo is the part of a sample target's answer that tests look at.
-type Echo struct {
-	Instance     api.TargetID `json:"instance"`
-	Name         string       `json:"name"`
-	Zone         string       `json:"zone"`
-	Service      string       `json:"service"`
-	Organisation string       `json:"organisation"`
-	Method       string       `json:"method"`
-	Path         string       `json:"path"`
-	Headers      http.Header  `json:"headers"`
-	Partition    string       `json:"partition"`
-	RequestID    string       `json:"request_id"`
-	BodyBytes    int          `json:"body_bytes"`
-	Runs         int64        `json:"runs"`
-}
+// Echo is the answer of a sample target.
+type Echo = target.Answer
 
 // Answer is the complete answer to a request.
 type Answer struct {
@@ -114,7 +96,7 @@
 	t.cluster.t.Helper()
 	body, err := json.Marshal(v)
 	if err == nil {
-		err = t.call(http.MethodPost, pathBehaviour, body, nil)
+		err = t.call(http.MethodPost, target.PathBehaviour, body, nil)
 	}
 	if err != nil {
 		t.cluster.t.Fatalf("cluster: behaviour of %s: %v", t.Name, err)
@@ -124,7 +106,7 @@
 // Counters reads the target's counters into v, past its node.
 func (t *Target) Counters(v any) {
 	t.cluster.t.Helper()
-	if err := t.call(http.MethodGet, pathCounters, nil, v); err != nil {
+	if err := t.call(http.MethodGet, target.PathCounters, nil, v); err != nil {
 		t.cluster.t.Fatalf("cluster: counters of %s: %v", t.Name, err)
 	}
 }
--- a/operator/call.go
+++ b/operator/call.go
@@ -7,11 +7,11 @@
 	"io"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/internal/wait"
 )
 
 // maxAnswerBytes bounds an answer; the status of 18,000 nodes is about 10 MB.
@@ -47,7 +47,7 @@
 			}
 			last = moreCertain(last, err)
 		}
-		if !pause(ctx, roundPause) {
+		if !wait.For(ctx, roundPause) {
 			return last
 		}
 	}
@@ -74,17 +74,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func encode(body any) ([]byte, error) {
 	if body == nil {
 		return nil, nil
--- a/session/beat.go
+++ b/session/beat.go
@@ -42,8 +42,11 @@
 	}
 	s.lapsed = true
 	s.o.Tokens.Expire()
+	if s.leaving.Load() {
+		return // the session gave its lease up
+	}
 	telemetry.CountEvent("lease_lapsed", 1)
-	telemetry.Logger("session").Warn("session lease has run out")
+	telemetry.Logger("session").Warn("The session lease has run out.")
 }
 
 // beat sends one heartbeat to the current member and takes over the answer. After a failure
@@ -92,7 +95,7 @@
 // renew begins a new session: a new id, no lease, nothing owned, no tokens.
 func (s *Session) renew() {
 	telemetry.CountEvent("session_renewed", 1)
-	telemetry.Logger("session").Warn("session ended by the control leader; starting a new one")
+	telemetry.Logger("session").Warn("The control leader has ended the session. A new one starts.")
 	v := *s.view.Load()
 	v.Session = api.SessionID(api.NewID())
 	v.LeaseUntil = time.Time{}
--- a/session/session.go
+++ b/session/session.go
@@ -170,7 +170,7 @@
 		}
 		failures = s.countFailures(failures, err)
 		if failures == 1 {
-			log.WithError(err).Debug("heartbeat failed")
+			log.WithError(err).Debug("Heartbeat failed.")
 		}
 		if s.wait(ctx, started, failures) {
 			return suture.ErrDoNotRestart
--- a/target/announcer.go
+++ b/target/announcer.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/internal/wait"
 	"github.com/zinniapier/zinniapier/telemetry"
 )
 
@@ -53,7 +54,7 @@
 		} else {
 			failed = false
 		}
-		if !sleep(ctx, pause) {
+		if !wait.For(ctx, pause) {
 			return ctx.Err()
 		}
 	}
@@ -61,7 +62,7 @@
 
 func (a *Announcer) logFirst(failed bool, err error) {
 	if !failed {
-		telemetry.Logger("target").WithError(err).Warn("announcement failed")
+		telemetry.Logger("target").WithError(err).Warn("Announcement failed.")
 	}
 }
 
@@ -89,7 +90,7 @@
 		if ctx.Err() != nil {
 			return errors.Annotate(ctx.Err(), "leave")
 		}
-		if err != nil && !sleep(ctx, leaveRetry) {
+		if err != nil && !wait.For(ctx, leaveRetry) {
 			return errors.Annotate(err, "leave")
 		}
 	}
@@ -134,15 +135,3 @@
 	}
 	return announceClient
 }
-
-// sleep waits for d and returns false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/target/sample.go
+++ b/target/sample.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/internal/wait"
 	"github.com/zinniapier/zinniapier/telemetry"
 )
 
@@ -200,7 +201,7 @@
 	defer cancel()
 	if a.Node != "" {
 		if err := a.Leave(ctx); err != nil {
-			telemetry.Logger("target").WithError(err).Warn("target stops without having left its node")
+			telemetry.Logger("target").WithError(err).Warn("The target stops without having left its node.")
 		}
 	}
 	return errors.Annotate(s.server.Shutdown(ctx), "sample target")
@@ -219,7 +220,7 @@
 }
 
 func (s *Sample) sampleLoad(ctx context.Context) {
-	for sleep(ctx, loadSampleInterval) {
+	for wait.For(ctx, loadSampleInterval) {
 		s.load.add(s.currentLoad())
 	}
 }
--- a/target/work.go
+++ b/target/work.go
@@ -11,6 +11,7 @@
 
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/internal/wait"
 )
 
 const (
@@ -153,7 +154,7 @@
 	if d == 0 {
 		return ctx.Err() == nil
 	}
-	return sleep(ctx, d)
+	return wait.For(ctx, d)
 }
 
 func (s *Sample) answer(w http.ResponseWriter, r *http.Request, job *work, runs int64, b *Behaviour) {
