placement: a new target gets partitions although the others are within the noise

Ruled out: the test's own traffic (it reaches every partition) and the pace of cold targets (the target is warm). A target below half of its share now starts moves too; the floors of the weights give half to any target with its number of partitions.

--- a/placement/balanced.go
+++ b/placement/balanced.go
@@ -19,7 +19,8 @@
 	// differ; measured loads fluctuate, and each move interrupts a key.
 	tolerance = 0.1
 	// noiseSigmas is the excess over the mean, in standard deviations of the measured load,
-	// that starts no moves; once they start, they go on to the tolerance. Of 7 equally loaded targets, one passes it in 1 of 100 plans.
+	// that starts no moves; once they start, they go on to the tolerance. Of 7 equally loaded
+	// targets, one passes it in 1 of 100 plans.
 	noiseSigmas = 3.0
 	// measuredSeconds is the time that one measured load stands for: requests that arrive at
 	// random in that time make its variance.
@@ -243,7 +244,9 @@
 	return true
 }
 
-// withinNoise says whether no target exceeds the mean by more than chance explains.
+// withinNoise says whether no target exceeds the mean by more than chance explains, and none
+// has less than half of it. The floors of the weights give every target with its share of the
+// partitions about half of the mean, so less means too few partitions, as on a new target.
 func (b *balance) withinNoise() bool {
 	mean := b.mean()
 	for _, x := range b.eligible {
@@ -251,6 +254,9 @@
 		if x.weight-expected > noiseSigmas*math.Sqrt(expected/measuredSeconds) {
 			return false
 		}
+		if x.weight < meanShareFloor*expected {
+			return false
+		}
 	}
 	return true
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -126,6 +126,21 @@
 	is.True(len(Balanced{}.Plan("s", ps, ts, 100)) > 0)
 }
 
+// Guards against a new target that gets no partitions while small loads, uneven by chance,
+// keep the others within the noise.
+func TestBalancedFillsNewTarget(t *testing.T) {
+	is := is.New(t)
+	ps := make([]Partition, 32)
+	for i := range ps {
+		ps[i] = Partition{Index: i, Load: float64(i%5) / 2}
+	}
+	carry(ps, Balanced{}.Plan("s", ps, makeTargets(3), 1000))
+	for range 10 {
+		carry(ps, Balanced{}.Plan("s", ps, makeTargets(4), 2))
+	}
+	is.True(count(ps)["t03"] >= 4) // at least half of its share
+}
+
 // Guards against moves beyond the pace, of partitions on their way, and against unowned
 // partitions that go to a cold target beside warm ones or wait for the pace.
 func TestBalancedPaceAndCold(t *testing.T) {
