Read-through: one check for owned partitions, one status handler, dead code removed

Cause: node and session each scanned the map for partitions of their own session, node and member each built the mux of the counters, and the node polled with a ticker beside package wait. Gate.Resize, telemetry.SetGauge and Member.OperatorAddr had no caller. Ruled out: one pair of host and session test fakes, which only look alike, and ResetCold, which a test uses. Behaviour is unchanged.

--- a/api/view.go
+++ b/api/view.go
@@ -100,3 +100,15 @@
 	}
 	return list[ref.Partition]
 }
+
+// OwnsAny says whether the map assigns any partition to the view's own session.
+func (v *View) OwnsAny() bool {
+	for _, list := range v.Assignments {
+		for i := range list {
+			if list[i].State != Unassigned && list[i].Session == v.Session {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -291,22 +291,6 @@
 	g.limiter.startCold(g.now())
 }
 
-// Resize adopts changed figures of an announcement. Figures that are not positive are kept.
-func (g *Gate) Resize(slots, coldSlots int, ramp time.Duration) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	l := &g.limiter
-	if slots > 0 && slots != l.slots {
-		l.slots = slots
-		l.adaptive = float64(slots)
-	}
-	l.coldSlots = defaultInt(coldSlots, l.coldSlots)
-	if ramp > 0 {
-		l.ramp = ramp
-	}
-	g.pump()
-}
-
 // Snapshot describes the gate now.
 func (g *Gate) Snapshot() Stats {
 	g.mu.Lock()
--- a/member/member.go
+++ b/member/member.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/tls"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/juju/errors"
@@ -124,9 +123,6 @@
 
 func milliseconds(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
 
-// OperatorAddr returns the address of the operator listener, host:port.
-func (m *Member) OperatorAddr() string { return m.operator.Addr().String() }
-
 // Serve runs the member until ctx ends, or until its disk or state machine fails.
 func (m *Member) Serve(ctx context.Context) error {
 	supervisor := daemon.NewSupervisor("member")
@@ -135,9 +131,7 @@
 	supervisor.Add(m.control)
 	supervisor.Add(daemon.NewHTTPService("operator", m.operator, m.control.OperatorHandler()))
 	if m.status != nil {
-		mux := http.NewServeMux()
-		mux.Handle("/debug/vars", telemetry.Handler())
-		supervisor.Add(daemon.NewHTTPService("status", m.status, mux))
+		supervisor.Add(daemon.NewHTTPService("status", m.status, telemetry.Handler()))
 	}
 	telemetry.Logger("member").WithField("name", m.settings.Name).Info("Control member is up.")
 	return supervisor.Serve(ctx)
--- a/node/node.go
+++ b/node/node.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +17,7 @@
 	"github.com/zinniapier/zinniapier/gate"
 	"github.com/zinniapier/zinniapier/gateway"
 	"github.com/zinniapier/zinniapier/host"
+	"github.com/zinniapier/zinniapier/internal/wait"
 	"github.com/zinniapier/zinniapier/rpc"
 	"github.com/zinniapier/zinniapier/session"
 	"github.com/zinniapier/zinniapier/telemetry"
@@ -223,9 +223,7 @@
 	s.Add(daemon.NewInternalHTTPService("announce", n.announce, n.registry.AnnounceHandler()))
 	s.Add(daemon.Service{Name: "rpc", Run: func(ctx context.Context) error { return n.rpc.Serve(ctx, n.fate) }})
 	if n.status != nil {
-		mux := http.NewServeMux()
-		mux.Handle("/debug/vars", telemetry.Handler())
-		s.Add(daemon.NewHTTPService("status", n.status, mux))
+		s.Add(daemon.NewHTTPService("status", n.status, telemetry.Handler()))
 	}
 }
 
@@ -250,32 +248,13 @@
 
 // awaitHandover waits until no local target holds a grant or runs a request.
 func (n *Node) awaitHandover(ctx context.Context) {
-	tick := time.NewTicker(leavePoll)
-	defer tick.Stop()
-	for !n.registry.Idle() || n.view().ownsAny() {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	for n.holdsWork() && wait.For(ctx, leavePoll) {
 	}
 }
 
-type nodeView struct{ *api.View }
-
-func (n *Node) view() nodeView { return nodeView{n.session.View()} }
-
-// ownsAny says whether the map assigns any partition to this session.
-func (v nodeView) ownsAny() bool {
-	if !v.LeaseValid(time.Now()) {
-		return false
-	}
-	for _, list := range v.Assignments {
-		for i := range list {
-			if list[i].State != api.Unassigned && list[i].Session == v.Session {
-				return true
-			}
-		}
-	}
-	return false
+// holdsWork says whether a local target holds a grant or runs a request, or the map assigns
+// a partition to this session while it has a lease.
+func (n *Node) holdsWork() bool {
+	v := n.session.View()
+	return !n.registry.Idle() || v.LeaseValid(time.Now()) && v.OwnsAny()
 }
--- a/session/leave.go
+++ b/session/leave.go
@@ -6,7 +6,6 @@
 
 	"github.com/juju/errors"
 
-	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
 )
 
@@ -51,20 +50,7 @@
 }
 
 func (s *Session) drained() bool {
-	return owned(s.View()) == 0 && s.o.Idle()
-}
-
-// owned counts the partitions assigned to the view's own session.
-func owned(v *api.View) int {
-	n := 0
-	for _, list := range v.Assignments {
-		for i := range list {
-			if list[i].State != api.Unassigned && list[i].Session == v.Session {
-				n++
-			}
-		}
-	}
-	return n
+	return !s.View().OwnsAny() && s.o.Idle()
 }
 
 // end ends the lease, so that nothing is admitted any more, and sends the final heartbeat.
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -47,13 +47,6 @@
 // CountEvent adds n to a named counter that is neither a refusal nor a retry.
 func CountEvent(name string, n int64) { events.Add(name, n) }
 
-// SetGauge publishes the current value of a named quantity.
-func SetGauge(name string, value int64) {
-	v := new(expvar.Int)
-	v.Set(value)
-	events.Set(name, v)
-}
-
 // Refusals returns the counter of refusals of the kind.
 func Refusals(kind errkind.Kind) int64 { return read(refusals, string(kind)) }
 
@@ -70,5 +63,9 @@
 	return 0
 }
 
-// Handler serves the counters.
-func Handler() http.Handler { return expvar.Handler() }
+// Handler serves the counters at /debug/vars.
+func Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/debug/vars", expvar.Handler())
+	return mux
+}
