--- a/api/control.go
+++ b/api/control.go
@@ -18,6 +18,17 @@
 	Target  TargetID        `json:"target,omitempty"`
 	Session SessionID       `json:"session,omitempty"`
 	Epoch   Epoch           `json:"epoch,omitempty"`
+	// Place is the Place of the target that the partition was granted to.
+	Place string `json:"place,omitempty"`
+	// Handover is the token that the last owner gave with its release. A new owner that gets it
+	// starts with the state of the last one.
+	Handover string `json:"handover,omitempty"`
+}
+
+// Serves says whether the owner admits requests. One that pulls its grants does until it reads
+// that it has lost them.
+func (a Assignment) Serves() bool {
+	return a.State == Granted || a.State == Releasing && a.Place != ""
 }
 
 // PartitionRef names a partition of a service. Partitions at and above the service's
@@ -50,6 +61,11 @@
 	ZonesOut        []string          `json:"zones_out"`
 	TargetsOut      []TargetID        `json:"targets_out"`
 	Overrides       []Override        `json:"overrides"`
+	// Label is the operators' own number of the configuration, for those who replace it whole.
+	Label uint64 `json:"label,omitempty"`
+	// Document is the text that the configuration was replaced by, as the operator sent it. It
+	// is not sent to nodes.
+	Document []byte `json:"document,omitempty"`
 }
 
 // Assignments maps each service divided by key to its partitions.
@@ -83,8 +99,21 @@
 	TargetOut          ChangeKind = "target-out"          // Name: target id
 	TargetIn           ChangeKind = "target-in"           // Name: target id
 	AddOverride        ChangeKind = "add-override"        // Override, without Partition
+	// Replace replaces services, organisations and organisation keys as a whole. It is based on
+	// a label: Replacement.BaseLabel takes the place of BaseVersion.
+	Replace ChangeKind = "replace" // Replacement
 )
 
+// Replacement is a whole configuration under the operators' own number.
+type Replacement struct {
+	Label         uint64            `json:"label"`
+	BaseLabel     uint64            `json:"base_label"`
+	Services      Services          `json:"services"`
+	Organisations []Organisation    `json:"organisations"`
+	Keys          []OrganisationKey `json:"keys"`
+	Document      []byte            `json:"document"`
+}
+
 // Change is an operator's change to the configuration.
 type Change struct {
 	// ID is chosen by the operator's tool; a resend carries the same one.
@@ -97,6 +126,9 @@
 	Organisation *Organisation    `json:"organisation,omitempty"`
 	Key          *OrganisationKey `json:"key,omitempty"`
 	Override     *Override        `json:"override,omitempty"`
+	Replacement  *Replacement     `json:"replacement,omitempty"`
+	// Unconditional changes of a zone ignore BaseVersion and succeed when there is nothing to change.
+	Unconditional bool `json:"unconditional,omitempty"`
 }
 
 // ChangeResult is the answer to a Change.
--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -23,6 +23,9 @@
 	Cold bool `json:"cold"`
 	// Load is the moving average of requests in progress at the gate.
 	Load float64 `json:"load"`
+	// Place names the address on a host where only one target can run at a time: another target
+	// that is reported for it proves that this one has ended. Empty when there is no such proof.
+	Place string `json:"place,omitempty"`
 	// PartitionLoad is the recent requests per second by partition; idle partitions are left out.
 	PartitionLoad map[int]float64 `json:"partition_load,omitempty"`
 	// HotKeys are single keys with a large share of the load of their partition.
@@ -40,6 +43,8 @@
 type Released struct {
 	PartitionRef
 	Epoch Epoch `json:"epoch"`
+	// Handover is the token that the target gave with the release, if any.
+	Handover string `json:"handover,omitempty"`
 }
 
 // TokenReport is a node's account for one organisation. All counts are cumulative over
@@ -136,6 +141,8 @@
 	PeersChanged bool
 	// Tokens holds the organisations for which the session has an account at the leader.
 	Tokens map[OrganisationID]TokenReply
+	// Issues says that the leader issues tokens; a new one may have to wait.
+	Issues bool
 	// Members are the addresses of the control members' rpc listeners.
 	Members []string
 }
--- a/api/services.go
+++ b/api/services.go
@@ -1,5 +1,7 @@
 package api
 
+import "strconv"
+
 // Services is the parsed services file: every service and what it depends on.
 type Services struct {
 	Services []Service `json:"services"`
@@ -20,6 +22,10 @@
 	TargetChoice string `json:"target_choice,omitempty"`
 	// Placement names the placement policy of a service divided by key.
 	Placement string `json:"placement,omitempty"`
+	// MaxConnections is the greatest number of connections to one target; 0 leaves it to the announcement.
+	MaxConnections int `json:"max_connections,omitempty"`
+	// ColdRate is the number of requests per second that a cold target bears; 0 means no such bound.
+	ColdRate float64 `json:"cold_rate,omitempty"`
 }
 
 // KeySource says where the owned key stands in a request. Exactly one field is set.
@@ -30,11 +36,56 @@
 	Header string `json:"header,omitempty"`
 	// Query is the name of a query parameter.
 	Query string `json:"query,omitempty"`
+	// Span makes the key a number from 0 to Span-1: partitions are then ranges of numbers of
+	// nearly equal length. 0 means that keys are texts, which are hashed.
+	Span int `json:"span,omitempty"`
+}
+
+// KeyRange is a range of numeric keys, both ends included.
+type KeyRange struct{ First, Last int }
+
+// Ranged says whether the service is divided into ranges of numeric keys.
+func (s *Service) Ranged() bool { return s.Key != nil && s.Key.Span > 0 }
+
+// Range returns the keys of a partition of a ranged service.
+func (s *Service) Range(partition int) KeyRange {
+	return KeyRange{First: s.firstKey(partition), Last: s.firstKey(partition+1) - 1}
+}
+
+// firstKey is the least key whose partition is the given one: Span*p/Partitions, rounded up.
+func (s *Service) firstKey(partition int) int {
+	return (s.Key.Span*partition + s.Partitions - 1) / s.Partitions
+}
+
+// PartitionOf returns the partition of a key, ignoring overrides, and -1 for a key that a ranged
+// service cannot have.
+func (s *Service) PartitionOf(key string) int {
+	if !s.Ranged() {
+		return PartitionOf(key, s.Partitions)
+	}
+	n, err := strconv.Atoi(key)
+	if err != nil || n < 0 || n >= s.Key.Span {
+		return -1
+	}
+	return n * s.Partitions / s.Key.Span
 }
 
 // Route maps requests to a service. Prefix matches whole path segments.
 type Route struct {
+	Name   string `json:"name,omitempty"`
 	Prefix string `json:"prefix"`
+	// Host limits the route to requests for this host; empty means any.
+	Host string `json:"host,omitempty"`
+	// Split sends shares of the requests to several services in place of the one that lists the route.
+	Split []RouteShare `json:"split,omitempty"`
+	// TimeoutMs is the longest time that a request may be kept waiting; 0 means the service's deadline.
+	TimeoutMs int `json:"timeout_ms,omitempty"`
+	// ObjectiveMs is the time within which an answer is worth most; 0 means none is stated.
+	ObjectiveMs int `json:"objective_ms,omitempty"`
+	// Attempts bounds the targets that one request may be sent to; 0 means the node's setting.
+	Attempts int `json:"attempts,omitempty"`
+	// Priority is the rank in a queue; 0 is the most urgent.
+	Priority int `json:"priority,omitempty"`
 	// Methods limits the route to these methods; empty means all.
 	Methods []string `json:"methods,omitempty"`
 	// Open routes need no organisation key.
@@ -43,6 +94,13 @@
 	Idempotent *bool `json:"idempotent,omitempty"`
 }
 
+// RouteShare is the part of a route's requests that goes to a service.
+type RouteShare struct {
+	Service string `json:"service"`
+	// Weight is relative to the sum over the route.
+	Weight float64 `json:"weight"`
+}
+
 // Divided says whether the service is divided by key.
 func (s *Service) Divided() bool { return s.Key != nil }
 
@@ -59,14 +117,19 @@
 // Organisation is a customer with a fleet-wide rate and burst.
 type Organisation struct {
 	ID OrganisationID `json:"id"`
-	// Rate is in requests per second over all hosts.
+	// Rate is in requests per second over all hosts; 0 together with a Burst of 0 means no limit.
 	Rate float64 `json:"rate"`
 	// Burst is the greatest number of requests admitted at once.
 	Burst float64 `json:"burst"`
 	// Weight is the share in fair queueing. Default 1.
 	Weight float64 `json:"weight,omitempty"`
+	// Priority replaces the priority of the route when it is set.
+	Priority *int `json:"priority,omitempty"`
 }
 
+// Limited says whether the organisation has a rate and a burst.
+func (o *Organisation) Limited() bool { return o.Rate > 0 || o.Burst > 0 }
+
 // OrganisationKey is a credential; only its digest is stored.
 type OrganisationKey struct {
 	ID           string         `json:"id"`
--- a/api/target.go
+++ b/api/target.go
@@ -1,5 +1,7 @@
 package api
 
+import "time"
+
 // Paths of the target protocol.
 const (
 	PathAnnounce = "/v1/announce" // target to node
@@ -21,6 +23,9 @@
 	HeaderAttemptsLeft = "Zinnia-Attempts-Left"
 	HeaderHop          = "Zinnia-Hop"
 	HeaderIdempotent   = "Zinnia-Idempotent"
+	HeaderOrigin       = "Zinnia-Origin"
+	HeaderPriority     = "Zinnia-Priority"
+	HeaderExpected     = "Zinnia-Expected-Ms"
 	HeaderCold         = "Zinnia-Cold"
 	HeaderShed         = "Zinnia-Shed"
 )
@@ -47,6 +52,42 @@
 	EchoesAttempt bool `json:"echoes_attempt"`
 	// ClockMs is the target's monotonic clock in milliseconds.
 	ClockMs int64 `json:"clock_ms"`
+	// Instance is how the target names itself in requests and answers. Default ID.
+	Instance string `json:"instance,omitempty"`
+	// StartedMs orders the instances at one address: the Unix time in milliseconds of their start.
+	StartedMs int64 `json:"started_ms,omitempty"`
+	// Pulls says that the target takes its grants from the replies to its announcements.
+	Pulls bool `json:"pulls,omitempty"`
+}
+
+// Pull is what a target that pulls its grants says in an announcement.
+type Pull struct {
+	// Sequence grows with each announcement of the instance.
+	Sequence uint64
+	Draining bool
+	// ColdFor is how much longer the target is in its cold start.
+	ColdFor time.Duration
+	// Holds are the ranges that the target holds or still works on.
+	Holds []RangeGrant
+	// Released are the ranges that it has released since its last acknowledged announcement.
+	Released []RangeGrant
+}
+
+// RangeGrant is a grant of a range of numeric keys.
+type RangeGrant struct {
+	KeyRange
+	Epoch Epoch
+	// Handover is the token of a release, or the one that a new owner gets; empty for none.
+	Handover string
+}
+
+// PullReply is the complete set of grants of a target.
+type PullReply struct {
+	// Renews says that the reply carries grants; without a lease a node has none to give.
+	Renews bool
+	Grants []RangeGrant
+	// Hold is how long the grants are valid, counted by the target from when it sent the announcement.
+	Hold time.Duration
 }
 
 // AnnouncementReply answers an announcement or a leave.
--- a/api/view.go
+++ b/api/view.go
@@ -8,7 +8,12 @@
 	Session SessionID
 	Zone    string
 	// LeaseUntil is the end of the session lease; the zero time before the first heartbeat.
-	LeaseUntil    time.Time
+	LeaseUntil time.Time
+	// LeaseEnd is the same by boottime.Now, which also counts while the machine is suspended.
+	LeaseEnd time.Duration
+	// WithoutLease says that the node goes on serving what needs no ownership when its lease has
+	// ended.
+	WithoutLease  bool
 	Term          uint64
 	Configuration *Configuration
 	MapVersion    uint64
@@ -89,7 +94,7 @@
 	if p, ok := v.Index.Overrides[s.Name][key]; ok {
 		return p
 	}
-	return PartitionOf(key, s.Partitions)
+	return s.PartitionOf(key)
 }
 
 // Owner returns the assignment of a partition; its state is Unassigned when nobody owns it.
@@ -101,6 +106,12 @@
 	return list[ref.Partition]
 }
 
+// Usable says whether undivided work may be admitted: while the lease is valid, or with any
+// configuration when the node goes on without a lease.
+func (v *View) Usable(now time.Time) bool {
+	return v.LeaseValid(now) || v.WithoutLease && v.Configuration != nil
+}
+
 // OwnsAny says whether the map assigns any partition to the view's own session.
 func (v *View) OwnsAny() bool {
 	for _, list := range v.Assignments {
--- a/capacity/spread.go
+++ b/capacity/spread.go
@@ -32,6 +32,7 @@
 func (idleTokens) Report() map[api.OrganisationID]api.TokenReport      { return nil }
 func (idleTokens) Apply(uint64, map[api.OrganisationID]api.TokenReply) {}
 func (idleTokens) Expire()                                             {}
+func (idleTokens) Heard(time.Time)                                     {}
 func (idleTokens) Reset()                                              {}
 
 // sessions are sessions of the real node side in this process.
--- a/cmd/zinnia-control/main.go
+++ b/cmd/zinnia-control/main.go
@@ -10,14 +10,32 @@
 	"github.com/zinniapier/zinniapier/config"
 	"github.com/zinniapier/zinniapier/daemon"
 	"github.com/zinniapier/zinniapier/member"
+	"github.com/zinniapier/zinniapier/platform"
 	"github.com/zinniapier/zinniapier/telemetry"
 )
 
 func main() {
 	app := kingpin.New("zinnia-control", "A member of the replicated control group.")
-	path := app.Flag("settings", "Path of the JSON settings.").Required().String()
+	path := app.Flag("settings", "Path of the JSON settings.").String()
+	onPlatform := app.Flag("platform", "Read the platform's settings instead.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	daemon.Exit(run(*path))
+	switch {
+	case *onPlatform:
+		daemon.Exit(runOnPlatform())
+	case *path == "":
+		app.Fatalf("required flag --settings or --platform not provided")
+	default:
+		daemon.Exit(run(*path))
+	}
+}
+
+func runOnPlatform() error {
+	if err := telemetry.SetOutput(os.Stdout, "info"); err != nil {
+		return err
+	}
+	ctx, stop := daemon.SignalContext()
+	defer stop()
+	return platform.RunMember(ctx)
 }
 
 func run(path string) error {
--- a/control/control.go
+++ b/control/control.go
@@ -17,6 +17,7 @@
 	"github.com/zinniapier/zinniapier/rpc"
 	"github.com/zinniapier/zinniapier/state"
 	"github.com/zinniapier/zinniapier/telemetry"
+	"github.com/zinniapier/zinniapier/tokens"
 )
 
 const (
@@ -51,6 +52,15 @@
 	Tick time.Duration
 	// MovesPerTarget is the least number of concurrent moves into one target. Default 4.
 	MovesPerTarget int
+	// PlanDelay is how long a new leader waits for the nodes to turn to it before it plans, at
+	// most one lease plus margin, which is the default. What is owned by a session that it has
+	// not heard of stays owned for the whole lease in any case.
+	PlanDelay time.Duration
+	// MinVoters is the number of voters that the group must have before it accepts its first
+	// whole configuration; 0 means any.
+	MinVoters int
+	// RateTolerance is by how much organisations may exceed their limits.
+	RateTolerance tokens.Tolerance
 	// BalanceInterval is the time between two plans by measured load. Default 1 s.
 	BalanceInterval time.Duration
 }
@@ -62,6 +72,7 @@
 	setDefault(&o.Lease, api.DefaultLease)
 	setDefault(&o.Margin, api.DefaultDriftMargin)
 	setDefault(&o.Tick, defaultTick)
+	setDefault(&o.PlanDelay, o.Lease+o.Margin)
 	setDefault(&o.MovesPerTarget, defaultMovesPerTarget)
 	setDefault(&o.BalanceInterval, defaultBalanceInterval)
 	return nil
@@ -83,6 +94,7 @@
 	outcomes   chan outcome
 	wake       chan struct{}
 	leader     *leader // nil on a follower
+	forwards   forwardClients
 }
 
 // outcome is the end of a proposal of the loop.
--- a/control/leader.go
+++ b/control/leader.go
@@ -22,6 +22,9 @@
 	// waitUntil is one lease plus margin after the start of the term. Until then sessions
 	// that this leader has not heard of may hold a lease.
 	waitUntil time.Time
+	// planFrom is the end of the time in which nodes turn to a new leader. A plan before it would
+	// give everything to the first targets that are reported.
+	planFrom time.Time
 
 	sessions map[api.SessionID]*session
 	// opening holds the sessions that asked for a lease and are not yet in the log.
@@ -37,8 +40,8 @@
 	peersVersion uint64
 	peersDirty   bool
 
-	// released holds the epochs that nodes have reported as released.
-	released map[api.PartitionRef]api.Epoch
+	// released holds the releases that nodes have reported.
+	released map[api.PartitionRef]api.Released
 	// intended holds the target that a partition is being moved to.
 	intended map[api.PartitionRef]api.TargetID
 	// evacuating holds since when a service has partitions on targets that must lose them.
@@ -55,12 +58,13 @@
 		log:        log,
 		term:       term,
 		waitUntil:  now.Add(span),
+		planFrom:   now.Add(min(span, o.PlanDelay)),
 		sessions:   make(map[api.SessionID]*session),
 		opening:    make(map[api.SessionID]struct{}),
 		unheard:    make(map[api.SessionID]time.Time),
 		tokensWait: true,
-		authority:  tokens.NewAuthority(now, span),
-		released:   make(map[api.PartitionRef]api.Epoch),
+		authority:  tokens.NewAuthority(now, span, o.RateTolerance),
+		released:   make(map[api.PartitionRef]api.Released),
 		intended:   make(map[api.PartitionRef]api.TargetID),
 		evacuating: make(map[string]time.Time),
 		holds:      make(map[api.PartitionRef]time.Time),
@@ -79,8 +83,9 @@
 	l.authority.Advance(now)
 	l.expire(view, now)
 	l.endTokensWait(view, now)
+	l.reserveSilent(view, now)
 	batch := &state.Batch{Term: l.term}
-	if !l.waiting(now) {
+	if !now.Before(l.planFrom) {
 		batch = l.plan(view, now)
 	}
 	l.planSessions(view, now, batch)
--- a/control/plan.go
+++ b/control/plan.go
@@ -65,13 +65,31 @@
 			targets[t.ID] = &targetInfo{TargetReport: t, session: id, eligible: eligible, zone: zone}
 		}
 	}
+	l.dropReplaced(targets)
 	return targets
 }
 
+// dropReplaced leaves out the targets whose place is reported to have another one since: the old
+// session of a restarted machine is still open.
+func (l *leader) dropReplaced(targets map[api.TargetID]*targetInfo) {
+	latest := make(map[string]*targetInfo)
+	for _, t := range targets {
+		other := latest[t.Place]
+		if t.Place != "" && (other == nil || l.sessions[t.session].deadline.After(l.sessions[other.session].deadline)) {
+			latest[t.Place] = t
+		}
+	}
+	for id, t := range targets {
+		if t.Place != "" && latest[t.Place] != t {
+			delete(targets, id)
+		}
+	}
+}
+
 // forgetStale drops notes on assignments that have changed since.
 func (l *leader) forgetStale(view *api.ControlState) {
-	for ref, epoch := range l.released {
-		if a := assignment(view, ref); a.Epoch != epoch || a.State == api.Unassigned {
+	for ref, r := range l.released {
+		if a := assignment(view, ref); a.Epoch != r.Epoch || a.State == api.Unassigned {
 			delete(l.released, ref)
 		}
 	}
@@ -98,6 +116,8 @@
 	// removed says that the service is no longer configured; nothing is granted.
 	removed bool
 	targets map[api.TargetID]*targetInfo
+	// byPlace holds the targets at places where only one can run at a time.
+	byPlace map[string]api.TargetID
 
 	partitions []placement.Partition
 	// evacuate lists the granted partitions whose owner must lose them.
@@ -109,6 +129,12 @@
 	p.into = make(map[api.TargetID]int)
 	service := p.view.Configuration.Services.Find(p.name)
 	p.removed = service == nil
+	p.byPlace = make(map[string]api.TargetID)
+	for id, t := range p.targets {
+		if t.Place != "" {
+			p.byPlace[t.Place] = id
+		}
+	}
 	for i, a := range p.view.Assignments[p.name] {
 		p.classify(i, a)
 	}
@@ -136,9 +162,11 @@
 // classify releases what can be released and describes the partition to the policy.
 func (p *servicePlan) classify(i int, a api.Assignment) {
 	if a.State != api.Unassigned && p.mayRelease(i, a) && !p.full() {
-		p.batch.Releases = append(p.batch.Releases, state.Step{PartitionRef: p.ref(i), Expected: a.Epoch})
+		step := state.Step{PartitionRef: p.ref(i), Expected: a.Epoch, Handover: p.released[p.ref(i)].Handover}
+		p.batch.Releases = append(p.batch.Releases, step)
 		a = api.Assignment{Epoch: a.Epoch}
 	}
+	p.rebind(i, a)
 	switch a.State {
 	case api.Unassigned:
 		p.partitions = append(p.partitions, placement.Partition{Index: i, Load: p.load(i, a.Target)})
@@ -153,10 +181,33 @@
 // mayRelease says whether the old owner can no longer serve the partition: its lease has
 // ended, or its node has reported the grant as released.
 func (p *servicePlan) mayRelease(i int, a api.Assignment) bool {
-	if !p.live(a.Session) {
+	if !p.live(a.Session, p.now) || p.replaced(a) {
 		return true
 	}
-	return p.released[p.ref(i)] == a.Epoch && !p.held(i, a)
+	return p.released[p.ref(i)].Epoch == a.Epoch && !p.held(i, a)
+}
+
+// replaced says that another target runs at the place of the owner, which has therefore ended.
+func (p *servicePlan) replaced(a api.Assignment) bool {
+	if a.Place == "" || p.targets[a.Target] != nil {
+		return false
+	}
+	_, other := p.byPlace[a.Place]
+	return other
+}
+
+// rebind gives an assignment to the session that now reports its target: the node was
+// restarted and the target was not. Only targets with a place are reported by no other node.
+func (p *servicePlan) rebind(i int, a api.Assignment) {
+	t := p.targets[a.Target]
+	if a.State == api.Unassigned || a.Place == "" || t == nil || t.session == a.Session || p.full() {
+		return
+	}
+	p.batch.Rebinds = append(p.batch.Rebinds, state.Grant{
+		Step:    state.Step{PartitionRef: p.ref(i), Expected: a.Epoch},
+		Target:  a.Target,
+		Session: t.session,
+	})
 }
 
 func (p *servicePlan) classifyGranted(i int, a api.Assignment) {
@@ -201,6 +252,7 @@
 		Step:    state.Step{PartitionRef: p.ref(i), Expected: expected},
 		Target:  t.ID,
 		Session: t.session,
+		Place:   t.Place,
 	})
 }
 
@@ -212,7 +264,7 @@
 // revokeAll revokes what cannot stay, when there is no target to receive it.
 func (p *servicePlan) revokeAll() {
 	for i, a := range p.view.Assignments[p.name] {
-		if a.State != api.Granted || p.full() || !p.live(a.Session) || p.released[p.ref(i)] == a.Epoch {
+		if a.State != api.Granted || p.full() || !p.live(a.Session, p.now) || p.released[p.ref(i)].Epoch == a.Epoch {
 			continue
 		}
 		if p.removed || slices.Contains(p.evacuate, i) {
--- a/control/reply.go
+++ b/control/reply.go
@@ -16,12 +16,15 @@
 		ConfigVersion: view.Configuration.Version,
 		MapVersion:    view.MapVersion,
 		Tokens:        tokens,
+		Issues:        !l.tokensWait,
 	}
 	if !s.final {
 		r.Lease = l.o.Lease
 	}
 	if s.last.ConfigVersion != view.Configuration.Version {
-		r.Configuration = &view.Configuration
+		configuration := view.Configuration
+		configuration.Document = nil
+		r.Configuration = &configuration
 	}
 	l.fillMap(r, view, s.last.MapVersion)
 	l.fillPeers(r, view, s.last.PeersVersion, now)
--- /dev/null
+++ b/control/reserve.go
@@ -0,0 +1,35 @@
+package control
+
+import (
+	"time"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/tokens"
+)
+
+// reserveSilent sets aside the share of the rates that nodes out of contact admit by themselves.
+func (l *leader) reserveSilent(view *api.ControlState, now time.Time) {
+	latest := make(map[string]*session)
+	for _, s := range l.sessions {
+		name := s.last.Name
+		if !s.final && (latest[name] == nil || s.deadline.After(latest[name].deadline)) {
+			latest[name] = s
+		}
+	}
+	silent := 0
+	for _, s := range latest {
+		heard := s.deadline.Add(-l.o.Lease - l.o.Margin)
+		if now.Sub(heard) >= tokens.ReserveAfter {
+			silent++
+		}
+	}
+	unheard := 0
+	for _, id := range view.Sessions {
+		if l.sessions[id] == nil {
+			unheard++
+		}
+	}
+	if n := len(latest) + unheard; n > 0 {
+		l.authority.Reserve(now, float64(silent+unheard)/float64(n))
+	}
+}
--- a/control/session.go
+++ b/control/session.go
@@ -93,10 +93,14 @@
 	return false
 }
 
-// live says whether the session holds a lease.
-func (l *leader) live(id api.SessionID) bool {
+// live says whether the session may hold a lease. During the wait of a new leader, sessions
+// that it has not heard of may.
+func (l *leader) live(id api.SessionID, now time.Time) bool {
 	s := l.sessions[id]
-	return s != nil && !s.lost
+	if s == nil {
+		return l.waiting(now)
+	}
+	return !s.lost
 }
 
 func (l *leader) end(id api.SessionID, s *session) {
@@ -126,7 +130,7 @@
 		if a.State == api.Unassigned || a.Session != req.Session || a.Epoch != r.Epoch {
 			continue
 		}
-		l.released[r.PartitionRef] = r.Epoch
+		l.released[r.PartitionRef] = r
 		found = true
 	}
 	return found
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -34,6 +34,23 @@
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
 
+// OnReload calls f after each SIGHUP until ctx ends. Without it SIGHUP ends the process.
+func OnReload(ctx context.Context, f func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	go func() {
+		defer signal.Stop(signals)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-signals:
+				f()
+			}
+		}
+	}()
+}
+
 // Exit ends the process: status 0 for nil or a cancelled context, else 1 with the error on stderr.
 func Exit(err error) {
 	if err == nil || errors.Is(err, context.Canceled) {
--- a/gate/fair.go
+++ b/gate/fair.go
@@ -111,7 +111,8 @@
 
 func (q *fairQueue) Len() int { return q.length }
 
-func (q *fairQueue) Ahead(org api.OrganisationID, weight float64) int {
+func (q *fairQueue) Ahead(c Claim) int {
+	org, weight := c.Organisation, c.Weight
 	own := 0
 	if f, ok := q.flows[org]; ok {
 		own = len(f.waiters)
@@ -128,7 +129,8 @@
 
 // Displace drops the newest waiter of the organisation with the longest list for its
 // weight, unless the new waiter's own organisation would then have the longest.
-func (q *fairQueue) Displace(org api.OrganisationID, weight float64) *Waiter {
+func (q *fairQueue) Displace(c Claim) *Waiter {
+	org, weight := c.Organisation, c.Weight
 	var longest *flow
 	for _, f := range q.active {
 		if longest == nil || f.backlog() > longest.backlog() {
--- a/gate/fifo.go
+++ b/gate/fifo.go
@@ -1,7 +1,5 @@
 package gate
 
-import "github.com/zinniapier/zinniapier/api"
-
 func init() { Queues.Register("fifo", func() Queue { return new(fifoQueue) }) }
 
 // fifoQueue serves in order of arrival whatever the organisation; the baseline.
@@ -27,9 +25,9 @@
 
 func (q *fifoQueue) Len() int { return len(q.waiters) }
 
-func (q *fifoQueue) Ahead(api.OrganisationID, float64) int { return len(q.waiters) }
+func (q *fifoQueue) Ahead(Claim) int { return len(q.waiters) }
 
-func (q *fifoQueue) Displace(api.OrganisationID, float64) *Waiter { return nil }
+func (q *fifoQueue) Displace(Claim) *Waiter { return nil }
 
 // without returns the list without w and whether w was in it.
 func without(list []*Waiter, w *Waiter) ([]*Waiter, bool) {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -36,6 +36,8 @@
 	QueueLength int
 	// NoColdStart switches the cold-start ramp off.
 	NoColdStart bool
+	// FixedLimit switches the adaptive limit off: the target may run as many as it has slots.
+	FixedLimit bool
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -74,6 +76,7 @@
 	running int
 	limiter limiter
 	load    loadAverage
+	cold    coldPace
 }
 
 // New returns a gate whose target is in a cold start. It panics when the queue policy is
@@ -91,6 +94,7 @@
 		ramp:      o.Ramp,
 		noRamp:    o.NoColdStart,
 		adaptive:  float64(o.Slots),
+		fixed:     o.FixedLimit,
 	}
 	g.limiter.startCold(g.now())
 	return g
@@ -135,13 +139,27 @@
 // Errors: Overloaded when the queue is full, DeadlineExceeded when ctx ends first or the
 // deadline of ctx cannot be met; both mean that nothing has run.
 func (g *Gate) Acquire(ctx context.Context, org api.OrganisationID, weight float64) (*Slot, error) {
+	return g.AcquireFor(ctx, Claim{Organisation: org, Weight: weight})
+}
+
+// Claim says for whom a slot is wanted.
+type Claim struct {
+	Organisation api.OrganisationID
+	// Weight is the organisation's share; one that is not positive counts as 1.
+	Weight float64
+	// Priority is the rank of the request; 0 is the most urgent.
+	Priority int
+}
+
+// AcquireFor is Acquire with a priority, which the queue policy may use.
+func (g *Gate) AcquireFor(ctx context.Context, c Claim) (*Slot, error) {
 	if ctx.Err() != nil {
 		return nil, errkind.New(errkind.DeadlineExceeded, "ended before admission: %v", ctx.Err())
 	}
-	if weight <= 0 {
-		weight = 1
+	if c.Weight <= 0 {
+		c.Weight = 1
 	}
-	w, err := g.admit(ctx, org, weight)
+	w, err := g.admit(ctx, c)
 	if err != nil {
 		return nil, err
 	}
@@ -156,23 +174,22 @@
 }
 
 // admit takes a slot at once, or returns the queued waiter.
-func (g *Gate) admit(ctx context.Context, org api.OrganisationID, weight float64) (*Waiter, error) {
+func (g *Gate) admit(ctx context.Context, c Claim) (*Waiter, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
 	g.limiter.advance(now)
-	if g.queue.Len() == 0 && g.limiter.bears(g.running+1) {
-		g.load.advance(now, g.running)
-		g.running++
+	if g.queue.Len() == 0 && g.limiter.bears(g.running+1) && g.cold.wait(now) == 0 {
+		g.start(now)
 		return nil, nil
 	}
-	if err := g.checkDeadline(ctx, now, org, weight); err != nil {
+	if err := g.checkDeadline(ctx, now, c); err != nil {
 		return nil, err
 	}
-	if err := g.makeRoom(org, weight); err != nil {
+	if err := g.makeRoom(c); err != nil {
 		return nil, err
 	}
-	w := &Waiter{Organisation: org, Weight: weight, ready: make(chan struct{}), mean: g.limiter.times.mean}
+	w := &Waiter{Claim: c, ready: make(chan struct{}), mean: g.limiter.times.mean}
 	g.queue.Push(w)
 	g.pump()
 	return w, nil
@@ -180,13 +197,13 @@
 
 // checkDeadline refuses a request that would not be answered before its deadline, given
 // the mean service time and its position in the queue.
-func (g *Gate) checkDeadline(ctx context.Context, now time.Time, org api.OrganisationID, weight float64) error {
+func (g *Gate) checkDeadline(ctx context.Context, now time.Time, c Claim) error {
 	deadline, ok := ctx.Deadline()
 	mean := g.limiter.times.mean
 	if !ok || mean == 0 {
 		return nil
 	}
-	turns := time.Duration(g.queue.Ahead(org, weight) + 1)
+	turns := time.Duration(g.queue.Ahead(c) + 1)
 	need := mean*turns/time.Duration(g.limiter.limit()) + mean
 	if deadline.Sub(now) >= need {
 		return nil
@@ -204,11 +221,11 @@
 	return context.WithDeadline(ctx, deadline.Add(-mean))
 }
 
-func (g *Gate) makeRoom(org api.OrganisationID, weight float64) error {
+func (g *Gate) makeRoom(c Claim) error {
 	if g.queue.Len() < g.queueLength {
 		return nil
 	}
-	w := g.queue.Displace(org, weight)
+	w := g.queue.Displace(c)
 	if w == nil {
 		return errkind.New(errkind.Overloaded, "queue of %d is full", g.queueLength)
 	}
@@ -240,16 +257,27 @@
 // pump hands free slots to waiters. The caller holds the lock.
 func (g *Gate) pump() {
 	for g.limiter.bears(g.running + 1) {
+		now := g.now()
+		if wait := g.cold.wait(now); wait > 0 && g.queue.Len() > 0 {
+			g.resumeAfter(wait)
+			return
+		}
 		w := g.queue.Pop()
 		if w == nil {
 			return
 		}
-		g.load.advance(g.now(), g.running)
-		g.running++
+		g.start(now)
 		close(w.ready)
 	}
 }
 
+// start counts a request as running. The caller holds the lock.
+func (g *Gate) start(now time.Time) {
+	g.load.advance(now, g.running)
+	g.running++
+	g.cold.note(now)
+}
+
 // Release gives the slot back and reports how the request ended. Only the first call counts.
 func (s *Slot) Release(o Outcome) {
 	s.once.Do(func() { s.gate.release(o) })
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -101,8 +101,8 @@
 	is := is.New(t)
 	q := newFairQueue()
 	for range 40 {
-		q.Push(&Waiter{Organisation: "heavy", Weight: 3})
-		q.Push(&Waiter{Organisation: "light", Weight: 1})
+		q.Push(&Waiter{Claim: Claim{Organisation: "heavy", Weight: 3}})
+		q.Push(&Waiter{Claim: Claim{Organisation: "light", Weight: 1}})
 	}
 	heavy := 0
 	for range 40 {
--- a/gate/limit.go
+++ b/gate/limit.go
@@ -24,6 +24,7 @@
 	rampSize int       // limit of the ramp while cold
 	rampAt   time.Time // start of the present step
 	adaptive float64
+	fixed    bool // the adaptive limit is off
 	cutAt    time.Time
 	times    latencies
 
@@ -34,7 +35,10 @@
 }
 
 func (l *limiter) limit() int {
-	n := min(l.slots, int(l.adaptive))
+	n := l.slots
+	if !l.fixed {
+		n = min(n, int(l.adaptive))
+	}
 	if l.cold {
 		n = min(n, l.rampSize)
 	}
--- a/gate/load.go
+++ b/gate/load.go
@@ -24,6 +24,20 @@
 	return a.value
 }
 
+// Expected returns the time in which the target would answer one more request: its mean service
+// time, and the wait for a slot when none is free. It is 0 before the first answer.
+func (g *Gate) Expected() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	mean := g.limiter.times.mean
+	limit := g.limiter.limit()
+	over := g.running + g.queue.Len() + 1 - limit
+	if over <= 0 {
+		return mean
+	}
+	return mean + mean*time.Duration(over)/time.Duration(limit)
+}
+
 // Load returns the moving average of requests in progress, and whether the target is still
 // in its cold-start ramp.
 func (g *Gate) Load() (load float64, cold bool) {
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -3,15 +3,13 @@
 import (
 	"time"
 
-	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/plugin"
 )
 
 // Waiter is a request that waits for a slot.
 type Waiter struct {
-	Organisation api.OrganisationID
-	// Weight is the organisation's share; always positive.
-	Weight float64
+	// Claim has a positive weight.
+	Claim
 
 	ready chan struct{} // closed when the waiter got a slot or was refused
 	err   error         // set before ready is closed
@@ -27,10 +25,10 @@
 	Remove(w *Waiter) bool
 	Len() int
 	// Ahead estimates how many waiters would be served before a new one.
-	Ahead(org api.OrganisationID, weight float64) int
-	// Displace removes a waiter to make room in a full queue for a new one of the
-	// organisation; nil when the new one is to be refused.
-	Displace(org api.OrganisationID, weight float64) *Waiter
+	Ahead(c Claim) int
+	// Displace removes a waiter to make room in a full queue for a new one; nil when the new one
+	// is to be refused.
+	Displace(c Claim) *Waiter
 }
 
 // Queues holds the queue policies by name.
--- /dev/null
+++ b/gate/urgent.go
@@ -0,0 +1,86 @@
+package gate
+
+import "slices"
+
+// QueueUrgent is the policy that serves the most urgent priority first, and within a priority
+// fairly between organisations.
+const QueueUrgent = "urgent"
+
+func init() { Queues.Register(QueueUrgent, func() Queue { return new(urgentQueue) }) }
+
+// urgentQueue holds a fair queue for each priority, the most urgent first.
+type urgentQueue struct {
+	classes []urgentClass
+	length  int
+}
+
+type urgentClass struct {
+	priority int
+	queue    Queue
+}
+
+func (q *urgentQueue) class(priority int) Queue {
+	i, found := slices.BinarySearchFunc(q.classes, priority, func(c urgentClass, p int) int { return c.priority - p })
+	if !found {
+		q.classes = slices.Insert(q.classes, i, urgentClass{priority, newFairQueue()})
+	}
+	return q.classes[i].queue
+}
+
+func (q *urgentQueue) Push(w *Waiter) {
+	q.class(w.Priority).Push(w)
+	q.length++
+}
+
+func (q *urgentQueue) Pop() *Waiter {
+	for _, c := range q.classes {
+		if w := c.queue.Pop(); w != nil {
+			q.length--
+			return w
+		}
+	}
+	return nil
+}
+
+func (q *urgentQueue) Remove(w *Waiter) bool {
+	if !q.class(w.Priority).Remove(w) {
+		return false
+	}
+	q.length--
+	return true
+}
+
+func (q *urgentQueue) Len() int { return q.length }
+
+func (q *urgentQueue) Ahead(claim Claim) int {
+	ahead := 0
+	for _, c := range q.classes {
+		switch {
+		case c.priority < claim.Priority:
+			ahead += c.queue.Len()
+		case c.priority == claim.Priority:
+			ahead += c.queue.Ahead(claim)
+		}
+	}
+	return ahead
+}
+
+// Displace drops a waiter of the least urgent priority that is not above the new one's.
+func (q *urgentQueue) Displace(claim Claim) *Waiter {
+	for _, c := range slices.Backward(q.classes) {
+		if c.priority < claim.Priority {
+			return nil
+		}
+		var w *Waiter
+		if c.priority == claim.Priority {
+			w = c.queue.Displace(claim)
+		} else {
+			w = c.queue.Pop()
+		}
+		if w != nil {
+			q.length--
+			return w
+		}
+	}
+	return nil
+}
--- a/gateway/auth.go
+++ b/gateway/auth.go
@@ -2,21 +2,17 @@
 
 import (
 	"crypto/subtle"
-	"net/http"
-	"strings"
 
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
 )
 
 // credential is the digest of the organisation key that came with a request; empty for none.
-func credential(h http.Header) api.KeyDigest {
-	scheme, key, found := strings.Cut(h.Get("Authorization"), " ")
-	key = strings.TrimSpace(key)
-	if !found || key == "" || !strings.EqualFold(scheme, "Bearer") {
+func credential(organisationKey string) api.KeyDigest {
+	if organisationKey == "" {
 		return ""
 	}
-	return api.DigestKey(key)
+	return api.DigestKey(organisationKey)
 }
 
 // authenticate returns the organisation of a digest. Errors: Unauthenticated when the key
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -16,20 +16,25 @@
 // repetition takes one.
 type budget struct {
 	share int64
+	burst int64
 	level atomic.Int64
 }
 
-func newBudget(share float64) *budget {
-	b := &budget{share: int64(share * budgetUnit)}
+// newBudget returns a budget that saves up at most burst repetitions; 0 means budgetBurst.
+func newBudget(share float64, burst int) *budget {
+	b := &budget{share: int64(share * budgetUnit), burst: int64(burst) * budgetUnit}
+	if b.burst <= 0 {
+		b.burst = budgetBurst
+	}
 	if b.share > 0 {
-		b.level.Store(budgetStart)
+		b.level.Store(min(budgetStart, b.burst))
 	}
 	return b
 }
 
 // earn adds the share of one request.
 func (b *budget) earn() {
-	if b.level.Load() < budgetBurst {
+	if b.level.Load() < b.burst {
 		b.level.Add(b.share)
 	}
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +12,7 @@
 // call is one request on its way: of a caller, or of another node over a hop.
 type call struct {
 	in         *http.Request
+	id         string      // of the request, for logs
 	header     http.Header // what goes to the target
 	body       *body
 	service    *api.Service
@@ -20,7 +20,10 @@
 	idempotent bool
 	digest     api.KeyDigest // of the organisation key; empty on open routes and hops
 	org        api.OrganisationID
+	limited    bool // the organisation has a rate
 	weight     float64
+	priority   int
+	origin     string // service that runs where the request began
 	key        string
 	ref        api.PartitionRef // partition -1 for a service that is not divided by key
 	deadline   time.Time
@@ -66,45 +69,54 @@
 	if err := checkPath(r.URL); err != nil {
 		return nil, err
 	}
-	matched := g.routes.get(v.Configuration).match(r.Method, r.URL.Path)
+	envelope, err := g.dialect.Read(r)
+	if err != nil {
+		return nil, err
+	}
+	matched := g.routes.get(v.Configuration).match(r.Method, r.Host, r.URL.Path)
 	if matched == nil {
 		return nil, errkind.New(errkind.NoRoute, "no service has this route")
 	}
-	c := &call{in: r, service: matched.service, open: matched.open, idempotent: matched.idempotent(r.Method)}
-	if err := c.authenticate(v); err != nil {
-		return nil, err
+	c := &call{
+		in: r, id: envelope.ID, service: matched.pick(), open: matched.open,
+		idempotent: matched.idempotent(r.Method), priority: matched.priority, origin: g.origin,
 	}
-	if err := checkServing(v, c.service); err != nil {
+	if err := c.authenticate(v, envelope.OrganisationKey); err != nil {
 		return nil, err
 	}
-	if err := c.readLimits(matched.deadline(), g.attempts); err != nil {
+	if err := checkServing(v, c.service); err != nil {
 		return nil, err
 	}
+	c.setLimits(envelope, matched.deadline(), matched.attemptsOr(g.attempts))
 	if err := c.readKey(v); err != nil {
 		return nil, err
 	}
-	c.header = requestHeader(r.Header)
+	c.header = g.requestHeader(r.Header)
 	return c, c.readBody(w, g.maxBody)
 }
 
-func (c *call) authenticate(v *api.View) error {
+func (c *call) authenticate(v *api.View, organisationKey string) error {
 	if c.open {
 		return nil
 	}
-	c.digest = credential(c.in.Header)
+	c.digest = credential(organisationKey)
 	org, err := authenticate(v, c.digest)
 	if err != nil {
 		return err
 	}
 	c.org = org.ID
 	c.weight = org.Weight
+	c.limited = org.Limited()
+	if org.Priority != nil {
+		c.priority = *org.Priority
+	}
 	return nil
 }
 
 // checkServing refuses when the node may not admit work, or when a service that this one
 // needs has no serving target.
 func checkServing(v *api.View, s *api.Service) error {
-	if !v.LeaseValid(time.Now()) {
+	if !v.Usable(time.Now()) {
 		return errkind.New(errkind.NoLease, "session lease has expired")
 	}
 	for _, needed := range s.DependsOn {
@@ -115,39 +127,17 @@
 	return nil
 }
 
-// readLimits sets the deadline and the attempts; the caller's headers only lower them.
-func (c *call) readLimits(longest time.Duration, attempts int) error {
-	ms, err := limitHeader(c.in.Header, api.HeaderDeadlineMs)
-	if err != nil {
-		return err
-	}
-	left, err := limitHeader(c.in.Header, api.HeaderAttemptsLeft)
-	if err != nil {
-		return err
-	}
+// setLimits sets the deadline and the attempts; the caller's own limits only lower them.
+func (c *call) setLimits(e Envelope, longest time.Duration, attempts int) {
 	// Compared in milliseconds, since a large number would overflow a duration.
-	if ms > 0 && ms < longest.Milliseconds() {
-		longest = time.Duration(ms) * time.Millisecond
+	if e.DeadlineMs > 0 && e.DeadlineMs < longest.Milliseconds() {
+		longest = time.Duration(e.DeadlineMs) * time.Millisecond
 	}
 	c.left = attempts
-	if left > 0 && left < int64(attempts) {
-		c.left = int(left)
+	if e.AttemptsLeft > 0 && e.AttemptsLeft < int64(attempts) {
+		c.left = int(e.AttemptsLeft)
 	}
 	c.deadline = time.Now().Add(longest)
-	return nil
-}
-
-// limitHeader reads a positive number; 0 when the header is absent.
-func limitHeader(h http.Header, name string) (int64, error) {
-	text := h.Get(name)
-	if text == "" {
-		return 0, nil
-	}
-	n, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || n <= 0 {
-		return 0, errkind.New(errkind.BadRequest, "%s must be a positive number", name)
-	}
-	return n, nil
 }
 
 func (c *call) readKey(v *api.View) error {
@@ -161,6 +151,9 @@
 	}
 	c.key = key
 	c.ref.Partition = v.Partition(c.service, key)
+	if c.ref.Partition < 0 {
+		return errkind.New(errkind.BadRequest, "%q is not a key of %s", key, c.service.Name)
+	}
 	return nil
 }
 
@@ -182,7 +175,7 @@
 // recheck looks again, before each attempt, at what may have changed while the call waited:
 // the lease, the organisation key, and the partition of the key.
 func (c *call) recheck(v *api.View) *errkind.Error {
-	if !v.LeaseValid(time.Now()) {
+	if !v.Usable(time.Now()) {
 		return errkind.New(errkind.NoLease, "session lease has expired")
 	}
 	if !c.open {
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -59,7 +59,7 @@
 
 // takeToken waits for a token of the organisation. Requests of open routes need none.
 func (g *Gateway) takeToken(ctx context.Context, c *call) *errkind.Error {
-	if c.open {
+	if c.open || !c.limited {
 		return nil
 	}
 	token, err := g.tokens.Take(ctx, c.org)
--- a/gateway/caller_test.go
+++ b/gateway/caller_test.go
@@ -109,7 +109,9 @@
 	c := &call{in: httptest.NewRequest("GET", "/", nil)}
 	c.in.Header.Set(api.HeaderDeadlineMs, "9223372036854775807")
 	c.in.Header.Set(api.HeaderAttemptsLeft, "100")
-	is.NoErr(c.readLimits(time.Second, 3))
+	envelope, err := ownDialect{}.Read(c.in)
+	is.NoErr(err)
+	c.setLimits(envelope, time.Second, 3)
 	is.True(time.Until(c.deadline) <= time.Second)
 	is.Equal(c.left, 3)
 }
--- a/gateway/choice.go
+++ b/gateway/choice.go
@@ -20,6 +20,8 @@
 	targets []api.TargetAt
 	loads   *loadTable
 	now     time.Time
+	// zone is the availability zone of this node.
+	zone string
 }
 
 // Len returns the number of candidates.
@@ -32,6 +34,8 @@
 		At:          c.targets[i],
 		Outstanding: l.outstanding.Load(),
 		Latency:     l.current(c.now),
+		Stated:      l.stated(c.now),
+		Near:        c.targets[i].Peer.Zone == c.zone,
 	}
 }
 
@@ -42,6 +46,11 @@
 	Outstanding int64
 	// Latency is the decaying mean of observed latencies; zero when none is known.
 	Latency time.Duration
+	// Stated is the time of one more request as the target's node stated it within statementLife;
+	// zero when it did not.
+	Stated time.Duration
+	// Near says that the target is in the availability zone of this node.
+	Near bool
 }
 
 // TargetChoices holds the policies of target choice by name.
@@ -53,6 +62,7 @@
 func init() {
 	TargetChoices.Register(DefaultTargetChoice, twoChoices{})
 	TargetChoices.Register("random", randomChoice{})
+	TargetChoices.Register(NearChoice, nearChoice{})
 }
 
 // randomChoice selects evenly; the baseline.
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -21,7 +21,7 @@
 	if err := checkGrant(v, c.ref, p.epoch, c.key); err != nil {
 		return nil, errkind.From(err)
 	}
-	slot, err := t.Gate().Acquire(ctx, c.org, c.weight)
+	slot, err := t.Gate().AcquireFor(ctx, gate.Claim{Organisation: c.org, Weight: c.weight, Priority: c.priority})
 	if err != nil {
 		return nil, errkind.From(err)
 	}
@@ -48,7 +48,7 @@
 	if epoch < owner.Epoch {
 		return errkind.New(errkind.StaleEpoch, "epoch %d, current %d", epoch, owner.Epoch)
 	}
-	if owner.State != api.Granted || owner.Session != v.Session || epoch != owner.Epoch {
+	if !owner.Serves() || owner.Session != v.Session || epoch != owner.Epoch {
 		return errkind.New(errkind.WrongOwner, "partition %d of %s is not owned here", ref.Partition, ref.Service)
 	}
 	if s := v.Configuration.Services.Find(ref.Service); s == nil || v.Partition(s, key) != ref.Partition {
@@ -109,7 +109,7 @@
 // while. The attempt itself goes on, since the target may be at work; but without this, each
 // later request would wait for its deadline on another silent connection.
 func (r *run) watchSilence(l *link) *time.Timer {
-	return time.AfterFunc(silence, func() {
+	return time.AfterFunc(r.gateway.silence, func() {
 		if r.shot.reused.Load() {
 			l.dropIdle(time.Now())
 		}
@@ -139,19 +139,24 @@
 
 func (r *run) request(ctx context.Context, address string) *http.Request {
 	h := r.call.header.Clone()
-	if r.call.org != "" {
-		setOnce(h, api.HeaderOrganisation, string(r.call.org))
-	}
-	setOnce(h, api.HeaderAttempt, r.id)
-	setOnce(h, api.HeaderService, r.call.ref.Service)
-	setOnce(h, api.HeaderDeadlineMs, remainingMs(r.call.deadline))
-	if r.call.ref.Partition >= 0 {
-		setOnce(h, api.HeaderPartition, strconv.Itoa(r.call.ref.Partition))
-		setOnce(h, api.HeaderEpoch, strconv.FormatUint(uint64(r.place.epoch), 10))
-	}
+	r.gateway.dialect.Stamp(h, r.stamp())
 	return outgoing(httptrace.WithClientTrace(ctx, r.shot.trace()), r.call, "http", address, h)
 }
 
+func (r *run) stamp() Stamp {
+	return Stamp{
+		RequestID:    r.call.id,
+		Attempt:      r.id,
+		Service:      r.call.ref.Service,
+		Organisation: r.call.org,
+		Origin:       r.call.origin,
+		Target:       r.target.Info(),
+		Deadline:     r.call.deadline,
+		Partition:    r.call.ref.Partition,
+		Epoch:        r.place.epoch,
+	}
+}
+
 func setOnce(h http.Header, name, value string) { h[name] = []string{value} }
 
 // outgoing builds the request that carries a call to an address.
@@ -188,6 +193,9 @@
 	if ctx.Err() != nil {
 		return errkind.New(errkind.DeadlineExceeded, "ended before dispatch: %v", ctx.Err())
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		r.target.ConnectionRefused()
+	}
 	return errkind.New(errkind.TargetUnreachable, "target %s: %v", r.place.target, err)
 }
 
@@ -209,10 +217,10 @@
 }
 
 // checkAnswer checks the header of an answer. Errors: CrossedAnswer, ShortAnswer, Unknown,
-// and Overloaded when the target sheds load; it may have seen the request, so none of
-// them says not run.
+// and what the target refused the attempt with.
 func (r *run) checkAnswer(info api.Announcement, resp *http.Response) *errkind.Error {
-	if info.EchoesAttempt && resp.Header.Get(api.HeaderAttempt) != r.id {
+	verdict := r.gateway.dialect.Judge(resp, r.stamp())
+	if verdict.Crossed {
 		r.shot.closeConn()
 		return errkind.New(errkind.CrossedAnswer, "target %s answered another attempt", info.ID)
 	}
@@ -220,8 +228,12 @@
 		r.shot.closeConn()
 		return errkind.New(errkind.Unknown, "target %s switched protocols", info.ID)
 	}
-	if e := r.checkShed(info, resp); e != nil {
-		return e
+	if verdict.ColdFor >= 0 {
+		r.target.StateCold(verdict.ColdFor)
+	}
+	if verdict.Refusal != nil {
+		r.outcome.Shed, r.outcome.Cold = verdict.Shed, verdict.Cold
+		return verdict.Refusal
 	}
 	r.outcome.Latency = time.Since(r.began)
 	if !verifiable(r.call.in.Method, resp) {
@@ -229,17 +241,3 @@
 	}
 	return nil
 }
-
-func (r *run) checkShed(info api.Announcement, resp *http.Response) *errkind.Error {
-	if resp.StatusCode != http.StatusServiceUnavailable {
-		return nil
-	}
-	r.outcome.Shed = resp.Header.Get(api.HeaderShed) == "true"
-	r.outcome.Cold = resp.Header.Get(api.HeaderCold) == "true"
-	if !r.outcome.Shed && !r.outcome.Cold {
-		return nil
-	}
-	e := errkind.New(errkind.Overloaded, "target %s sheds load", info.ID)
-	e.NotRun = false
-	return e
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,12 @@
 	defaultHedgeShare = 0.05
 	defaultMaxBody    = 64 << 20 // bytes
 	defaultDeadline   = 10 * time.Second
+	// soonAgain is when a caller may come again that another node can serve: a connection takes
+	// about 20 ms to a client.
+	soonAgain = 50 * time.Millisecond
+	// laterAgain is when a caller may come again after a refusal for load or for a missing owner:
+	// a queue of one slot's work is served meanwhile.
+	laterAgain = 300 * time.Millisecond
 	// longestDeadline bounds the memory for finished attempts; a service may not set more.
 	longestDeadline = 60 * time.Second
 )
@@ -42,16 +48,32 @@
 	// verified client certificate. Nil means plain TCP.
 	TLS     *tls.Config
 	Traffic config.Traffic
+	// Dialect translates the headers of callers and targets; nil means the product's own.
+	Dialect Dialect
+	// Origin is the service that runs on this host, told to targets; may be empty.
+	Origin string
+	// Silence is the time without an answer after which the owner's node is asked whether the
+	// request has arrived. Default defaultSilence.
+	Silence time.Duration
+	// RetryBurst is the number of retries that this node may have saved up. Default budgetBurst.
+	RetryBurst int
+	// TargetChoice is the policy of services that name none. Default DefaultTargetChoice.
+	TargetChoice string
 }
 
 // Gateway serves callers and other nodes. Its handlers are safe for concurrent use.
 type Gateway struct {
-	view     func() *api.View
-	targets  Targets
-	tokens   Tokens
-	tls      *tls.Config
-	attempts int
-	maxBody  int64
+	view    func() *api.View
+	targets Targets
+	tokens  Tokens
+	tls     *tls.Config
+	dialect Dialect
+	origin  string
+	silence time.Duration
+	// targetChoice is the policy of services that name none; empty means the default.
+	targetChoice string
+	attempts     int
+	maxBody      int64
 
 	routes      routeCache
 	started     *gate.Attempts
@@ -73,18 +95,30 @@
 func New(o Options) *Gateway {
 	t := o.Traffic
 	g := &Gateway{
-		view:     o.View,
-		targets:  o.Targets,
-		tokens:   o.Tokens,
-		tls:      o.TLS,
+		view:    o.View,
+		targets: o.Targets,
+		tokens:  o.Tokens,
+		tls:     o.TLS,
+		dialect: o.Dialect,
+		origin:  o.Origin,
+		silence: o.Silence,
+
+		targetChoice: o.TargetChoice,
+
 		attempts: t.Attempts,
 		maxBody:  t.MaxBodyBytes,
 		started:  gate.NewAttempts(longestDeadline, nil),
 		fates:    newFateClients(o.TLS),
-		retries:  newBudget(shareOr(t.RetryShare, defaultRetryShare)),
-		hedges:   newBudget(shareOr(t.HedgeShare, defaultHedgeShare)),
+		retries:  newBudget(shareOr(t.RetryShare, defaultRetryShare), o.RetryBurst),
+		hedges:   newBudget(shareOr(t.HedgeShare, defaultHedgeShare), 0),
 		refusals: newRefusalLog(telemetry.Logger("gateway")),
 	}
+	if g.dialect == nil {
+		g.dialect = ownDialect{}
+	}
+	if g.silence <= 0 {
+		g.silence = defaultSilence
+	}
 	if g.attempts <= 0 {
 		g.attempts = defaultAttempts
 	}
@@ -150,13 +184,31 @@
 	return nil
 }
 
-// refuse answers a request with an error and counts it.
+// refuse answers a caller with an error and counts it.
 func (g *Gateway) refuse(w http.ResponseWriter, e *errkind.Error) {
+	telemetry.CountRefusal(e.Kind)
+	g.refusals.log(e)
+	g.dialect.Refuse(w, e, retryAfter(e.Kind))
+}
+
+// refuseHop is refuse for another node.
+func (g *Gateway) refuseHop(w http.ResponseWriter, e *errkind.Error) {
 	telemetry.CountRefusal(e.Kind)
 	g.refusals.log(e)
 	errkind.WriteHTTP(w, e)
 }
 
+// retryAfter is when a request that was refused as not run may come again.
+func retryAfter(kind errkind.Kind) time.Duration {
+	switch kind {
+	case errkind.ShuttingDown, errkind.NodeUnreachable, errkind.TargetUnreachable, errkind.WrongOwner:
+		return soonAgain
+	case errkind.Overloaded, errkind.RateLimited, errkind.NoOwner, errkind.NoLease, errkind.NoTarget:
+		return laterAgain
+	}
+	return 0
+}
+
 // countCut counts an answer that broke off after its header had been sent.
 func (g *Gateway) countCut(e *errkind.Error) {
 	telemetry.CountRefusal(e.Kind)
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -25,10 +25,13 @@
 
 // requestHeader returns the headers of a caller's request that go to the target: without
 // internal headers, the organisation key, and what belongs to the caller's connection.
-// Authorization is always removed, since a caller may send its key on an open route too.
-func requestHeader(in http.Header) http.Header {
+func (g *Gateway) requestHeader(in http.Header) http.Header {
 	out := endToEnd(in)
-	delete(out, "Authorization")
+	for name := range out {
+		if g.dialect.Private(name) {
+			delete(out, name)
+		}
+	}
 	if _, ok := out["User-Agent"]; !ok {
 		// An empty value keeps net/http from adding its own.
 		out["User-Agent"] = emptyValue
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// silence is the time without an answer after which the first node asks the owner's
+	// defaultSilence is the time without an answer after which the first node asks the owner's
 	// node whether the request has arrived at all.
-	silence = 150 * time.Millisecond
+	defaultSilence = 150 * time.Millisecond
 	// hopMargin is what the owner's node gets less of the deadline, so that its own
 	// error arrives before the first node gives up.
 	hopMargin = 20 * time.Millisecond
@@ -86,6 +86,10 @@
 	if c.org != "" {
 		setOnce(out, api.HeaderOrganisation, string(c.org))
 	}
+	if c.origin != "" {
+		setOnce(out, api.HeaderOrigin, c.origin)
+	}
+	setOnce(out, api.HeaderPriority, strconv.Itoa(c.priority))
 	setOnce(out, api.HeaderAttempt, h.id)
 	setOnce(out, api.HeaderService, c.ref.Service)
 	setOnce(out, api.HeaderPartition, strconv.Itoa(c.ref.Partition))
@@ -108,7 +112,7 @@
 func (h *hop) watch(ctx context.Context) {
 	// The timer is armed only once the field is set, since the function reads it.
 	h.timer = time.AfterFunc(time.Hour, func() { h.probe(ctx) })
-	h.timer.Reset(silence)
+	h.timer.Reset(h.gateway.silence)
 }
 
 func (h *hop) probe(ctx context.Context) {
@@ -128,7 +132,7 @@
 		return
 	}
 	if ctx.Err() == nil {
-		h.timer.Reset(silence)
+		h.timer.Reset(h.gateway.silence)
 	}
 }
 
@@ -178,6 +182,9 @@
 		h.shot.closeConn()
 		return errkind.New(errkind.CrossedAnswer, "node %s answered another attempt", h.place.peer.Name)
 	}
+	if ms, err := strconv.ParseInt(resp.Header.Get(api.HeaderExpected), 10, 64); err == nil {
+		h.gateway.loads.get(h.place.target).state(time.Duration(ms)*time.Millisecond, time.Now())
+	}
 	if kind := resp.Header.Get(errkind.HeaderKind); kind != "" {
 		return readRefusal(errkind.Kind(kind), resp)
 	}
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/gate"
@@ -11,6 +12,10 @@
 type LocalTarget interface {
 	Info() api.Announcement
 	Gate() *gate.Gate
+	// ConnectionRefused tells that the target's address has refused a connection.
+	ConnectionRefused()
+	// StateCold tells what an answer said of the target's cold start; 0 means that it has ended.
+	StateCold(left time.Duration)
 	// Enter checks that the target may start work under the grant now and counts the
 	// attempt as in flight until leave is called. The returned context is derived from ctx
 	// and ends when attempts under the grant must stop, as at the drain limit of a move. For
--- a/gateway/internal.go
+++ b/gateway/internal.go
@@ -18,12 +18,12 @@
 func (g *Gateway) serveHop(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(api.HeaderAttempt)
 	if e := g.checkPeer(r, id); e != nil {
-		g.refuse(w, e)
+		g.refuseHop(w, e)
 		return
 	}
 	setOnce(w.Header(), api.HeaderAttempt, id)
 	if !g.begin() {
-		g.refuse(w, errkind.New(errkind.ShuttingDown, "node is leaving"))
+		g.refuseHop(w, errkind.New(errkind.ShuttingDown, "node is leaving"))
 		return
 	}
 	defer g.end()
@@ -36,19 +36,20 @@
 	v := g.view()
 	c, p, err := g.acceptHop(w, r, v)
 	if err != nil {
-		g.refuse(w, errkind.From(err))
+		g.refuseHop(w, errkind.From(err))
 		return
 	}
 	t := g.targets.Lookup(p.target)
 	if t == nil {
-		g.refuse(w, errkind.New(errkind.WrongOwner, "target %s is not on this node", p.target))
+		g.refuseHop(w, errkind.New(errkind.WrongOwner, "target %s is not on this node", p.target))
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	a, e := g.dispatch(ctx, g.awaitEpoch(ctx, v, c.ref, p.epoch), c, p, t, id, true)
+	setOnce(w.Header(), api.HeaderExpected, strconv.FormatInt(t.Gate().Expected().Milliseconds(), 10))
 	if e != nil {
-		g.refuse(w, e)
+		g.refuseHop(w, e)
 		return
 	}
 	g.deliver(w, r.Method, a)
@@ -118,11 +119,14 @@
 	}
 	c := &call{
 		in:         r,
-		header:     requestHeader(h),
+		id:         g.requestID(r),
+		header:     g.requestHeader(h),
 		body:       hopBody(w, r, g.maxBody),
 		idempotent: h.Get(api.HeaderIdempotent) == "true",
 		org:        api.OrganisationID(h.Get(api.HeaderOrganisation)),
 		key:        key,
+		origin:     h.Get(api.HeaderOrigin),
+		priority:   priorityOf(h),
 		ref:        api.PartitionRef{Service: h.Get(api.HeaderService), Partition: partition},
 		deadline:   time.Now().Add(time.Duration(ms) * time.Millisecond),
 	}
@@ -132,6 +136,24 @@
 	return c, place{target: api.TargetID(h.Get(api.HeaderTarget)), epoch: api.Epoch(epoch)}, checkService(v, c.ref)
 }
 
+// requestID returns the caller's id of a request that came over a hop, for logs.
+func (g *Gateway) requestID(r *http.Request) string {
+	envelope, err := g.dialect.Read(r)
+	if err != nil {
+		return ""
+	}
+	return envelope.ID
+}
+
+// priorityOf reads the priority that the first node found; a hop of an older node has none.
+func priorityOf(h http.Header) int {
+	n, err := strconv.Atoi(h.Get(api.HeaderPriority))
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // checkService refuses a hop whose first node knows the service otherwise than this one:
 // as undivided, it would reach the target without a grant.
 func checkService(v *api.View, ref api.PartitionRef) error {
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -34,7 +34,7 @@
 // does so at most once per silence, since slow work looks the same and a new connection costs 1 ms.
 func (l *link) dropIdle(now time.Time) {
 	last := l.dropped.Load()
-	if now.UnixNano()-last < silence.Nanoseconds() || !l.dropped.CompareAndSwap(last, now.UnixNano()) {
+	if now.UnixNano()-last < defaultSilence.Nanoseconds() || !l.dropped.CompareAndSwap(last, now.UnixNano()) {
 		return
 	}
 	l.transport.CloseIdleConnections()
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -31,6 +31,31 @@
 	mu      sync.Mutex
 	latency time.Duration
 	at      time.Time
+	// expected is what the target's node stated last as the time of one more request, and
+	// statedAt when that arrived.
+	expected time.Duration
+	statedAt time.Time
+}
+
+// statementLife is how long a stated time is used. Slow moments of a target last some hundred
+// milliseconds.
+const statementLife = 500 * time.Millisecond
+
+// state notes what the target's node states as the time of one more request.
+func (l *load) state(expected time.Duration, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expected, l.statedAt = expected, now
+}
+
+// stated returns the time of one more request that the target's node stated of late, or 0.
+func (l *load) stated(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.statedAt) > statementLife {
+		return 0
+	}
+	return l.expected
 }
 
 func (t *loadTable) get(id api.TargetID) *load {
--- /dev/null
+++ b/gateway/near.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// NearChoice is the policy that stays in the availability zone of the node while that costs no
+// latency worth the traffic between zones.
+const NearChoice = "near"
+
+const (
+	// nearSample is the number of candidates of a large service that are compared.
+	nearSample = 8
+	// nearBias is what a target in another zone must be faster by, as a factor.
+	nearBias = 1.3
+	// unknownTime stands for the time of a target that nothing is known of.
+	unknownTime = 50 * time.Millisecond
+)
+
+// nearChoice selects the target with the least expected time, with a bias for the own zone.
+type nearChoice struct{}
+
+// Choose implements TargetChoice.
+func (nearChoice) Choose(candidates Candidates) int {
+	n := candidates.Len()
+	best, bestTime := 0, 0.0
+	start := rand.IntN(n)
+	for k := range min(n, nearSample) {
+		i := (start + k) % n
+		t := nearTime(candidates.At(i))
+		if k == 0 || t < bestTime {
+			best, bestTime = i, t
+		}
+	}
+	return best
+}
+
+// nearTime is the expected time of one more request, in seconds, times the bias. What this node
+// waits for counts in full, since a statement is older than the requests sent after it.
+func nearTime(c Candidate) float64 {
+	base := c.Stated
+	if base == 0 {
+		base = c.Latency
+	}
+	if base == 0 {
+		base = unknownTime
+	}
+	t := base.Seconds() * (1 + float64(c.Outstanding)/float64(max(c.At.Target.Slots, 1)))
+	if !c.Near {
+		t *= nearBias
+	}
+	return t
+}
--- a/gateway/publicmap.go
+++ b/gateway/publicmap.go
@@ -35,7 +35,7 @@
 	if v.Configuration == nil || v.Index == nil || !v.LeaseValid(time.Now()) {
 		return errkind.New(errkind.NoLease, "session lease has expired")
 	}
-	if _, err := authenticate(v, credential(r.Header)); err != nil {
+	if _, err := authenticate(v, credential(bearer(r.Header))); err != nil {
 		return errkind.From(err)
 	}
 	return nil
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -55,7 +56,7 @@
 }
 
 func (g *Gateway) attemptOwner(ctx context.Context, v *api.View, c *call, owner api.Assignment) (*answer, *errkind.Error) {
-	if owner.State != api.Granted {
+	if !owner.Serves() {
 		return nil, errkind.New(errkind.NoOwner, "partition %d of %s has no owner", c.ref.Partition, c.ref.Service)
 	}
 	p := place{target: owner.Target, session: owner.Session, epoch: owner.Epoch, left: c.left}
@@ -83,7 +84,7 @@
 	for {
 		changed := *g.changed.Load()
 		v := g.view()
-		if v.Owner(c.ref) != tried || !v.LeaseValid(time.Now()) {
+		if v.Owner(c.ref) != tried || !v.Usable(time.Now()) {
 			return true
 		}
 		select {
@@ -92,7 +93,7 @@
 		case <-changed:
 		case <-time.After(viewPoll):
 		case <-again.C:
-			if tried.State == api.Granted && g.mayTryAgain(c, e) {
+			if tried.Serves() && g.mayTryAgain(c, e) {
 				return true
 			}
 			again.Reset(*backoff)
@@ -159,11 +160,11 @@
 	if len(targets) == 0 {
 		return place{}, errkind.New(errkind.NoTarget, "%s has no serving target", c.service.Name)
 	}
-	policy, err := targetChoice(c.service.TargetChoice)
+	policy, err := targetChoice(cmp.Or(c.service.TargetChoice, g.targetChoice))
 	if err != nil {
 		return place{}, errkind.New(errkind.Internal, "%v", err)
 	}
-	i := policy.Choose(Candidates{targets: targets, loads: &g.loads, now: time.Now()})
+	i := policy.Choose(Candidates{targets: targets, loads: &g.loads, now: time.Now(), zone: v.Zone})
 	if slices.Contains(tried, targets[i].Target.ID) {
 		i = untried(targets, tried, i)
 	}
@@ -225,5 +226,6 @@
 	if t == nil {
 		return nil, errkind.New(errkind.WrongOwner, "target %s is not on this node", p.target)
 	}
+	defer func() { g.loads.get(p.target).state(t.Gate().Expected(), time.Now()) }()
 	return g.dispatch(ctx, v, c, p, t, id, false)
 }
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"slices"
@@ -15,13 +16,48 @@
 // route is one route of a service, prepared for matching.
 type route struct {
 	service  *api.Service
+	host     string
 	segments []string
 	methods  []string
 	open     bool
+	priority int
+	attempts int
+	timeout  time.Duration
+	// split holds the services of a route that names shares, in place of service.
+	split []share
 	// repeatable overrides the default by method; nil means the default.
 	repeatable *bool
 }
 
+// share is the part of a route's requests that goes to a service.
+type share struct {
+	service *api.Service
+	// upTo is the sum of the weights up to this one, as a share of all.
+	upTo float64
+}
+
+// pick returns the service for the next request.
+func (r *route) pick() *api.Service {
+	if len(r.split) == 0 {
+		return r.service
+	}
+	at := rand.Float64()
+	for _, s := range r.split {
+		if at < s.upTo {
+			return s.service
+		}
+	}
+	return r.split[len(r.split)-1].service
+}
+
+// attemptsOr returns the bound on attempts; byDefault when the route states none.
+func (r *route) attemptsOr(byDefault int) int {
+	if r.attempts > 0 {
+		return r.attempts
+	}
+	return byDefault
+}
+
 // routeTable is the prepared routes of one configuration, longest prefix first.
 type routeTable struct {
 	configuration *api.Configuration
@@ -47,10 +83,15 @@
 		for _, r := range s.Routes {
 			t.routes = append(t.routes, route{
 				service:    s,
+				host:       r.Host,
 				segments:   segments(r.Prefix),
 				methods:    r.Methods,
 				open:       r.Open,
 				repeatable: r.Idempotent,
+				priority:   r.Priority,
+				attempts:   r.Attempts,
+				timeout:    time.Duration(r.TimeoutMs) * time.Millisecond,
+				split:      newSplit(configuration, r.Split),
 			})
 		}
 	}
@@ -60,17 +101,34 @@
 	return t
 }
 
-// match returns the route with the longest prefix that has the method, or nil.
-func (t *routeTable) match(method, path string) *route {
+func newSplit(c *api.Configuration, shares []api.RouteShare) []share {
+	total := 0.0
+	for _, s := range shares {
+		total += s.Weight
+	}
+	var split []share
+	sum := 0.0
+	for _, s := range shares {
+		sum += s.Weight
+		split = append(split, share{service: c.Services.Find(s.Service), upTo: sum / total})
+	}
+	return split
+}
+
+// match returns the route with the longest prefix that has the host and the method, or nil.
+func (t *routeTable) match(method, host, path string) *route {
 	for i := range t.routes {
-		if t.routes[i].matches(method, path) {
+		if t.routes[i].matches(method, host, path) {
 			return &t.routes[i]
 		}
 	}
 	return nil
 }
 
-func (r *route) matches(method, path string) bool {
+func (r *route) matches(method, host, path string) bool {
+	if r.host != "" && !strings.EqualFold(r.host, host) {
+		return false
+	}
 	if len(r.methods) > 0 && !slices.Contains(r.methods, method) {
 		return false
 	}
@@ -98,6 +156,9 @@
 }
 
 func (r *route) deadline() time.Duration {
+	if r.timeout > 0 {
+		return min(r.timeout, longestDeadline)
+	}
 	if r.service.DeadlineMs <= 0 {
 		return defaultDeadline
 	}
--- a/host/enter.go
+++ b/host/enter.go
@@ -9,8 +9,8 @@
 	"github.com/zinniapier/zinniapier/errkind"
 )
 
-// deliveryWait bounds the wait of a request for a grant that the target has not yet acknowledged.
-const deliveryWait = 250 * time.Millisecond
+// defaultDeliveryWait bounds the wait of a request for a grant that the target has not yet acknowledged.
+const defaultDeliveryWait = 250 * time.Millisecond
 
 // undivided is the partition number of work of a service that is not divided by key.
 const undivided = -1
@@ -28,7 +28,7 @@
 // attempt still runs.
 func (t *Target) Enter(ctx context.Context, ref api.PartitionRef, epoch api.Epoch, key string) (
 	attemptCtx context.Context, leave func(), err error) {
-	deadline := time.Now().Add(deliveryWait)
+	deadline := time.Now().Add(t.r.o.DeliveryWait)
 	for {
 		attemptCtx, leave, delivery, err := t.tryEnter(ctx, ref, epoch, key)
 		if delivery == nil || !waitUntil(ctx, delivery, deadline) {
@@ -57,7 +57,7 @@
 	attemptCtx context.Context, leave func(), delivery <-chan struct{}, err error) {
 	now := time.Now()
 	v := t.r.o.View()
-	if !v.LeaseValid(now) {
+	if !v.LeaseValid(now) && !(ref.Partition == undivided && v.Usable(now)) {
 		return nil, nil, nil, errkind.New(errkind.NoLease, "the node has no session lease")
 	}
 	if err := t.checkOwner(v, ref, epoch); err != nil {
@@ -87,7 +87,7 @@
 		return errkind.New(errkind.StaleEpoch, "epoch %d of partition %d is older than %d",
 			epoch, ref.Partition, owner.Epoch)
 	}
-	if owner.State != api.Granted || owner.Epoch != epoch || owner.Target != t.info.ID || owner.Session != v.Session {
+	if !owner.Serves() || owner.Epoch != epoch || owner.Target != t.info.ID || owner.Session != v.Session {
 		return errkind.New(errkind.WrongOwner, "target %s does not own partition %d at epoch %d",
 			t.info.ID, ref.Partition, epoch)
 	}
@@ -125,7 +125,7 @@
 	if g != nil && g.epoch > epoch {
 		return nil, nil, nil, errkind.New(errkind.StaleEpoch, "epoch %d is older than %d", epoch, g.epoch)
 	}
-	if g != nil && g.epoch == epoch && g.phase != granted {
+	if g != nil && g.epoch == epoch && g.phase != granted && !(t.info.Pulls && g.phase == draining) {
 		return nil, nil, nil, errkind.New(errkind.WrongOwner, "partition %d is being released", ref.Partition)
 	}
 	if g == nil || g.epoch != epoch || (t.info.ChecksGrants && !now.Before(g.usableUntil)) {
--- a/host/grants.go
+++ b/host/grants.go
@@ -41,6 +41,14 @@
 	// removed is the version of the set from which on the grant is left out.
 	removed   uint64
 	revokedAt time.Time
+
+	// Of targets that pull their grants:
+	// leftOut is the sequence of the announcement whose reply left the grant out; 0 before.
+	leftOut uint64
+	// held says that the target's last announcement listed the grant.
+	held bool
+	// inherited is the handover token of the last owner, handover that of this one's release.
+	inherited, handover string
 }
 
 func (g *grant) cancelAttempts() {
@@ -53,6 +61,11 @@
 func (t *Target) reconcile(v *api.View, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.takeOverView(v, now)
+}
+
+// takeOverView is reconcile for a caller that holds t.mu.
+func (t *Target) takeOverView(v *api.View, now time.Time) {
 	current := mapVersion{session: v.Session, version: v.MapVersion}
 	if t.seen == current {
 		return
@@ -82,7 +95,7 @@
 func (t *Target) takeOver(partition int, a *api.Assignment, now time.Time) {
 	g := t.grants[partition]
 	if g == nil || g.epoch < a.Epoch {
-		g = t.addGrant(partition, a.Epoch, now)
+		g = t.addGrant(partition, a, now)
 	}
 	if g == nil || g.epoch != a.Epoch {
 		return
@@ -95,12 +108,20 @@
 
 // addGrant begins a grant. It returns nil for one that is older than another of the partition
 // or was released before.
-func (t *Target) addGrant(partition int, epoch api.Epoch, now time.Time) *grant {
+func (t *Target) addGrant(partition int, a *api.Assignment, now time.Time) *grant {
+	epoch := a.Epoch
 	ref := api.PartitionRef{Service: t.info.Service, Partition: partition}
 	if !t.r.admitEpoch(ref, epoch) {
 		return nil
 	}
-	g := &grant{partition: partition, epoch: epoch, report: true, attempts: make(map[*attempt]struct{})}
+	g := &grant{
+		partition: partition, epoch: epoch, report: true, inherited: a.Handover,
+		attempts: make(map[*attempt]struct{}),
+	}
+	if t.info.Pulls {
+		// An earlier process of this node may have promised the range for as long as this.
+		g.until = now.Add(t.r.o.LongestHold)
+	}
 	if old := t.grants[partition]; old != nil {
 		old.cancelAttempts()
 		g.until = old.until
@@ -125,15 +146,21 @@
 	g.revokedAt = now
 	t.orders.version++
 	g.removed = t.orders.version
-	g.cancelAttempts()
+	if !t.info.Pulls || t.lost {
+		// A pulling target finishes what it works on before it releases the range.
+		g.cancelAttempts()
+	}
 }
 
 // advance moves draining and revoked grants on and reports those that have ended.
 func (t *Target) advance(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.info.Pulls && !t.lost && t.silent(now) {
+		t.markLost(now, "no announcement")
+	}
 	for _, g := range t.grants {
-		if g.phase == draining && (len(g.attempts) == 0 || !now.Before(g.drainUntil)) {
+		if g.phase == draining && !t.info.Pulls && (len(g.attempts) == 0 || !now.Before(g.drainUntil)) {
 			t.revoke(g, now)
 		}
 		if g.phase == revoking && t.ended(g, now) {
@@ -151,6 +178,9 @@
 	if !t.info.ChecksGrants {
 		return len(g.attempts) == 0
 	}
+	if t.info.Pulls {
+		return now.After(g.until.Add(t.r.o.DriftMargin))
+	}
 	if now.After(g.until.Add(t.r.o.DriftMargin)) {
 		return true
 	}
@@ -161,7 +191,8 @@
 func (t *Target) end(g *grant) {
 	delete(t.grants, g.partition)
 	if g.report {
-		t.r.release(api.PartitionRef{Service: t.info.Service, Partition: g.partition}, g.epoch)
+		ref := api.PartitionRef{Service: t.info.Service, Partition: g.partition}
+		t.r.release(api.Released{PartitionRef: ref, Epoch: g.epoch, Handover: g.handover})
 	}
 }
 
@@ -171,7 +202,7 @@
 	defer t.mu.Unlock()
 	for _, g := range t.grants {
 		switch {
-		case g.phase == draining:
+		case g.phase == draining && !t.info.Pulls:
 			limit = earlier(limit, g.drainUntil)
 		case g.phase == revoking && t.info.ChecksGrants:
 			limit = earlier(limit, g.until.Add(t.r.o.DriftMargin+time.Millisecond))
@@ -180,6 +211,13 @@
 	return limit
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -26,6 +26,8 @@
 
 func (fakeGate) Load() (float64, bool) { return 0, false }
 
+func (fakeGate) SetCold(time.Duration, float64) {}
+
 // fakeControl stands in for session and leader: it renews the lease and publishes assignments.
 type fakeControl struct {
 	view atomic.Pointer[api.View]
--- a/host/orders.go
+++ b/host/orders.go
@@ -69,7 +69,7 @@
 	t.reconcile(t.r.o.View(), time.Now())
 	t.advance(time.Now())
 	switch {
-	case t.isReplaced():
+	case t.isReplaced(), t.info.Pulls:
 		return
 	case t.info.ChecksGrants:
 		t.sendOrder(ctx)
@@ -105,7 +105,7 @@
 func (t *Target) nextOrder(started time.Time) time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	changed := t.info.ChecksGrants && t.orders.acknowledged != t.orders.version
+	changed := t.info.ChecksGrants && !t.info.Pulls && t.orders.acknowledged != t.orders.version
 	if !t.lost && (changed || t.orders.failures > 0) {
 		return time.Now().Add(retryPause)
 	}
--- /dev/null
+++ b/host/pull.go
@@ -0,0 +1,318 @@
+package host
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/internal/boottime"
+	"github.com/zinniapier/zinniapier/telemetry"
+)
+
+const (
+	// clockDrift is how much slower than real time a target's clock may run: it then keeps its
+	// grants longer than it was told by this share.
+	clockDrift = 0.02
+	// holdMargin is taken off each hold for the rounding of times on the way.
+	holdMargin = 20 * time.Millisecond
+	// maxRows bounds the ranges in a reply. One with a handover token takes up to 45 bytes, and
+	// a target reads at most 4 KiB; beyond the bound the tokens are left out.
+	maxRows = 80
+)
+
+// pullState is what is known of a target that takes its grants from the replies to its
+// announcements.
+type pullState struct {
+	// sequence is that of the latest announcement.
+	sequence uint64
+	// left says that the target has said that it leaves for good.
+	left bool
+	// coldUntil is the end of the cold start that the target has stated.
+	coldUntil time.Time
+}
+
+// Pull takes in an announcement of a target that pulls its grants, and returns the grants that
+// it may hold. Errors: Invalid for malformed properties, Conflict for an announcement that is
+// older than another of the instance or of its place; neither changes anything.
+func (r *Registry) Pull(a api.Announcement, p api.Pull) (api.PullReply, error) {
+	arrived := time.Now()
+	a.Pulls, a.ChecksGrants = true, true
+	if err := checkAnnouncement(&a); err != nil {
+		return api.PullReply{}, err
+	}
+	t := r.Lookup(a.ID)
+	if t == nil {
+		if r.hasLater(a) {
+			return api.PullReply{}, errkind.New(errkind.Conflict, "a later instance than %s runs at %s", a.ID, a.Address)
+		}
+		if err := r.add(a, arrived); err != nil {
+			return api.PullReply{}, err
+		}
+		t = r.Lookup(a.ID)
+	}
+	v := r.o.View()
+	reply, err := t.pull(v, p, arrived)
+	t.kick()
+	return reply, err
+}
+
+// LeavePulled notes that a target goes away for good; it gets no new work from now on. A target
+// that is not known has nothing to leave.
+func (r *Registry) LeavePulled(id api.TargetID) {
+	t := r.Lookup(id)
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	t.pulled.left, t.draining = true, true
+	t.mu.Unlock()
+	telemetry.Logger("host").WithField("target", id).Info("Target leaves.")
+	r.o.Kick()
+	t.kick()
+}
+
+// FindPulled returns the id of the latest instance that goes by the name, or "".
+func (r *Registry) FindPulled(instance string) api.TargetID {
+	var found *Target
+	for _, t := range r.all() {
+		if t.info.Pulls && t.info.Instance == instance && (found == nil || t.info.StartedMs > found.info.StartedMs) {
+			found = t
+		}
+	}
+	if found == nil {
+		return ""
+	}
+	return found.info.ID
+}
+
+// hasLater says whether an instance that was started later has announced the address.
+func (r *Registry) hasLater(a api.Announcement) bool {
+	for _, t := range r.all() {
+		if t.info.Address == a.Address && t.info.StartedMs > a.StartedMs {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Target) pull(v *api.View, p api.Pull, now time.Time) (api.PullReply, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.replaced {
+		return api.PullReply{}, errkind.New(errkind.Conflict, "a later instance has taken the place of %s", t.info.ID)
+	}
+	if p.Sequence <= t.pulled.sequence {
+		return api.PullReply{}, errkind.New(errkind.Conflict, "announcement %d after %d", p.Sequence, t.pulled.sequence)
+	}
+	t.pulled.sequence = p.Sequence
+	t.announced = now
+	t.refused = false
+	t.revive()
+	t.setDraining(p.Draining || t.pulled.left)
+	t.pulled.coldUntil = now.Add(p.ColdFor)
+	t.paceCold(v, now)
+	service := configured(v, t.info.Service)
+	if service == nil || !service.Ranged() {
+		return api.PullReply{}, nil
+	}
+	t.takeOverView(v, now)
+	t.settlePulled(service, p)
+	return t.replyToPull(v, service, p, now), nil
+}
+
+func (t *Target) setDraining(draining bool) {
+	if draining == t.draining {
+		return
+	}
+	t.draining = draining
+	telemetry.Logger("host").WithField("target", t.info.ID).WithField("draining", draining).Info("Target changes its state.")
+	t.r.o.Kick()
+}
+
+// StateCold tells what an answer said of the target's cold start; 0 means that it has ended.
+func (t *Target) StateCold(left time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	t.pulled.coldUntil = now.Add(left)
+	t.paceCold(t.r.o.View(), now)
+}
+
+// paceCold tells the gate of the target's cold start. The rate that the target bears then comes
+// with the configuration, which a node that has just started may get later. The caller holds t.mu.
+func (t *Target) paceCold(v *api.View, now time.Time) {
+	if service := configured(v, t.info.Service); service != nil {
+		t.gate.SetCold(max(t.pulled.coldUntil.Sub(now), 0), service.ColdRate)
+	}
+}
+
+// configured returns the service, or nil when the node does not know it.
+func configured(v *api.View, name string) *api.Service {
+	if v.Configuration == nil {
+		return nil
+	}
+	return v.Configuration.Services.Find(name)
+}
+
+// settlePulled ends the revoked grants that the target no longer holds, and keeps the tokens
+// that came with the releases.
+func (t *Target) settlePulled(s *api.Service, p api.Pull) {
+	for _, released := range p.Released {
+		for _, g := range t.grants {
+			if within(s.Range(g.partition), released.KeyRange) {
+				g.handover = released.Handover
+			}
+		}
+	}
+	for _, g := range t.grants {
+		g.held = holdsRange(p.Holds, s.Range(g.partition), g.epoch)
+		if g.phase == revoking && g.leftOut > 0 && p.Sequence > g.leftOut && !overlapsAny(p.Holds, s.Range(g.partition)) {
+			t.end(g)
+		}
+	}
+}
+
+func within(inner, outer api.KeyRange) bool {
+	return outer.First <= inner.First && inner.Last <= outer.Last
+}
+
+func overlapsAny(held []api.RangeGrant, r api.KeyRange) bool {
+	for _, h := range held {
+		if h.First <= r.Last && r.First <= h.Last {
+			return true
+		}
+	}
+	return false
+}
+
+// holdsRange says whether the target holds the whole range under the epoch.
+func holdsRange(held []api.RangeGrant, r api.KeyRange, epoch api.Epoch) bool {
+	next := r.First
+	for _, h := range sortedRanges(held) {
+		if h.Epoch == epoch && h.First <= next && h.Last >= next {
+			next = h.Last + 1
+		}
+	}
+	return next > r.Last
+}
+
+// replyToPull builds the set of grants for the target. A grant that is being moved is left out
+// from now on: the target serves it until it reads the reply. The caller holds t.mu.
+func (t *Target) replyToPull(v *api.View, s *api.Service, p api.Pull, now time.Time) api.PullReply {
+	left := v.LeaseEnd - boottime.Now()
+	hold := min(time.Duration(float64(left)/(1+clockDrift))-holdMargin, t.r.o.LongestHold)
+	if hold <= 0 {
+		return api.PullReply{}
+	}
+	until := now.Add(time.Duration(float64(hold) * (1 + clockDrift)))
+	reply := api.PullReply{Renews: true, Hold: hold}
+	for partition := range s.Partitions {
+		g := t.grants[partition]
+		if g == nil {
+			continue
+		}
+		if g.phase == draining {
+			t.revoke(g, now)
+		}
+		if g.phase == revoking {
+			if g.leftOut == 0 {
+				g.leftOut = p.Sequence
+			}
+			continue
+		}
+		g.until = later(g.until, until)
+		g.usableUntil = now.Add(hold)
+		row := api.RangeGrant{KeyRange: s.Range(partition), Epoch: g.epoch}
+		if !g.held {
+			row.Handover = g.inherited
+		}
+		reply.Grants = appendRow(reply.Grants, row)
+	}
+	if len(reply.Grants) > maxRows {
+		reply.Grants = withoutHandovers(reply.Grants)
+	}
+	t.announceDelivery()
+	return reply
+}
+
+// appendRow adds a range, joined with the last one when they are neighbours under one grant.
+func appendRow(rows []api.RangeGrant, row api.RangeGrant) []api.RangeGrant {
+	if n := len(rows); n > 0 {
+		last := &rows[n-1]
+		if last.Last+1 == row.First && last.Epoch == row.Epoch && last.Handover == row.Handover {
+			last.Last = row.Last
+			return rows
+		}
+	}
+	return append(rows, row)
+}
+
+func withoutHandovers(rows []api.RangeGrant) []api.RangeGrant {
+	var joined []api.RangeGrant
+	for _, row := range rows {
+		row.Handover = ""
+		joined = appendRow(joined, row)
+	}
+	return joined
+}
+
+// ConnectionRefused tells that the target's address has refused a connection. A pulling target
+// that refuses a second one has ended, since its node is the only way to it.
+func (t *Target) ConnectionRefused() {
+	if !t.info.Pulls {
+		return
+	}
+	t.mu.Lock()
+	sequence := t.pulled.sequence
+	t.mu.Unlock()
+	t.r.confirmRefused(t, sequence)
+}
+
+func sortedRanges(rows []api.RangeGrant) []api.RangeGrant {
+	sorted := slices.Clone(rows)
+	slices.SortFunc(sorted, func(a, b api.RangeGrant) int { return cmp.Compare(a.First, b.First) })
+	return sorted
+}
+
+// refusalPause separates the two refused connections that show that a target has ended.
+const refusalPause = 30 * time.Millisecond
+
+// confirmRefused looks once more whether a target that has not announced itself since still
+// refuses connections, and marks it lost.
+func (r *Registry) confirmRefused(t *Target, sequence uint64) {
+	time.AfterFunc(refusalPause, func() {
+		conn, err := net.DialTimeout("tcp", t.info.Address, refusalPause)
+		if err == nil {
+			_ = conn.Close()
+			return
+		}
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if !errors.Is(err, syscall.ECONNREFUSED) || t.pulled.sequence != sequence {
+			return
+		}
+		t.refused = true
+		t.markLost(time.Now(), "connection refused")
+		t.kick()
+	})
+}
+
+// silent says that a pulling target has announced nothing for LostAfter and no longer holds
+// anything: its requests would get no answer, and its partitions can go to others.
+func (t *Target) silent(now time.Time) bool {
+	if now.Sub(t.announced) < t.r.o.LostAfter {
+		return false
+	}
+	for _, g := range t.grants {
+		if !now.After(g.until.Add(t.r.o.DriftMargin)) {
+			return false
+		}
+	}
+	return true
+}
--- a/host/registry.go
+++ b/host/registry.go
@@ -34,6 +34,9 @@
 	// Load returns the moving average of requests in progress, and whether the target is still
 	// in its cold-start ramp.
 	Load() (load float64, cold bool)
+	// SetCold says for how much longer the target bears only rate requests per second; a
+	// duration of 0 ends that, and a rate of 0 means no bound.
+	SetCold(d time.Duration, rate float64)
 }
 
 // Options configure a Registry.
@@ -57,6 +60,13 @@
 	LostAfter time.Duration
 	// GrantLife is the default DefaultGrantLife when zero.
 	GrantLife time.Duration
+	// Host names the host in the places of pulling targets.
+	Host string
+	// LongestHold bounds the hold of a pulling target. Default api.DefaultLease.
+	LongestHold time.Duration
+	// DeliveryWait bounds the wait of a request for a grant that the target has not got yet.
+	// Default defaultDeliveryWait.
+	DeliveryWait time.Duration
 }
 
 func (o *Options) setDefaults() {
@@ -65,6 +75,8 @@
 	setDuration(&o.DriftMargin, api.DefaultDriftMargin)
 	setDuration(&o.LostAfter, DefaultLostAfter)
 	setDuration(&o.GrantLife, DefaultGrantLife)
+	setDuration(&o.LongestHold, api.DefaultLease)
+	setDuration(&o.DeliveryWait, defaultDeliveryWait)
 	if o.Kick == nil {
 		o.Kick = func() {}
 	}
@@ -85,7 +97,7 @@
 	loops   sync.WaitGroup
 	targets map[api.TargetID]*Target
 	// released holds the ended grants until the map shows that the leader knows.
-	released map[api.PartitionRef]api.Epoch
+	released map[api.PartitionRef]api.Released
 	// epochs holds the greatest epoch seen by partition; older grants are dropped.
 	epochs map[api.PartitionRef]api.Epoch
 	// left holds the instances that have left, so that an announcement that was on its way
@@ -94,6 +106,8 @@
 	// settled is the map that settleReleased has looked at; zero after a target was removed.
 	settled    mapVersion
 	leaseUntil time.Time // of the last view
+	// configuration is that of the last view.
+	configuration *api.Configuration
 }
 
 // NewRegistry returns a registry without targets. View and NewGate must be set.
@@ -102,7 +116,7 @@
 	return &Registry{
 		o:        o,
 		targets:  make(map[api.TargetID]*Target),
-		released: make(map[api.PartitionRef]api.Epoch),
+		released: make(map[api.PartitionRef]api.Released),
 		epochs:   make(map[api.PartitionRef]api.Epoch),
 		left:     make(map[api.TargetID]time.Time),
 	}
@@ -166,8 +180,8 @@
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	list := make([]api.Released, 0, len(r.released))
-	for ref, epoch := range r.released {
-		list = append(list, api.Released{PartitionRef: ref, Epoch: epoch})
+	for _, released := range r.released {
+		list = append(list, released)
 	}
 	return list
 }
@@ -185,6 +199,7 @@
 // Update takes over a new view; it is to be subscribed to the session. Orders are sent at once
 // when the map has changed or the lease is back; a mere renewal goes with the next order.
 func (r *Registry) Update(v *api.View) {
+	r.followConfiguration(v)
 	changed := r.settleReleased(v)
 	resumed := r.resumed(v, time.Now())
 	if !changed && !resumed {
@@ -195,6 +210,24 @@
 	}
 }
 
+// followConfiguration applies what a new configuration says of the targets here, before any
+// request is admitted under it.
+func (r *Registry) followConfiguration(v *api.View) {
+	r.mu.Lock()
+	same := r.configuration == v.Configuration
+	r.configuration = v.Configuration
+	r.mu.Unlock()
+	if same {
+		return
+	}
+	now := time.Now()
+	for _, t := range r.all() {
+		t.mu.Lock()
+		t.paceCold(v, now)
+		t.mu.Unlock()
+	}
+}
+
 // resumed says that the lease of the view before v has run out.
 func (r *Registry) resumed(v *api.View, now time.Time) bool {
 	r.mu.Lock()
@@ -215,28 +248,29 @@
 		return false
 	}
 	r.settled = current
-	for ref, epoch := range r.released {
+	for ref, released := range r.released {
 		owner := v.Owner(ref)
-		if owner.Epoch != epoch || owner.Session != v.Session || owner.State == api.Unassigned {
+		if owner.Epoch != released.Epoch || owner.Session != v.Session || owner.State == api.Unassigned {
 			delete(r.released, ref)
 		}
 	}
 	for service, list := range v.Assignments {
 		for p := range list {
 			a := &list[p]
-			if a.State == api.Unassigned || a.Session != v.Session || r.targets[a.Target] != nil {
+			if a.State == api.Unassigned || a.Session != v.Session || r.targets[a.Target] != nil || a.Place != "" {
 				continue
 			}
-			r.released[api.PartitionRef{Service: service, Partition: p}] = a.Epoch
+			ref := api.PartitionRef{Service: service, Partition: p}
+			r.released[ref] = api.Released{PartitionRef: ref, Epoch: a.Epoch}
 		}
 	}
 	return true
 }
 
 // release reports the end of a grant at once.
-func (r *Registry) release(ref api.PartitionRef, epoch api.Epoch) {
+func (r *Registry) release(released api.Released) {
 	r.mu.Lock()
-	r.released[ref] = epoch
+	r.released[released.PartitionRef] = released
 	r.mu.Unlock()
 	telemetry.CountEvent("grant_released", 1)
 	r.o.Kick()
@@ -250,7 +284,7 @@
 	if epoch < r.epochs[ref] {
 		return false
 	}
-	if released, ok := r.released[ref]; ok && released >= epoch {
+	if released, ok := r.released[ref]; ok && released.Epoch >= epoch {
 		return false
 	}
 	r.epochs[ref] = epoch
--- a/host/target.go
+++ b/host/target.go
@@ -37,6 +37,7 @@
 	running   int  // attempts in flight
 	grants    map[int]*grant
 	orders    orderState
+	pulled    pullState
 	// delivered is closed and replaced when an order has been acknowledged.
 	delivered chan struct{}
 	seen      mapVersion
@@ -105,9 +106,18 @@
 		Load:          load,
 		PartitionLoad: partitions,
 		HotKeys:       hot,
+		Place:         t.place(),
 	}
 }
 
+// place names the address of a pulling target, where only one instance runs at a time.
+func (t *Target) place() string {
+	if !t.info.Pulls {
+		return ""
+	}
+	return t.r.o.Host + "/" + t.info.Address
+}
+
 // kick makes the loop of the target run at once.
 func (t *Target) kick() {
 	select {
@@ -147,6 +157,10 @@
 func (t *Target) replace() {
 	t.mu.Lock()
 	t.replaced = true
+	if t.info.Pulls {
+		// Only one instance runs at the address of a pulling target, so this one has ended.
+		t.refused = true
+	}
 	t.markLost(time.Now(), "replaced by another instance")
 	t.mu.Unlock()
 	t.kick()
--- a/member/member.go
+++ b/member/member.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/juju/errors"
@@ -22,6 +23,7 @@
 // Member is one control member. Create it with New and run it with Serve.
 type Member struct {
 	settings config.ControlSettings
+	profile  Profile
 	replica  *replica.Replica
 	control  *control.Control
 	server   *rpc.Server
@@ -31,12 +33,15 @@
 
 // New opens the listeners and the data folder of a member. It fails for an address that cannot
 // be bound, TLS files that cannot be read, and a damaged log.
-func New(settings config.ControlSettings) (*Member, error) {
+func New(settings config.ControlSettings) (*Member, error) { return NewWith(settings, Profile{}) }
+
+// NewWith is New for a platform.
+func NewWith(settings config.ControlSettings, profile Profile) (*Member, error) {
 	pair, err := settings.TLS.Load()
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	m := &Member{settings: settings, server: rpc.NewServer(pair.Server)}
+	m := &Member{settings: settings, profile: profile, server: rpc.NewServer(pair.Server)}
 	if err := m.listen(pair.Server); err != nil {
 		m.closeListeners()
 		return nil, errors.Trace(err)
@@ -86,6 +91,11 @@
 		ElectionMin:     milliseconds(s.Timing.ElectionMinMs),
 		ElectionMax:     milliseconds(s.Timing.ElectionMaxMs),
 		SnapshotEntries: s.SnapshotEntries,
+		Tick:            m.profile.Tick,
+		Seeds:           m.profile.Seeds,
+		Bootstrap:       m.profile.Bootstrap,
+		Voters:          m.profile.Voters,
+		Zone:            s.Zone,
 	})
 	if err != nil {
 		return errors.Annotatef(err, "data folder %s", s.DataDir)
@@ -98,6 +108,11 @@
 		OperatorTLS:       pair.Client,
 		Lease:             milliseconds(s.Timing.LeaseMs),
 		Margin:            milliseconds(s.Timing.DriftMarginMs),
+		Tick:              m.profile.Tick,
+		PlanDelay:         m.profile.PlanDelay,
+		BalanceInterval:   m.profile.BalanceInterval,
+		MinVoters:         m.profile.Voters,
+		RateTolerance:     m.profile.RateTolerance,
 	})
 	if err != nil {
 		return errors.Trace(err)
@@ -123,13 +138,20 @@
 
 func milliseconds(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
 
+func (m *Member) operatorHandler() http.Handler {
+	if m.profile.OperatorHandler != nil {
+		return m.profile.OperatorHandler(m.control)
+	}
+	return m.control.OperatorHandler()
+}
+
 // Serve runs the member until ctx ends, or until its disk or state machine fails.
 func (m *Member) Serve(ctx context.Context) error {
 	supervisor := daemon.NewSupervisor("member")
 	supervisor.Add(daemon.Service{Name: "rpc", Run: func(ctx context.Context) error { return m.server.Serve(ctx, m.rpc) }})
 	supervisor.Add(m.replica)
 	supervisor.Add(m.control)
-	supervisor.Add(daemon.NewHTTPService("operator", m.operator, m.control.OperatorHandler()))
+	supervisor.Add(daemon.NewHTTPService("operator", m.operator, m.operatorHandler()))
 	if m.status != nil {
 		supervisor.Add(daemon.NewHTTPService("status", m.status, telemetry.Handler()))
 	}
--- /dev/null
+++ b/member/profile.go
@@ -0,0 +1,43 @@
+package member
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/zinniapier/zinniapier/control"
+	"github.com/zinniapier/zinniapier/tokens"
+)
+
+// Profile adapts a control member to a platform. The zero value is the product's own interface.
+type Profile struct {
+	// Seeds, Bootstrap and Voters are those of replica.Options.
+	Seeds     func() []string
+	Bootstrap bool
+	Voters    int
+	// OperatorHandler serves operators in place of the product's own handler.
+	OperatorHandler func(*control.Control) http.Handler
+	// Tick is the interval of the raft core and of the control loop; 0 means the defaults.
+	Tick time.Duration
+	// PlanDelay and BalanceInterval are those of control.Options.
+	PlanDelay       time.Duration
+	BalanceInterval time.Duration
+	// RateTolerance is that of control.Options.
+	RateTolerance tokens.Tolerance
+}
+
+// Spans of a control member on a fraction of a core, for targets that pull their grants.
+const (
+	// pulledTick bounds the delay of the raft core and of the control loop.
+	pulledTick = 30 * time.Millisecond
+	// pulledPlanDelay lets every node turn to a new leader before it plans.
+	pulledPlanDelay = 700 * time.Millisecond
+	// pulledBalanceInterval is long since a move of keys costs their requests up to two heartbeats
+	// of a target.
+	pulledBalanceInterval = 3 * time.Second
+)
+
+// Pulled fills in what suits targets that pull their grants.
+func (p Profile) Pulled() Profile {
+	p.Tick, p.PlanDelay, p.BalanceInterval = pulledTick, pulledPlanDelay, pulledBalanceInterval
+	return p
+}
--- a/node/node.go
+++ b/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -25,9 +26,9 @@
 )
 
 const (
-	// leaveLimit bounds a graceful leave: the drain limit of a move plus time for the
+	// defaultLeaveLimit bounds a graceful leave: the drain limit of a move plus time for the
 	// control leader to place the partitions elsewhere.
-	leaveLimit = 12 * time.Second
+	defaultLeaveLimit = 12 * time.Second
 	// leavePoll is the interval at which a leaving node looks whether it still owns anything.
 	leavePoll = 10 * time.Millisecond
 )
@@ -35,6 +36,7 @@
 // Node is one node process. Create it with New and run it with Serve.
 type Node struct {
 	settings config.NodeSettings
+	profile  Profile
 	tls      config.TLSPair
 
 	session  *session.Session
@@ -44,7 +46,10 @@
 	gateway  *gateway.Gateway
 	rpc      *rpc.Server
 
-	caller, internal, fate, announce, status net.Listener
+	caller, internal, fate, announce, status, ready net.Listener
+
+	// leaving is set once the node has been asked to stop.
+	leaving atomic.Bool
 
 	// callersDone is set once a leaving node has answered its last caller.
 	callersDone atomic.Bool
@@ -52,12 +57,18 @@
 
 // New opens the listeners of the node and assembles its parts. It fails for an address that
 // cannot be bound and for TLS files that cannot be read.
-func New(settings config.NodeSettings) (*Node, error) {
+func New(settings config.NodeSettings) (*Node, error) { return NewWith(settings, Profile{}) }
+
+// NewWith is New for a platform.
+func NewWith(settings config.NodeSettings, profile Profile) (*Node, error) {
 	pair, err := settings.TLS.Load()
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	n := &Node{settings: settings, tls: pair, rpc: rpc.NewServer(pair.Server)}
+	if profile.LeaveLimit <= 0 {
+		profile.LeaveLimit = defaultLeaveLimit
+	}
+	n := &Node{settings: settings, profile: profile, tls: pair, rpc: rpc.NewServer(pair.Server)}
 	if err := n.listen(); err != nil {
 		n.closeListeners()
 		return nil, errors.Trace(err)
@@ -83,6 +94,11 @@
 	if n.announce, err = daemon.Listen("announce", s.AnnounceListen); err != nil {
 		return err
 	}
+	if n.profile.ReadyAddress != "" {
+		if n.ready, err = daemon.Listen("readiness", n.profile.ReadyAddress); err != nil {
+			return err
+		}
+	}
 	if s.StatusListen == "" {
 		return nil
 	}
@@ -91,7 +107,7 @@
 }
 
 func (n *Node) closeListeners() {
-	for _, l := range []net.Listener{n.caller, n.internal, n.fate, n.announce, n.status} {
+	for _, l := range []net.Listener{n.caller, n.internal, n.fate, n.announce, n.status, n.ready} {
 		if l != nil {
 			_ = l.Close()
 		}
@@ -110,12 +126,18 @@
 		Interval:    milliseconds(timing.HeartbeatMs),
 		DrainLimit:  milliseconds(timing.DrainLimitMs),
 		DriftMargin: milliseconds(timing.DriftMarginMs),
+
+		Host:         n.settings.Name,
+		LongestHold:  n.profile.LongestHold,
+		DeliveryWait: n.profile.PullInterval,
+		LostAfter:    silentPulls * n.profile.PullInterval,
 	})
 	n.account = tokens.NewAccount(tokens.AccountOptions{
 		Organisation: func(id api.OrganisationID) *api.Organisation { return view().Index.Organisations[id] },
 		LeaseValid:   func() bool { return view().LeaseValid(time.Now()) },
 		Kick:         kick,
 		Heartbeat:    milliseconds(timing.HeartbeatMs),
+		Nodes:        n.fleetSize(),
 	})
 	n.limiter = n.newLimiter()
 	n.gateway = gateway.New(gateway.Options{
@@ -124,6 +146,13 @@
 		Tokens:  n.limiter,
 		TLS:     n.tls.Client,
 		Traffic: n.settings.Traffic,
+
+		Dialect:    n.profile.Dialect,
+		Origin:     n.profile.Origin,
+		Silence:    n.profile.Silence,
+		RetryBurst: n.profile.RetryBurst,
+
+		TargetChoice: n.profile.TargetChoice,
 	})
 	if err := n.newSession(); err != nil {
 		return err
@@ -147,10 +176,23 @@
 		Tokens:       n.account,
 		Idle:         func() bool { return n.callersDone.Load() && n.registry.Idle() },
 		Heartbeat:    milliseconds(s.Timing.HeartbeatMs),
+
+		MemberTimeout: n.profile.MemberTimeout,
+		WithoutLease:  n.profile.WithoutLease,
+		Reseed:        n.profile.Reseed,
 	})
 	return errors.Trace(err)
 }
 
+// fleetSize returns a function that counts the nodes of the fleet, for nodes that go on without
+// a lease; nil for others.
+func (n *Node) fleetSize() func() int {
+	if !n.profile.WithoutLease {
+		return nil
+	}
+	return func() int { return len(n.session.View().Peers) }
+}
+
 func (n *Node) newGate(a api.Announcement) host.Gate {
 	s := &n.settings.Gate
 	return gate.New(gate.Options{
@@ -160,6 +202,7 @@
 		Queue:       s.Queue,
 		QueueLength: s.QueueLength,
 		NoColdStart: s.ColdStart != nil && !*s.ColdStart,
+		FixedLimit:  n.profile.FixedLimit,
 	})
 }
 
@@ -209,6 +252,8 @@
 	telemetry.Logger("node").WithField("caller", n.CallerAddr()).Info("Node is up.")
 
 	<-ctx.Done()
+	telemetry.Logger("node").Info("Node leaves.")
+	n.leaving.Store(true)
 	n.leave(parts, stopCallers, frontDone)
 	stopParts()
 	<-backDone
@@ -220,7 +265,10 @@
 	s.Add(n.session)
 	s.Add(n.registry)
 	s.Add(daemon.NewInternalHTTPService("internal", n.internal, n.gateway.InternalHandler()))
-	s.Add(daemon.NewInternalHTTPService("announce", n.announce, n.registry.AnnounceHandler()))
+	s.Add(daemon.NewInternalHTTPService("announce", n.announce, n.announceHandler()))
+	if n.ready != nil {
+		s.Add(daemon.NewHTTPService("readiness", n.ready, n.profile.ReadyHandler(n.isReady)))
+	}
 	s.Add(daemon.Service{Name: "rpc", Run: func(ctx context.Context) error { return n.rpc.Serve(ctx, n.fate) }})
 	if n.status != nil {
 		s.Add(daemon.NewHTTPService("status", n.status, telemetry.Handler()))
@@ -230,8 +278,12 @@
 // leave hands the node's partitions over while callers are still served, then answers the
 // last callers, then ends the session.
 func (n *Node) leave(parts context.Context, stopCallers context.CancelFunc, frontDone <-chan error) {
-	limit, cancel := context.WithTimeout(parts, leaveLimit)
+	limit, cancel := context.WithTimeout(parts, n.profile.LeaveLimit)
 	defer cancel()
+	if n.profile.RestartsInPlace {
+		n.stopInPlace(limit, stopCallers, frontDone)
+		return
+	}
 	left := make(chan error, 1)
 	go func() { left <- n.session.Leave(limit) }()
 	n.awaitHandover(limit)
@@ -246,6 +298,27 @@
 	}
 }
 
+// stopInPlace answers the last callers and keeps the grants: the target goes on, and the node
+// takes them up again when it is back.
+func (n *Node) stopInPlace(limit context.Context, stopCallers context.CancelFunc, frontDone <-chan error) {
+	wait.For(limit, n.profile.Notice)
+	stopCallers()
+	<-frontDone
+	if err := n.gateway.Shutdown(limit); err != nil {
+		telemetry.Logger("node").WithError(err).Warning("Some requests were still running.")
+	}
+}
+
+func (n *Node) announceHandler() http.Handler {
+	if n.profile.AnnounceHandler != nil {
+		return n.profile.AnnounceHandler(n.registry)
+	}
+	return n.registry.AnnounceHandler()
+}
+
+// isReady says whether callers should send requests to this node.
+func (n *Node) isReady() bool { return !n.leaving.Load() && n.session.View().Usable(time.Now()) }
+
 // awaitHandover waits until no local target holds a grant or runs a request.
 func (n *Node) awaitHandover(ctx context.Context) {
 	for n.holdsWork() && wait.For(ctx, leavePoll) {
--- /dev/null
+++ b/node/profile.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/zinniapier/zinniapier/gateway"
+	"github.com/zinniapier/zinniapier/host"
+)
+
+// Profile adapts a node to a platform that speaks to callers, targets and the node itself in
+// its own way. The zero value is the product's own interface.
+type Profile struct {
+	// Dialect translates the headers of callers and targets.
+	Dialect gateway.Dialect
+	// Origin is the service of the target on this host, told to targets with each request.
+	Origin string
+	// AnnounceHandler takes the announcements of targets in place of the product's own.
+	AnnounceHandler func(*host.Registry) http.Handler
+	// ReadyAddress is where ReadyHandler is served, host:port; empty for none.
+	ReadyAddress string
+	ReadyHandler func(ready func() bool) http.Handler
+	// WithoutLease lets the node go on serving what needs no ownership when its lease has ended.
+	WithoutLease bool
+	// RestartsInPlace says that a node that is stopped comes back while its target goes on: it
+	// leaves without handing its partitions over.
+	RestartsInPlace bool
+	// Notice is how long such a node goes on serving after it has said that it is not ready, so
+	// that its callers turn to others.
+	Notice time.Duration
+	// LeaveLimit bounds a graceful leave. Default defaultLeaveLimit.
+	LeaveLimit time.Duration
+	// MemberTimeout is the wait for one control member. Default session.DefaultMemberTimeout.
+	MemberTimeout time.Duration
+	// LongestHold bounds how long a target that pulls its grants holds them.
+	LongestHold time.Duration
+	// Reseed is that of session.Options.
+	Reseed func() []string
+	// PullInterval is the usual time between two announcements of such a target.
+	PullInterval time.Duration
+	// Silence and RetryBurst are those of gateway.Options.
+	Silence    time.Duration
+	RetryBurst int
+	// TargetChoice is the policy of services that name none.
+	TargetChoice string
+	// FixedLimit lets a target run as many requests as it has slots, whatever its latency.
+	FixedLimit bool
+}
+
+// silentPulls is the number of announcements of a pulling target that may fail to come before
+// it counts as silent.
+const silentPulls = 3
+
+// Spans and bounds of a node whose target pulls its grants.
+const (
+	// pulledSilence is above the usual time of a request, so that most cost no question.
+	pulledSilence = 600 * time.Millisecond
+	// pulledRetryBurst over a dozen nodes stays within the slack of the repeats of a service.
+	pulledRetryBurst = 3
+	// pulledMemberTimeout covers a member that waits for a fraction of a core.
+	pulledMemberTimeout = 400 * time.Millisecond
+)
+
+// Pulled fills in what suits targets that pull their grants.
+func (p Profile) Pulled() Profile {
+	p.Silence, p.RetryBurst = pulledSilence, pulledRetryBurst
+	p.MemberTimeout = pulledMemberTimeout
+	p.FixedLimit = true
+	p.TargetChoice = gateway.NearChoice
+	return p
+}
--- a/replica/discovery.go
+++ b/replica/discovery.go
@@ -11,6 +11,7 @@
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/raft"
 	"github.com/zinniapier/zinniapier/rpc"
+	"github.com/zinniapier/zinniapier/wal"
 )
 
 const (
@@ -31,7 +32,7 @@
 			r.log.WithError(err).Error("Peers disagree.")
 		case cluster != 0:
 			return r.adopt(cluster)
-		case len(replies) == len(r.o.others()) && r.hasLowestName():
+		case len(replies) == len(r.others()) && r.mayFound():
 			return r.found(replies)
 		}
 		select {
@@ -49,10 +50,10 @@
 	var wait sync.WaitGroup
 	var mu sync.Mutex
 	var replies []QueryReply
-	for _, p := range r.o.others() {
+	for _, p := range r.others() {
 		wait.Go(func() {
 			reply, err := r.query(ctx, p.Address)
-			if err != nil || reply.Name != p.Name {
+			if err != nil || p.Name != "" && reply.Name != p.Name {
 				return
 			}
 			mu.Lock()
@@ -78,7 +79,27 @@
 	return cluster, nil
 }
 
-func (r *Replica) hasLowestName() bool {
+// others returns the members to ask at the start: the peers, or the seeds, which have no names.
+func (r *Replica) others() []Peer {
+	if r.o.Seeds == nil {
+		return r.o.others()
+	}
+	var list []Peer
+	for _, address := range r.o.Seeds() {
+		if address != r.o.Address {
+			list = append(list, Peer{Address: address})
+		}
+	}
+	return list
+}
+
+// mayFound says whether it is this member that founds the group: the peer with the lowest
+// name, or the seed with the lowest address.
+func (r *Replica) mayFound() bool {
+	if r.o.Seeds != nil {
+		seeds := r.o.Seeds()
+		return r.o.Bootstrap && len(seeds) > 0 && r.o.Address == slices.Min(seeds)
+	}
 	for _, p := range r.o.others() {
 		if p.Name < r.o.Name {
 			return false
@@ -113,9 +134,7 @@
 	members := roster{Cluster: api.NewUint64()}
 	members = members.put(r.record())
 	for _, reply := range replies {
-		members = members.put(record{
-			ID: reply.ID, Name: reply.Name, Address: reply.Address, OperatorAddress: reply.OperatorAddress,
-		})
+		members = members.put(recordOf(reply))
 	}
 	var first raft.Membership
 	for _, m := range members.Members {
@@ -136,7 +155,13 @@
 }
 
 func (r *Replica) record() record {
-	return record{ID: r.self().ID, Name: r.o.Name, Address: r.o.Address, OperatorAddress: r.o.OperatorAddress}
+	return record{
+		ID: r.self().ID, Name: r.o.Name, Address: r.o.Address, OperatorAddress: r.o.OperatorAddress, Zone: r.o.Zone,
+	}
+}
+
+func recordOf(q QueryReply) record {
+	return record{ID: q.ID, Name: q.Name, Address: q.Address, OperatorAddress: q.OperatorAddress, Zone: q.Zone}
 }
 
 // keepJoined asks to be added for as long as the membership that this member knows does
@@ -155,13 +180,26 @@
 		if known, ok := p.roster.find(r.self().ID); ok && known == r.record() {
 			continue
 		}
-		r.requestJoin(ctx)
+		if removed := r.requestJoin(ctx); removed {
+			return r.forget()
+		}
 	}
 }
 
-func (r *Replica) requestJoin(ctx context.Context) {
+// forget empties the disk of a member whose id was removed from the group, so that the next
+// start joins under a new id. It returns an error that ends the member.
+func (r *Replica) forget() error {
+	r.log.Warn("The member was removed while it was away. It joins again under a new id.")
+	if err := wal.Erase(r.o.DataDir); err != nil {
+		return errors.Annotate(err, "empty the disk of a removed member")
+	}
+	return errors.New("the member was removed from the group")
+}
+
+// requestJoin asks to be added, and says whether the id was removed from the group.
+func (r *Replica) requestJoin(ctx context.Context) (removed bool) {
 	addresses := []string{}
-	for _, p := range r.o.others() {
+	for _, p := range r.others() {
 		addresses = append(addresses, p.Address)
 	}
 	for _, m := range r.Members() {
@@ -176,12 +214,13 @@
 			continue
 		}
 		if reply.Accepted {
-			return
+			return reply.Removed
 		}
 		if reply.LeaderAddress != "" && !slices.Contains(addresses, reply.LeaderAddress) {
 			addresses = append(addresses, reply.LeaderAddress)
 		}
 	}
+	return false
 }
 
 func (r *Replica) callJoin(ctx context.Context, address string) (JoinReply, error) {
@@ -192,6 +231,7 @@
 	m := r.record()
 	request := JoinRequest{
 		Cluster: r.self().Cluster, ID: m.ID, Name: m.Name, Address: m.Address, OperatorAddress: m.OperatorAddress,
+		Zone: m.Zone,
 	}
 	var reply JoinReply
 	err := client.Call(ctx, receiverName+".Join", request, &reply)
--- a/replica/members.go
+++ b/replica/members.go
@@ -98,8 +98,7 @@
 	if reply.Cluster != 0 && reply.Cluster != r.self().Cluster {
 		return errkind.New(errkind.Invalid, "member %q belongs to another group", peer.Name)
 	}
-	m := record{ID: reply.ID, Name: reply.Name, Address: reply.Address, OperatorAddress: reply.OperatorAddress}
-	return r.change(ctx, func(l *loop) (raft.Membership, bool, error) { return l.added(m) })
+	return r.change(ctx, func(l *loop) (raft.Membership, bool, error) { return l.added(recordOf(reply)) })
 }
 
 // RemoveMember removes a member for good: its id can never join again. It refuses when the
@@ -179,12 +178,62 @@
 		l.r.log.WithField("member", id).Info("Remove the former id of a member that returned.")
 		return l.without(id), true
 	}
-	for _, id := range m.Learners {
-		if l.core.CaughtUp(now, id) {
-			l.r.log.WithField("member", id).Info("Promote a learner that has caught up.")
-			return m.WithPromoted(id), true
+	id, ready := l.candidate(m, now)
+	if !ready {
+		return m, false
+	}
+	if limit := l.r.o.Voters; limit > 0 && len(m.Voters) >= limit {
+		return l.vacate(m, id, now)
+	}
+	l.r.log.WithField("member", id).Info("Promote a learner that has caught up.")
+	return m.WithPromoted(id), true
+}
+
+// candidate returns the caught-up learner whose zone has the fewest voters.
+func (l *loop) candidate(m raft.Membership, now time.Duration) (id uint64, found bool) {
+	fewest := 0
+	for _, learner := range m.Learners {
+		if !l.core.CaughtUp(now, learner) {
+			continue
+		}
+		if n := l.votersInZone(m, learner); !found || n < fewest {
+			id, fewest, found = learner, n, true
+		}
+	}
+	return id, found
+}
+
+func (l *loop) votersInZone(m raft.Membership, id uint64) (n int) {
+	self, _ := l.roster.find(id)
+	for _, voter := range m.Voters {
+		if other, _ := l.roster.find(voter); other.Zone == self.Zone {
+			n++
 		}
 	}
+	return n
+}
+
+// voterLostAfter is the time without contact after which a learner that has caught up takes
+// the place of a voter. A voter that restarts is back within it.
+const voterLostAfter = 2 * time.Second
+
+// vacate makes room for a learner: it removes the voter that the learner's host was before, or
+// one that is out of contact for voterLostAfter.
+func (l *loop) vacate(m raft.Membership, learner uint64, now time.Duration) (raft.Membership, bool) {
+	self, _ := l.roster.find(learner)
+	for _, p := range l.core.Status().Peers {
+		old, known := l.roster.find(p.ID)
+		if !known || !m.IsVoter(p.ID) {
+			continue
+		}
+		returned := old.Name == self.Name
+		if !returned && now-p.Contact < voterLostAfter {
+			continue
+		}
+		l.r.log.WithField("member", p.ID).WithField("learner", learner).
+			WithField("silent", (now - p.Contact).String()).Info("Remove a voter in favour of a learner.")
+		return l.without(p.ID), true
+	}
 	return m, false
 }
 
@@ -197,13 +246,20 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	_, reply.LeaderAddress, _ = r.Leader()
-	m := record{ID: request.ID, Name: request.Name, Address: request.Address, OperatorAddress: request.OperatorAddress}
+	m := record{
+		ID: request.ID, Name: request.Name, Address: request.Address,
+		OperatorAddress: request.OperatorAddress, Zone: request.Zone,
+	}
 	var result error
 	err := r.call(ctx, func(l *loop) {
 		if l.core.Status().Role != raft.Leader {
 			return
 		}
 		reply.Accepted = true
+		reply.Removed = slices.Contains(l.roster.Removed, m.ID)
+		if reply.Removed {
+			return
+		}
 		result = l.admit(m)
 	})
 	if err != nil {
@@ -213,7 +269,7 @@
 }
 
 func (l *loop) admit(m record) error {
-	if !l.roster.hasName(m.Name) && !l.r.o.hasPeer(m.Name) {
+	if l.r.o.Seeds == nil && !l.roster.hasName(m.Name) && !l.r.o.hasPeer(m.Name) {
 		return errkind.New(errkind.UnknownMember, "%q is not a member; add it first", m.Name)
 	}
 	next, changed, err := l.added(m)
--- a/replica/messages.go
+++ b/replica/messages.go
@@ -18,6 +18,7 @@
 	Address         string
 	OperatorAddress string
 	LeaderAddress   string
+	Zone            string
 }
 
 // JoinRequest asks the leader to add the member as a learner, or to note its new addresses.
@@ -27,11 +28,14 @@
 	Name            string
 	Address         string
 	OperatorAddress string
+	Zone            string
 }
 
 // JoinReply says whether the answering member leads and, if not, who does.
 type JoinReply struct {
-	Accepted      bool
+	Accepted bool
+	// Removed says that the id was removed from the group for good.
+	Removed       bool
 	LeaderAddress string
 }
 
--- a/replica/options.go
+++ b/replica/options.go
@@ -51,8 +51,18 @@
 	DataDir string
 	// Peers are all initial members; this member may be among them.
 	Peers []Peer
-	TLS   *tls.Config
-	FSM   FSM
+	// Seeds returns rpc addresses of some members, in place of Peers: the members find each other
+	// through them, and any member that asks is taken in. It may return others later.
+	Seeds func() []string
+	// Bootstrap allows the seeds to found a group; without it a member with an empty disk joins one.
+	Bootstrap bool
+	// Voters is the greatest number of voters; 0 means no bound. With Seeds, a learner that has
+	// caught up takes the place of a voter that is out of contact.
+	Voters int
+	// Zone is the availability zone of the member; voters are spread over the zones.
+	Zone string
+	TLS  *tls.Config
+	FSM  FSM
 
 	Tick                     time.Duration
 	Heartbeat                time.Duration
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -15,6 +15,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/internal/boottime"
 	"github.com/zinniapier/zinniapier/raft"
 	"github.com/zinniapier/zinniapier/telemetry"
 	"github.com/zinniapier/zinniapier/wal"
@@ -36,7 +37,7 @@
 type Replica struct {
 	o         Options
 	log       *logrus.Entry
-	start     time.Time
+	start     time.Duration // boottime.Now when the replica was opened
 	store     *wal.Log
 	recovered wal.Recovered
 	identity  atomic.Pointer[identity]
@@ -61,12 +62,15 @@
 	if err := o.complete(); err != nil {
 		return nil, err
 	}
+	if err := wal.FinishErase(o.DataDir); err != nil {
+		return nil, err
+	}
 	store, recovered, err := wal.Open(o.DataDir)
 	if err != nil {
 		return nil, err
 	}
 	r := &Replica{
-		o: o, log: telemetry.Logger("replica").WithField("name", o.Name), start: time.Now(),
+		o: o, log: telemetry.Logger("replica").WithField("name", o.Name), start: boottime.Now(),
 		store: store, recovered: recovered,
 		inbox: make(chan raft.Message, inboxSize), proposals: make(chan *proposal, proposalSize),
 		calls: make(chan func(*loop)), leadership: make(chan LeadershipChange, 1), stopped: make(chan struct{}),
@@ -158,8 +162,9 @@
 	return first
 }
 
-// now returns the monotonic time since the process opened the replica.
-func (r *Replica) now() time.Duration { return time.Since(r.start) }
+// now returns the time since the process opened the replica, suspended time included: the
+// lease of a leader must not outlive its end on a machine that was suspended.
+func (r *Replica) now() time.Duration { return boottime.Now() - r.start }
 
 func (r *Replica) self() *identity { return r.identity.Load() }
 
@@ -272,7 +277,7 @@
 	_, leader, _ := r.Leader()
 	return QueryReply{
 		Name: id.Name, ID: id.ID, Cluster: id.Cluster,
-		Address: r.o.Address, OperatorAddress: r.o.OperatorAddress, LeaderAddress: leader,
+		Address: r.o.Address, OperatorAddress: r.o.OperatorAddress, LeaderAddress: leader, Zone: r.o.Zone,
 	}
 }
 
--- a/replica/roster.go
+++ b/replica/roster.go
@@ -33,6 +33,7 @@
 	Name            string `json:"name"`
 	Address         string `json:"address"`
 	OperatorAddress string `json:"operator_address,omitempty"`
+	Zone            string `json:"zone,omitempty"`
 }
 
 // roster is the context of a raft.Membership. Members are in the order in which they joined.
--- a/session/beat.go
+++ b/session/beat.go
@@ -6,11 +6,15 @@
 
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/internal/boottime"
 	"github.com/zinniapier/zinniapier/telemetry"
 )
 
 const heartbeatMethod = "Control.Heartbeat"
 
+// suspendNoise is the difference of the two clocks below which the machine was not suspended.
+const suspendNoise = 5 * time.Millisecond
+
 // heartbeat builds the next heartbeat. When the lease has run out, the tokens are told first,
 // so that their counts are those of a node without a lease.
 func (s *Session) heartbeat(now time.Time) *api.HeartbeatRequest {
@@ -53,10 +57,10 @@
 // the next call goes to another member.
 func (s *Session) beat(ctx context.Context, req *api.HeartbeatRequest) error {
 	// The lease counts from here: the leader cannot have received the heartbeat earlier.
-	sent := time.Now()
+	sent, sentBoot := time.Now(), boottime.Now()
 	reply, err := s.send(ctx, req)
 	if err == nil {
-		err = s.accept(req, reply, sent)
+		err = s.accept(req, reply, sent, sentBoot)
 	}
 	if err == nil {
 		return nil
@@ -98,7 +102,7 @@
 	telemetry.Logger("session").Warn("The control leader has ended the session. A new one starts.")
 	v := *s.view.Load()
 	v.Session = api.SessionID(api.NewID())
-	v.LeaseUntil = time.Time{}
+	v.LeaseUntil, v.LeaseEnd = time.Time{}, 0
 	s.lapsed = true
 	s.sequence = 0
 	s.o.Tokens.Reset()
@@ -106,7 +110,7 @@
 }
 
 // accept checks the reply and publishes it. A refused reply changes nothing.
-func (s *Session) accept(req *api.HeartbeatRequest, reply *api.HeartbeatReply, sent time.Time) error {
+func (s *Session) accept(req *api.HeartbeatRequest, reply *api.HeartbeatReply, sent time.Time, sentBoot time.Duration) error {
 	old := s.view.Load()
 	if err := check(old, reply); err != nil {
 		telemetry.CountEvent("heartbeat_reply_refused", 1)
@@ -114,9 +118,17 @@
 	}
 	next := merge(old, reply)
 	next.LeaseUntil = sent.Add(reply.Lease)
+	next.LeaseEnd = sentBoot + reply.Lease
+	if late := (boottime.Now() - sentBoot) - time.Since(sent); late > suspendNoise {
+		// The machine was suspended meanwhile: the lease by the monotonic clock would be too long.
+		next.LeaseUntil = next.LeaseUntil.Add(-late)
+	}
 	s.noteLapse(time.Now())
 	s.lapsed = !next.LeaseValid(time.Now())
 	s.o.Tokens.Apply(reply.Term, reply.Tokens)
+	if reply.Issues {
+		s.o.Tokens.Heard(sent)
+	}
 	s.members.learn(reply.Members)
 	s.publish(next)
 	return nil
--- a/session/leave.go
+++ b/session/leave.go
@@ -56,7 +56,7 @@
 // end ends the lease, so that nothing is admitted any more, and sends the final heartbeat.
 func (s *Session) end(req finishRequest) bool {
 	v := *s.view.Load()
-	v.LeaseUntil = time.Time{}
+	v.LeaseUntil, v.LeaseEnd = time.Time{}, 0
 	s.publish(&v)
 	var err error
 	if req.final {
--- a/session/members.go
+++ b/session/members.go
@@ -12,17 +12,22 @@
 
 // members selects the control member that the next heartbeat goes to.
 type members struct {
-	tls        *tls.Config
-	configured []string // from the settings; asked again when every learned member fails
+	tls *tls.Config
+	// configured returns the members of the settings, which are asked again when every learned
+	// member fails.
+	configured func() []string
 	list       []string
 	current    string
 	conn       *rpc.Client
 	failed     int // members that failed in a row
 }
 
-func newMembers(addresses []string, tlsConfig *tls.Config) *members {
+func newMembers(addresses []string, reseed func() []string, tlsConfig *tls.Config) *members {
 	list := slices.Clone(addresses)
-	return &members{tls: tlsConfig, configured: list, list: list, current: list[0]}
+	if reseed == nil {
+		reseed = func() []string { return list }
+	}
+	return &members{tls: tlsConfig, configured: reseed, list: list, current: list[0]}
 }
 
 func (m *members) count() int { return len(m.list) }
@@ -54,7 +59,7 @@
 	m.failed++
 	if m.failed >= len(m.list) {
 		m.failed = 0
-		m.list = union(m.list, m.configured)
+		m.list = union(m.list, m.configured())
 	}
 	i := slices.Index(m.list, m.current)
 	m.use(m.list[(i+1)%len(m.list)])
--- a/session/session.go
+++ b/session/session.go
@@ -43,6 +43,8 @@
 type TokenAccount interface {
 	Report() map[api.OrganisationID]api.TokenReport
 	Apply(term uint64, replies map[api.OrganisationID]api.TokenReply)
+	// Heard is called when a leader that issues tokens has answered a heartbeat sent at the time.
+	Heard(sent time.Time)
 	// Expire is called when the lease has run out.
 	Expire()
 	// Reset is called when a new session begins.
@@ -58,12 +60,16 @@
 	CallerAddr   string // host:port of the caller listener
 	// Members are the rpc addresses of the control members.
 	Members []string
-	TLS     *tls.Config
-	Source  Source
-	Tokens  TokenAccount
+	// Reseed returns the members to ask when all known ones fail; nil means Members again.
+	Reseed func() []string
+	TLS    *tls.Config
+	Source Source
+	Tokens TokenAccount
 	// Idle says that no request runs on the node and that no target holds a grant. Leave
 	// waits for it. Nil means always.
 	Idle func() bool
+	// WithoutLease lets the node go on serving what needs no ownership when its lease has ended.
+	WithoutLease bool
 	// Heartbeat is the interval between heartbeats. Default api.DefaultHeartbeat.
 	Heartbeat time.Duration
 	// MemberTimeout is the wait for one member. Default DefaultMemberTimeout.
@@ -121,9 +127,9 @@
 		finish:  make(chan finishRequest),
 		done:    make(chan struct{}),
 		lapsed:  true,
-		members: newMembers(o.Members, o.TLS),
+		members: newMembers(o.Members, o.Reseed, o.TLS),
 	}
-	s.view.Store(emptyView(o.Zone))
+	s.view.Store(emptyView(o.Zone, o.WithoutLease))
 	return s, nil
 }
 
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -89,6 +89,7 @@
 func (f *fakeTokens) Report() map[api.OrganisationID]api.TokenReport      { return nil }
 func (f *fakeTokens) Apply(uint64, map[api.OrganisationID]api.TokenReply) {}
 func (f *fakeTokens) Expire()                                             { f.expired.Add(1) }
+func (f *fakeTokens) Heard(time.Time)                                     {}
 func (f *fakeTokens) Reset()                                              { f.reset.Add(1) }
 
 func startSession(t *testing.T, o Options, members ...string) (*Session, *fakeTokens, chan error) {
@@ -200,7 +201,7 @@
 		return api.AssignmentUpdate{PartitionRef: api.PartitionRef{Service: "q", Partition: p},
 			Assignment: api.Assignment{State: api.Granted, Epoch: epoch}}
 	}
-	v := emptyView("z")
+	v := emptyView("z", false)
 	full := merge(v, &api.HeartbeatReply{MapFull: true, MapVersion: 1,
 		Map: []api.AssignmentUpdate{update(0, 1), update(2, 1)}})
 	part := merge(full, &api.HeartbeatReply{MapVersion: 2, Map: []api.AssignmentUpdate{update(2, 2)}})
--- a/session/view.go
+++ b/session/view.go
@@ -12,8 +12,8 @@
 // node allocate without limit.
 const maxPartition = 1 << 20
 
-func emptyView(zone string) *api.View {
-	v := &api.View{Session: api.SessionID(api.NewID()), Zone: zone}
+func emptyView(zone string, withoutLease bool) *api.View {
+	v := &api.View{Session: api.SessionID(api.NewID()), Zone: zone, WithoutLease: withoutLease}
 	v.Index = api.NewViewIndex(v)
 	return v
 }
--- a/state/batch.go
+++ b/state/batch.go
@@ -74,7 +74,7 @@
 		return err
 	}
 	// The epoch stays, so that a grant names the assignment that it follows.
-	*a = api.Assignment{Epoch: a.Epoch}
+	*a = api.Assignment{Epoch: a.Epoch, Handover: s.Handover}
 	return nil
 }
 
@@ -95,7 +95,23 @@
 	if err != nil {
 		return err
 	}
-	*a = api.Assignment{State: api.Granted, Target: g.Target, Session: g.Session, Epoch: api.Epoch(e.state.Index)}
+	*a = api.Assignment{
+		State: api.Granted, Target: g.Target, Session: g.Session, Place: g.Place,
+		Epoch: api.Epoch(e.state.Index), Handover: a.Handover,
+	}
+	return nil
+}
+
+// rebind gives the assignment to another session. The epoch stays, since the target does.
+func (e *editor) rebind(g Grant) *errkind.Error {
+	a, err := e.find(g.Step, api.Granted, api.Releasing)
+	if err != nil {
+		return err
+	}
+	if a.Target != g.Target {
+		return errkind.New(errkind.Conflict, "partition %d of %q belongs to another target", g.Partition, g.Service)
+	}
+	a.Session = g.Session
 	return nil
 }
 
@@ -120,6 +136,9 @@
 	for _, s := range b.Revokes {
 		record(s.PartitionRef, e.revoke(s))
 	}
+	for _, g := range b.Rebinds {
+		record(g.PartitionRef, e.rebind(g))
+	}
 	for _, g := range b.Grants {
 		record(g.PartitionRef, e.grant(g))
 	}
--- a/state/change.go
+++ b/state/change.go
@@ -18,13 +18,17 @@
 		return first
 	}
 	result := m.decide(next, c)
+	if c.Kind == api.Replace && result.Error != nil {
+		// Its base may still become current, so the refusal is no answer to a resend.
+		return result
+	}
 	m.results.add(c.ID, result)
 	return result
 }
 
 func (m *Machine) decide(next *api.ControlState, c *api.Change) *api.ChangeResult {
 	current := next.Configuration.Version
-	if c.BaseVersion < next.Configuration.OperatorVersion || c.BaseVersion > current {
+	if !c.Unconditional && c.Kind != api.Replace && (c.BaseVersion < next.Configuration.OperatorVersion || c.BaseVersion > current) {
 		err := errkind.New(errkind.Conflict, "based on version %d, current is %d", c.BaseVersion, current)
 		return &api.ChangeResult{Version: current, Error: err}
 	}
@@ -45,7 +49,7 @@
 	cfg := &e.state.Configuration
 	switch c.Kind {
 	case api.ApplyServices:
-		return e.applyServices(c.Services)
+		return e.applyServices(c.Services, false)
 	case api.PutOrganisation:
 		return putOrganisation(cfg, c.Organisation)
 	case api.RemoveOrganisation:
@@ -57,12 +61,17 @@
 	case api.ZoneOut:
 		return include(&cfg.ZonesOut, "availability zone", c.Name)
 	case api.ZoneIn:
+		if c.Unconditional && !slices.Contains(cfg.ZonesOut, c.Name) {
+			return nil
+		}
 		return remove(&cfg.ZonesOut, "availability zone out", c.Name, func(z string) bool { return z == c.Name })
 	case api.TargetOut:
 		return include(&cfg.TargetsOut, "target", api.TargetID(c.Name))
 	case api.TargetIn:
 		id := api.TargetID(c.Name)
 		return remove(&cfg.TargetsOut, "target out", c.Name, func(t api.TargetID) bool { return t == id })
+	case api.Replace:
+		return e.replace(c.Replacement)
 	case api.AddOverride:
 		return e.addOverride(c.Override)
 	}
@@ -96,7 +105,7 @@
 	if o == nil || o.ID == "" {
 		return errkind.New(errkind.Invalid, "organisation without id")
 	}
-	if !positive(o.Rate) || !positive(o.Burst) || o.Burst < 1 {
+	if o.Limited() && (!positive(o.Rate) || !positive(o.Burst) || o.Burst < 1) {
 		return errkind.New(errkind.Invalid, "organisation %q: rate must be above 0 and burst at least 1", o.ID)
 	}
 	added := *o
--- a/state/command.go
+++ b/state/command.go
@@ -39,6 +39,8 @@
 	Revokes   []Step        `json:"revokes,omitempty"`
 	Grants    []Grant       `json:"grants,omitempty"`
 	Overrides []OverrideKey `json:"overrides,omitempty"`
+	// Rebinds give an assignment to another session of the node whose target owns it.
+	Rebinds []Grant `json:"rebinds,omitempty"`
 	// Opens and Closes are sessions of nodes.
 	Opens  []api.SessionID `json:"opens,omitempty"`
 	Closes []api.SessionID `json:"closes,omitempty"`
@@ -49,13 +51,15 @@
 
 // Len returns the number of steps.
 func (b *Batch) Len() int {
-	return len(b.Releases) + len(b.Revokes) + len(b.Grants) + len(b.Overrides) + len(b.Opens) + len(b.Closes)
+	return len(b.Releases) + len(b.Revokes) + len(b.Grants) + len(b.Overrides) + len(b.Rebinds) + len(b.Opens) + len(b.Closes)
 }
 
 // Step changes a partition whose assignment still has the expected epoch.
 type Step struct {
 	api.PartitionRef
 	Expected api.Epoch `json:"expected"`
+	// Handover is the token that came with a release.
+	Handover string `json:"handover,omitempty"`
 }
 
 // Grant gives an unassigned partition to a target.
@@ -63,6 +67,7 @@
 	Step
 	Target  api.TargetID  `json:"target"`
 	Session api.SessionID `json:"session"`
+	Place   string        `json:"place,omitempty"`
 }
 
 // OverrideKey gives a single hot key its own partition.
--- a/state/services.go
+++ b/state/services.go
@@ -15,8 +15,9 @@
 )
 
 // applyServices replaces the services. The assignments of a removed service stay until
-// its partitions have been released; until then it cannot be added again.
-func (e *editor) applyServices(s *api.Services) *errkind.Error {
+// its partitions have been released; until then it cannot be added again, unless takeBack lets
+// it take up the assignments that it had.
+func (e *editor) applyServices(s *api.Services, takeBack bool) *errkind.Error {
 	if s == nil {
 		return errkind.New(errkind.Invalid, "no services")
 	}
@@ -26,7 +27,7 @@
 		if v.Divided() && v.Partitions == 0 {
 			v.Partitions = defaultPartitions
 		}
-		if err := e.checkService(v, services.Services[:i]); err != nil {
+		if err := e.checkService(v, services.Services[:i], takeBack); err != nil {
 			return err
 		}
 	}
@@ -37,14 +38,14 @@
 	e.state.Configuration.Services = services
 	e.dropOverrides()
 	for _, v := range services.Services {
-		if old.Find(v.Name) == nil && v.Divided() {
+		if _, exists := e.state.Assignments[v.Name]; old.Find(v.Name) == nil && v.Divided() && !exists {
 			e.create(v)
 		}
 	}
 	return nil
 }
 
-func (e *editor) checkService(v *api.Service, before []api.Service) *errkind.Error {
+func (e *editor) checkService(v *api.Service, before []api.Service, takeBack bool) *errkind.Error {
 	if v.Name == "" {
 		return errkind.New(errkind.Invalid, "service without name")
 	}
@@ -58,7 +59,7 @@
 	if old != nil && (old.Divided() != v.Divided() || v.Divided() && old.Partitions != v.Partitions) {
 		return errkind.New(errkind.Invalid, "service %q: the number of partitions cannot change", v.Name)
 	}
-	if _, releasing := e.state.Assignments[v.Name]; old == nil && releasing {
+	if have, releasing := e.state.Assignments[v.Name]; old == nil && releasing && !(takeBack && len(have) == v.Partitions) {
 		return errkind.New(errkind.Conflict, "service %q was removed and is still being released", v.Name)
 	}
 	return nil
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -53,7 +53,7 @@
 }
 
 func step(partition int, expected api.Epoch) Step {
-	return Step{api.PartitionRef{Service: "quotes", Partition: partition}, expected}
+	return Step{PartitionRef: api.PartitionRef{Service: "quotes", Partition: partition}, Expected: expected}
 }
 
 func kind(result *api.ChangeResult) errkind.Kind {
--- a/tokens/account.go
+++ b/tokens/account.go
@@ -42,6 +42,9 @@
 	Heartbeat time.Duration
 	// Now is the monotonic clock. Default time.Now.
 	Now func() time.Time
+	// Nodes returns the number of nodes of the fleet. When it is set, a node without an issuing
+	// leader for StandaloneAfter admits its share of the rates by itself.
+	Nodes func() int
 }
 
 // Account holds the tokens that the control leader issued to this node. It is safe for
@@ -52,6 +55,8 @@
 	mu   sync.RWMutex
 	term uint64
 	orgs map[api.OrganisationID]*orgAccount
+
+	alone standalone
 }
 
 // NewAccount returns an account without tokens.
@@ -68,7 +73,9 @@
 	if o.LeaseValid == nil {
 		o.LeaseValid = func() bool { return true }
 	}
-	return &Account{o: o, orgs: make(map[api.OrganisationID]*orgAccount)}
+	a := &Account{o: o, orgs: make(map[api.OrganisationID]*orgAccount)}
+	a.alone = standalone{nodes: o.Nodes, last: o.Now(), buckets: make(map[api.OrganisationID]*localBucket)}
+	return a
 }
 
 // Take returns a token of the organisation. Unless the organisation is exhausted, it waits
@@ -79,11 +86,16 @@
 	if limits == nil {
 		return nil, errkind.New(errkind.Unauthenticated, "organisation %s is not configured", id)
 	}
+	now := a.o.Now()
+	org := a.account(id)
+	alone, _ := a.alone.active(now)
+	if alone {
+		return a.takeAlone(now, org, limits)
+	}
 	if !a.o.LeaseValid() {
 		return nil, errkind.New(errkind.NoLease, "no tokens without a session lease")
 	}
-	org := a.account(id)
-	token, w, kick := org.take(a.o.Now(), maxWaiters(limits))
+	token, w, kick := org.take(now, maxWaiters(limits))
 	if kick {
 		a.o.Kick()
 	}
@@ -93,11 +105,21 @@
 	if w == nil {
 		return nil, beyondRate(id)
 	}
-	return a.await(ctx, id, org, w)
+	return a.await(ctx, limits, org, w)
 }
 
-func (a *Account) await(ctx context.Context, id api.OrganisationID, org *orgAccount, w *waiter) (*Token, error) {
-	timer := time.NewTimer(maxTakeWait)
+// takeAlone admits a request of the node's own share.
+func (a *Account) takeAlone(now time.Time, org *orgAccount, limits *api.Organisation) (*Token, error) {
+	if !a.alone.take(now, limits) {
+		return nil, errkind.New(errkind.RateLimited, "organisation %s is beyond this node's share of its rate", limits.ID)
+	}
+	return &Token{org: org, done: true}, nil
+}
+
+func (a *Account) await(ctx context.Context, limits *api.Organisation, org *orgAccount, w *waiter) (*Token, error) {
+	id := limits.ID
+	_, untilAlone := a.alone.active(a.o.Now())
+	timer := time.NewTimer(min(maxTakeWait, untilAlone))
 	defer timer.Stop()
 	select {
 	case token := <-w.ready:
@@ -108,7 +130,11 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	}
-	org.abandon(w, a.o.Now(), a.o.LeaseValid())
+	now := a.o.Now()
+	org.abandon(w, now, a.o.LeaseValid())
+	if alone, _ := a.alone.active(now); alone && ctx.Err() == nil {
+		return a.takeAlone(now, org, limits)
+	}
 	return nil, errkind.New(errkind.RateLimited, "no token in time")
 }
 
@@ -188,6 +214,9 @@
 	}
 }
 
+// Heard notes that the leader which answered a heartbeat sent at the time issues tokens.
+func (a *Account) Heard(sent time.Time) { a.alone.heard(sent) }
+
 // Expire returns every token that has not been taken and settles the others. The session calls
 // it when the lease has run out, since the leader may have given the tokens to others.
 func (a *Account) Expire() {
--- a/tokens/authority.go
+++ b/tokens/authority.go
@@ -24,11 +24,26 @@
 	// active holds the buckets with an arrival within activeSpan.
 	active   map[api.OrganisationID]*bucket
 	sessions map[api.SessionID]*holder
+	// tolerance widens every rate and burst.
+	tolerance Tolerance
+	// reserved is the share of every rate that nodes out of contact admit by themselves.
+	reserved float64
+}
+
+// Tolerance is by how much organisations may exceed their limits, where that is agreed upon.
+// Tokens on their way between leader and nodes count against the burst, so the tolerance keeps
+// small bursts from costing requests within the rate.
+type Tolerance struct {
+	// Share widens rate and burst; 0.1 means by a tenth.
+	Share float64
+	// Slack in tokens is added to the burst.
+	Slack float64
 }
 
 // bucket is the state of one organisation.
 type bucket struct {
 	rate, burst float64 // tokens per second, tokens
+	reserved    float64 // share of the rate that is not issued
 	level       float64
 	outstanding int64 // sum over the holders
 	last        time.Time
@@ -60,13 +75,15 @@
 // NewAuthority returns the authority of a leader that took over at now. Until span, the
 // session lease plus the drift margin, has passed, it treats whatever the nodes do not
 // report as outstanding and issues nothing; each bucket then starts from level 0.
-func NewAuthority(now time.Time, span time.Duration) *Authority {
+func NewAuthority(now time.Time, span time.Duration, tolerance Tolerance) *Authority {
 	return &Authority{
 		span:     span,
 		start:    now.Add(span),
 		buckets:  make(map[api.OrganisationID]*bucket),
 		active:   make(map[api.OrganisationID]*bucket),
 		sessions: make(map[api.SessionID]*holder),
+
+		tolerance: tolerance,
 	}
 }
 
@@ -92,14 +109,29 @@
 		b.removed = true
 	}
 	for _, o := range organisations {
+		if !o.Limited() {
+			continue // nodes ask for no tokens of it
+		}
 		b := a.buckets[o.ID]
 		if b == nil {
-			b = &bucket{last: a.start}
+			b = &bucket{last: a.start, reserved: a.reserved}
 			a.buckets[o.ID] = b
 		}
-		b.rate, b.burst, b.removed = o.Rate, o.Burst, false
-		b.shadow.configure(now, o.Rate, o.Burst, a.span/reportLagShare)
+		b.rate, b.burst, b.removed = o.Rate*(1+a.tolerance.Share), o.Burst*(1+a.tolerance.Share)+a.tolerance.Slack, false
+		b.shadow.configure(now, b.rate, b.burst, a.span/reportLagShare)
+		b.refill(now)
+	}
+}
+
+// Reserve sets aside a share of every rate, in 0..1, that nodes out of contact admit by themselves.
+func (a *Authority) Reserve(now time.Time, share float64) {
+	if share == a.reserved {
+		return
+	}
+	a.reserved = share
+	for _, b := range a.buckets {
 		b.refill(now)
+		b.reserved = share
 	}
 }
 
@@ -287,7 +319,7 @@
 
 func (b *bucket) refill(now time.Time) {
 	if elapsed := now.Sub(b.last); elapsed > 0 {
-		b.level += b.rate * elapsed.Seconds()
+		b.level += b.rate * (1 - b.reserved) * elapsed.Seconds()
 		b.last = now
 	}
 	b.clamp()
--- a/tokens/authority_test.go
+++ b/tokens/authority_test.go
@@ -73,7 +73,7 @@
 func (f *fleet) failover() {
 	f.term++
 	f.reported = make(map[api.SessionID]bool)
-	f.authority = NewAuthority(f.now, testSpan)
+	f.authority = NewAuthority(f.now, testSpan, Tolerance{})
 	f.authority.SetOrganisations(f.now, []api.Organisation{f.org})
 }
 
--- a/tokens/fleet_test.go
+++ b/tokens/fleet_test.go
@@ -52,7 +52,7 @@
 
 func newSim(nodes int, rate, burst float64) *sim {
 	s := &sim{clock: &fakeClock{now: time.Unix(1000, 0)}, org: api.Organisation{ID: acme, Rate: rate, Burst: burst}}
-	s.authority = NewAuthority(s.clock.now, testSpan)
+	s.authority = NewAuthority(s.clock.now, testSpan, Tolerance{})
 	s.authority.SetOrganisations(s.clock.now, []api.Organisation{s.org})
 	for i := range nodes {
 		n := &simNode{session: api.SessionID(rune('a' + i)), started: s.clock.now}
--- a/wal/file.go
+++ b/wal/file.go
@@ -48,3 +48,44 @@
 	defer d.Close()
 	return errors.Annotatef(d.Sync(), "sync %s", dir)
 }
+
+// erasedName marks a directory that is being emptied, so that an interruption cannot leave a
+// part that looks like damage.
+const erasedName = "erased"
+
+// Erase empties the directory of a closed log durably.
+func Erase(dir string) error {
+	if err := WriteFile(filepath.Join(dir, erasedName), nil); err != nil {
+		return errors.Trace(err)
+	}
+	return FinishErase(dir)
+}
+
+// FinishErase completes an Erase that was interrupted. It does nothing when there was none.
+func FinishErase(dir string) error {
+	mark := filepath.Join(dir, erasedName)
+	if _, err := os.Stat(mark); os.IsNotExist(err) {
+		return nil
+	} else if err != nil {
+		return errors.Trace(err)
+	}
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	for _, entry := range entries {
+		if entry.Name() == erasedName || entry.Name() == lockName {
+			continue
+		}
+		if err := os.Remove(filepath.Join(dir, entry.Name())); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if err := syncDir(dir); err != nil {
+		return err
+	}
+	if err := os.Remove(mark); err != nil {
+		return errors.Trace(err)
+	}
+	return syncDir(dir)
+}
