telemetry: structured lines for each request and each change of belief, never blocking; choice by zone weighs the body

Every process writes JSON lines to standard output through a queue that drops and counts what is not taken. Lines of answers, refusals and attempts are bounded each. Metrics are served as text with latency histograms by route, gate and hop. A target in another zone must be expected three times faster, for a large body ten times.

--- a/api/view.go
+++ b/api/view.go
@@ -11,6 +11,8 @@
 	LeaseUntil time.Time
 	// LeaseEnd is the same by boottime.Now, which also counts while the machine is suspended.
 	LeaseEnd time.Duration
+	// RenewedAt is when the heartbeat was sent whose reply this view holds.
+	RenewedAt time.Time
 	// WithoutLease says that the node goes on serving what needs no ownership when its lease has
 	// ended.
 	WithoutLease  bool
--- a/cmd/zinnia-node/main.go
+++ b/cmd/zinnia-node/main.go
@@ -30,7 +30,7 @@
 }
 
 func runOnPlatform() error {
-	if err := telemetry.SetOutput(os.Stdout, "info"); err != nil {
+	if err := telemetry.Start(os.Stdout, "info"); err != nil {
 		return err
 	}
 	ctx, stop := daemon.SignalContext()
@@ -43,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	if err := telemetry.SetOutput(os.Stderr, settings.Log.Level); err != nil {
+	if err := telemetry.Start(os.Stdout, settings.Log.Level); err != nil {
 		return err
 	}
 	n, err := node.New(*settings)
--- a/cmd/zinnia-target/main.go
+++ b/cmd/zinnia-target/main.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return err
 	}
-	if err := telemetry.SetOutput(os.Stderr, settings.Log.Level); err != nil {
+	if err := telemetry.Start(os.Stdout, settings.Log.Level); err != nil {
 		return err
 	}
 	t, err := target.NewSample(target.OptionsFrom(*settings))
--- a/control/control.go
+++ b/control/control.go
@@ -232,6 +232,7 @@
 			c.log.WithError(rejected.Error).WithField("service", rejected.Ref.Service).
 				WithField("partition", rejected.Ref.Partition).Warn("Step rejected.")
 		}
+		c.logBatch(batch)
 		telemetry.CountEvent("assignment_releases", int64(len(batch.Releases)))
 		telemetry.CountEvent("assignment_revokes", int64(len(batch.Revokes)))
 		telemetry.CountEvent("assignment_grants", int64(len(batch.Grants)))
@@ -243,6 +244,47 @@
 	return errors.Errorf("batch answered with %T", result)
 }
 
+// logBatch writes the steps of a committed batch, grouped by what they lead to.
+func (c *Control) logBatch(b *state.Batch) {
+	if b.Empty() {
+		return
+	}
+	line := c.log.WithField("term", b.Term)
+	steps := func(name string, list []state.Step) {
+		if len(list) > 0 {
+			line = line.WithField(name, partitionsOf(list))
+		}
+	}
+	steps("released", b.Releases)
+	steps("revoked", b.Revokes)
+	if len(b.Grants) > 0 {
+		line = line.WithField("granted", partitionsByTarget(b.Grants))
+	}
+	if len(b.Rebinds) > 0 {
+		line = line.WithField("rebound", partitionsByTarget(b.Rebinds))
+	}
+	if len(b.Opens)+len(b.Closes) > 0 {
+		line = line.WithField("opened", b.Opens).WithField("closed", b.Closes)
+	}
+	line.Info("Assignments committed.")
+}
+
+func partitionsOf(steps []state.Step) map[string][]int {
+	m := make(map[string][]int)
+	for _, s := range steps {
+		m[s.Service] = append(m[s.Service], s.Partition)
+	}
+	return m
+}
+
+func partitionsByTarget(grants []state.Grant) map[api.TargetID][]int {
+	m := make(map[api.TargetID][]int)
+	for _, g := range grants {
+		m[g.Target] = append(m[g.Target], g.Partition)
+	}
+	return m
+}
+
 func (c *Control) finish(out outcome) {
 	l := c.leader
 	if l == nil || l.term != out.term {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -53,6 +53,10 @@
 
 // Exit ends the process: status 0 for nil or a cancelled context, else 1 with the error on stderr.
 func Exit(err error) {
+	if err != nil && !errors.Is(err, context.Canceled) {
+		telemetry.Logger("daemon").WithError(err).Error("Process ends.")
+	}
+	telemetry.Flush()
 	if err == nil || errors.Is(err, context.Canceled) {
 		os.Exit(0)
 	}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/telemetry"
 )
 
 // copySize is the size in bytes of the buffers for bodies. An answer of known length up to
@@ -87,7 +88,8 @@
 
 // deliver passes the answer on. An answer that turns out to be truncated aborts the
 // connection by a panic with http.ErrAbortHandler, so that it never looks complete.
-func (g *Gateway) deliver(w http.ResponseWriter, method string, a *answer) {
+func (g *Gateway) deliver(w http.ResponseWriter, c *call, a *answer) {
+	method := c.in.Method
 	defer a.finish()
 	copyAnswerHeader(w.Header(), a.resp.Header)
 	if a.resp.ContentLength >= 0 && hasBody(method, a.resp.StatusCode) {
@@ -99,7 +101,9 @@
 	}
 	readErr, writeErr := copyBody(w, a.body, a.resp.ContentLength < 0)
 	if readErr != nil {
-		g.countCut(errkind.New(errkind.ShortAnswer, "answer ended early: %v", readErr))
+		e := errkind.New(errkind.ShortAnswer, "answer ended early: %v", readErr)
+		telemetry.CountRefusal(e.Kind)
+		g.requests.failed(c.in, c.id, c, g.view(), e)
 	}
 	if readErr != nil || writeErr != nil {
 		panic(http.ErrAbortHandler)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -11,6 +11,8 @@
 
 // call is one request on its way: of a caller, or of another node over a hop.
 type call struct {
+	routeName  string
+	track      track
 	in         *http.Request
 	id         string      // of the request, for logs
 	header     http.Header // what goes to the target
@@ -63,6 +65,7 @@
 // accept checks a caller's request by the view and prepares it for routing. Errors:
 // NoLease, BadRequest, NoRoute, Unauthenticated, DependencyDown, TooLarge.
 func (g *Gateway) accept(w http.ResponseWriter, r *http.Request, v *api.View) (*call, error) {
+	began := time.Now()
 	if v.Configuration == nil || v.Index == nil {
 		return nil, errkind.New(errkind.NoLease, "node has no configuration yet")
 	}
@@ -80,7 +83,9 @@
 	c := &call{
 		in: r, id: envelope.ID, service: matched.pick(), open: matched.open,
 		idempotent: matched.idempotent(r.Method), priority: matched.priority, origin: g.origin,
+		routeName: matched.name,
 	}
+	c.track.began = began
 	if err := c.authenticate(v, envelope.OrganisationKey); err != nil {
 		return nil, err
 	}
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -14,7 +14,7 @@
 
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	if !g.begin() {
-		g.refuse(w, errkind.New(errkind.ShuttingDown, "node is leaving"))
+		g.refuse(w, r, nil, errkind.New(errkind.ShuttingDown, "node is leaving"))
 		return
 	}
 	defer g.end()
@@ -26,13 +26,13 @@
 	}
 	c, err := g.accept(w, r, v)
 	if err != nil {
-		g.refuse(w, errkind.From(err))
+		g.refuse(w, r, nil, errkind.From(err))
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	if e := g.takeToken(ctx, c); e != nil {
-		g.refuse(w, e)
+		g.refuse(w, r, c, e)
 		return
 	}
 	g.answerCall(ctx, w, c)
@@ -42,11 +42,12 @@
 	a, e := g.route(ctx, c)
 	if e != nil {
 		c.endToken(e.NotRun)
-		g.refuse(w, e)
+		g.refuse(w, c.in, c, e)
 		return
 	}
 	c.token.settle()
-	g.deliver(w, c.in.Method, a)
+	g.requests.done(c, a.resp.StatusCode)
+	g.deliver(w, c, a)
 }
 
 func (c *call) endToken(notRun bool) {
--- a/gateway/choice.go
+++ b/gateway/choice.go
@@ -22,6 +22,8 @@
 	now     time.Time
 	// zone is the availability zone of this node.
 	zone string
+	// bytes is the length of the request's body; negative when it is not known.
+	bytes int64
 }
 
 // Len returns the number of candidates.
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
 	"github.com/zinniapier/zinniapier/gate"
+	"github.com/zinniapier/zinniapier/telemetry"
 )
 
 // dispatch runs one attempt on a target of this node. fromHop says that the attempt came
@@ -21,10 +22,12 @@
 	if err := checkGrant(v, c.ref, p.epoch, c.key); err != nil {
 		return nil, errkind.From(err)
 	}
+	began := time.Now()
 	slot, err := t.Gate().AcquireFor(ctx, gate.Claim{Organisation: c.org, Weight: c.weight, Priority: c.priority})
 	if err != nil {
 		return nil, errkind.From(err)
 	}
+	telemetry.Observe("gate", c.ref.Service, time.Since(began))
 	ctx, leave, err := t.Enter(ctx, c.ref, p.epoch, c.key)
 	if err != nil {
 		slot.Release(gate.Outcome{})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,7 +84,7 @@
 	times       serviceTimes
 	retries     *budget
 	hedges      *budget
-	refusals    *refusalLog
+	requests    *requestLog
 
 	closing atomic.Bool
 	running atomic.Int64
@@ -111,7 +111,7 @@
 		fates:    newFateClients(o.TLS),
 		retries:  newBudget(shareOr(t.RetryShare, defaultRetryShare), o.RetryBurst),
 		hedges:   newBudget(shareOr(t.HedgeShare, defaultHedgeShare), 0),
-		refusals: newRefusalLog(telemetry.Logger("gateway")),
+		requests: newRequestLog(),
 	}
 	if g.dialect == nil {
 		g.dialect = ownDialect{}
@@ -184,17 +184,17 @@
 	return nil
 }
 
-// refuse answers a caller with an error and counts it.
-func (g *Gateway) refuse(w http.ResponseWriter, e *errkind.Error) {
+// refuse answers a caller with an error, counts it and logs it. c is nil when the request was
+// refused before it was accepted.
+func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, c *call, e *errkind.Error) {
 	telemetry.CountRefusal(e.Kind)
-	g.refusals.log(e)
+	g.requests.failed(r, g.requestID(r), c, g.view(), e)
 	g.dialect.Refuse(w, e, retryAfter(e.Kind))
 }
 
-// refuseHop is refuse for another node.
+// refuseHop is refuse for another node, which logs the request.
 func (g *Gateway) refuseHop(w http.ResponseWriter, e *errkind.Error) {
 	telemetry.CountRefusal(e.Kind)
-	g.refusals.log(e)
 	errkind.WriteHTTP(w, e)
 }
 
@@ -208,9 +208,3 @@
 	}
 	return 0
 }
-
-// countCut counts an answer that broke off after its header had been sent.
-func (g *Gateway) countCut(e *errkind.Error) {
-	telemetry.CountRefusal(e.Kind)
-	g.refusals.log(e)
-}
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -13,6 +13,7 @@
 
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/telemetry"
 )
 
 const (
@@ -53,8 +54,10 @@
 	ctx, h.cancel = context.WithCancel(ctx)
 	req := outgoing(httptrace.WithClientTrace(ctx, h.shot.trace()), h.call, h.scheme(), h.place.peer.InternalAddr, h.header())
 	h.watch(ctx)
+	began := time.Now()
 	resp, err := h.link.transport.RoundTrip(req)
 	h.timer.Stop()
+	telemetry.Observe("hop", h.call.ref.Service, time.Since(began))
 	if err != nil {
 		h.cancel()
 		_ = req.Body.Close()
--- a/gateway/internal.go
+++ b/gateway/internal.go
@@ -48,11 +48,12 @@
 	defer cancel()
 	a, e := g.dispatch(ctx, g.awaitEpoch(ctx, v, c.ref, p.epoch), c, p, t, id, true)
 	setOnce(w.Header(), api.HeaderExpected, strconv.FormatInt(t.Gate().Expected().Milliseconds(), 10))
+	g.requests.attempt(c, p, id, v, e)
 	if e != nil {
 		g.refuseHop(w, e)
 		return
 	}
-	g.deliver(w, r.Method, a)
+	g.deliver(w, c, a)
 }
 
 // epochWait bounds the wait for a grant that the first node has learned of earlier than this one.
@@ -130,6 +131,7 @@
 		ref:        api.PartitionRef{Service: h.Get(api.HeaderService), Partition: partition},
 		deadline:   time.Now().Add(time.Duration(ms) * time.Millisecond),
 	}
+	c.track.began = time.Now()
 	if org := v.Index.Organisations[c.org]; org != nil {
 		c.weight = org.Weight
 	}
--- a/gateway/near.go
+++ b/gateway/near.go
@@ -13,7 +13,11 @@
 	// nearSample is the number of candidates of a large service that are compared.
 	nearSample = 8
 	// nearBias is what a target in another zone must be faster by, as a factor.
-	nearBias = 1.3
+	nearBias = 3.0
+	// bulkBias is the same for a large body, whose way between zones costs more than its wait.
+	bulkBias = 10.0
+	// bulkBytes is the length from which a body is large; its traffic then outweighs the answer's.
+	bulkBytes = 16 << 10
 	// unknownTime stands for the time of a target that nothing is known of.
 	unknownTime = 50 * time.Millisecond
 )
@@ -24,11 +28,15 @@
 // Choose implements TargetChoice.
 func (nearChoice) Choose(candidates Candidates) int {
 	n := candidates.Len()
+	bias := nearBias
+	if candidates.bytes < 0 || candidates.bytes >= bulkBytes {
+		bias = bulkBias
+	}
 	best, bestTime := 0, 0.0
 	start := rand.IntN(n)
 	for k := range min(n, nearSample) {
 		i := (start + k) % n
-		t := nearTime(candidates.At(i))
+		t := nearTime(candidates.At(i), bias)
 		if k == 0 || t < bestTime {
 			best, bestTime = i, t
 		}
@@ -38,7 +46,7 @@
 
 // nearTime is the expected time of one more request, in seconds, times the bias. What this node
 // waits for counts in full, since a statement is older than the requests sent after it.
-func nearTime(c Candidate) float64 {
+func nearTime(c Candidate, bias float64) float64 {
 	base := c.Stated
 	if base == 0 {
 		base = c.Latency
@@ -48,7 +56,7 @@
 	}
 	t := base.Seconds() * (1 + float64(c.Outstanding)/float64(max(c.At.Target.Slots, 1)))
 	if !c.Near {
-		t *= nearBias
+		t *= bias
 	}
 	return t
 }
--- a/gateway/publicmap.go
+++ b/gateway/publicmap.go
@@ -14,12 +14,12 @@
 // token, since it reaches no target.
 func (g *Gateway) serveMap(w http.ResponseWriter, r *http.Request, v *api.View) {
 	if e := checkMapRequest(r, v); e != nil {
-		g.refuse(w, e)
+		g.refuse(w, r, nil, e)
 		return
 	}
 	text, err := json.Marshal(publicMap(v))
 	if err != nil {
-		g.refuse(w, errkind.New(errkind.Internal, "%v", err))
+		g.refuse(w, r, nil, errkind.New(errkind.Internal, "%v", err))
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -164,7 +164,7 @@
 	if err != nil {
 		return place{}, errkind.New(errkind.Internal, "%v", err)
 	}
-	i := policy.Choose(Candidates{targets: targets, loads: &g.loads, now: time.Now(), zone: v.Zone})
+	i := policy.Choose(Candidates{targets: targets, loads: &g.loads, now: time.Now(), zone: v.Zone, bytes: c.body.length})
 	if slices.Contains(tried, targets[i].Target.ID) {
 		i = untried(targets, tried, i)
 	}
@@ -208,6 +208,7 @@
 	begin := time.Now()
 	a, e := g.attemptAt(ctx, v, c, p)
 	took := time.Since(begin)
+	c.track.note(p, took, e)
 	if e == nil || !e.NotRun {
 		l.observe(took, time.Now())
 	}
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -16,6 +16,7 @@
 // route is one route of a service, prepared for matching.
 type route struct {
 	service  *api.Service
+	name     string
 	host     string
 	segments []string
 	methods  []string
@@ -83,6 +84,7 @@
 		for _, r := range s.Routes {
 			t.routes = append(t.routes, route{
 				service:    s,
+				name:       r.Name,
 				host:       r.Host,
 				segments:   segments(r.Prefix),
 				methods:    r.Methods,
--- a/host/grants.go
+++ b/host/grants.go
@@ -5,6 +5,7 @@
 
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/telemetry"
 )
 
 // phase says how far a grant is in its life at the node.
@@ -72,12 +73,20 @@
 	}
 	t.seen = current
 	list := v.Assignments[t.info.Service]
+	added := make(map[api.Epoch][]int)
 	for p := range list {
 		a := &list[p]
-		if a.State != api.Unassigned && a.Target == t.info.ID && a.Session == v.Session {
-			t.takeOver(p, a, now)
+		if a.State == api.Unassigned || a.Target != t.info.ID || a.Session != v.Session {
+			continue
+		}
+		if t.takeOver(p, a, now) {
+			added[a.Epoch] = append(added[a.Epoch], p)
 		}
 	}
+	if len(added) > 0 {
+		telemetry.Logger("host").WithField("target", t.info.ID).WithField("map", v.MapVersion).
+			WithField("by_epoch", added).Info("Grants taken up.")
+	}
 	for p, g := range t.grants {
 		if p < len(list) && holds(&list[p], t.info.ID, v.Session, g.epoch) {
 			continue
@@ -91,19 +100,21 @@
 	return a.State != api.Unassigned && a.Target == id && a.Session == session && a.Epoch == epoch
 }
 
-// takeOver compares one assignment with the grant at the node.
-func (t *Target) takeOver(partition int, a *api.Assignment, now time.Time) {
+// takeOver compares one assignment with the grant at the node, and says whether it began one.
+func (t *Target) takeOver(partition int, a *api.Assignment, now time.Time) (added bool) {
 	g := t.grants[partition]
 	if g == nil || g.epoch < a.Epoch {
 		g = t.addGrant(partition, a, now)
+		added = g != nil
 	}
 	if g == nil || g.epoch != a.Epoch {
-		return
+		return added
 	}
 	if a.State == api.Releasing && g.phase == granted {
 		g.phase = draining
 		g.drainUntil = now.Add(t.r.o.DrainLimit)
 	}
+	return added
 }
 
 // addGrant begins a grant. It returns nil for one that is older than another of the partition
@@ -190,6 +201,8 @@
 
 func (t *Target) end(g *grant) {
 	delete(t.grants, g.partition)
+	telemetry.Logger("host").WithField("target", t.info.ID).WithField("partition", g.partition).
+		WithField("epoch", g.epoch).WithField("handover", g.handover != "").Info("Grant ended.")
 	if g.report {
 		ref := api.PartitionRef{Service: t.info.Service, Partition: g.partition}
 		t.r.release(api.Released{PartitionRef: ref, Epoch: g.epoch, Handover: g.handover})
--- a/session/beat.go
+++ b/session/beat.go
@@ -109,6 +109,25 @@
 	s.publish(&v)
 }
 
+// logChanges writes what a reply changes in what the node believes.
+func logChanges(old, next *api.View) {
+	log := telemetry.Logger("session").WithField("term", next.Term)
+	if next.Term != old.Term {
+		log.WithField("former", old.Term).Info("Another leader answers.")
+	}
+	if !old.LeaseValid(time.Now()) {
+		log.WithField("session", next.Session).Info("Lease obtained.")
+	}
+	if configVersion(next) != configVersion(old) {
+		log.WithField("configuration", configVersion(next)).WithField("former", configVersion(old)).
+			WithField("label", next.Configuration.Label).WithField("zones_out", next.Configuration.ZonesOut).
+			Info("Configuration in force.")
+	}
+	if next.PeersVersion != old.PeersVersion {
+		log.WithField("nodes", len(next.Peers)).WithField("version", next.PeersVersion).Info("List of nodes changed.")
+	}
+}
+
 // accept checks the reply and publishes it. A refused reply changes nothing.
 func (s *Session) accept(req *api.HeartbeatRequest, reply *api.HeartbeatReply, sent time.Time, sentBoot time.Duration) error {
 	old := s.view.Load()
@@ -117,12 +136,14 @@
 		return err
 	}
 	next := merge(old, reply)
+	next.RenewedAt = sent
 	next.LeaseUntil = sent.Add(reply.Lease)
 	next.LeaseEnd = sentBoot + reply.Lease
 	if late := (boottime.Now() - sentBoot) - time.Since(sent); late > suspendNoise {
 		// The machine was suspended meanwhile: the lease by the monotonic clock would be too long.
 		next.LeaseUntil = next.LeaseUntil.Add(-late)
 	}
+	logChanges(old, next)
 	s.noteLapse(time.Now())
 	s.lapsed = !next.LeaseValid(time.Now())
 	s.o.Tokens.Apply(reply.Term, reply.Tokens)
--- a/session/session.go
+++ b/session/session.go
@@ -166,7 +166,6 @@
 // suture.ErrDoNotRestart or the error of ctx.
 func (s *Session) Serve(ctx context.Context) error {
 	defer s.members.close()
-	log := telemetry.Logger("session")
 	failures := 0
 	for {
 		started := time.Now()
@@ -175,9 +174,6 @@
 			return ctx.Err()
 		}
 		failures = s.countFailures(failures, err)
-		if failures == 1 {
-			log.WithError(err).Debug("Heartbeat failed.")
-		}
 		if s.wait(ctx, started, failures) {
 			return suture.ErrDoNotRestart
 		}
@@ -185,10 +181,17 @@
 }
 
 func (s *Session) countFailures(before int, err error) int {
+	log := telemetry.Logger("session").WithField("member", s.members.current)
 	if err == nil {
+		if before > 0 {
+			log.WithField("failures", before).Info("Control answers again.")
+		}
 		return 0
 	}
 	telemetry.CountEvent("heartbeat_failed", 1)
+	if before == 0 {
+		log.WithError(err).Warning("Heartbeat failed. The next member is asked.")
+	}
 	return before + 1
 }
 
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -3,8 +3,10 @@
 
 import (
 	"expvar"
+	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -32,6 +34,28 @@
 	return nil
 }
 
+// output is the asynchronous writer of Start; nil before.
+var output *asyncWriter
+
+// Start directs all logs to w as one JSON object a line, at the given level. Writing never waits
+// for w: lines beyond what w takes are dropped and counted. Flush writes what is left. It
+// returns an error for an unknown level.
+func Start(w io.Writer, level string) error {
+	output = newAsyncWriter(w)
+	if err := SetOutput(output, level); err != nil {
+		return err
+	}
+	logrus.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	return nil
+}
+
+// Flush waits briefly until the lines logged so far are written.
+func Flush() {
+	if output != nil {
+		output.finish()
+	}
+}
+
 var (
 	refusals = expvar.NewMap("refusals")
 	retries  = expvar.NewMap("retries")
@@ -63,9 +87,23 @@
 	return 0
 }
 
-// Handler serves the counters at /debug/vars.
+// Handler serves the counters at /debug/vars, and counters and latencies as text at /metrics.
 func Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/debug/vars", expvar.Handler())
+	mux.HandleFunc("/metrics", serveMetrics)
 	return mux
 }
+
+func serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	for _, m := range []struct {
+		name     string
+		counters *expvar.Map
+	}{{"refusals", refusals}, {"retries", retries}, {"events", events}} {
+		m.counters.Do(func(kv expvar.KeyValue) {
+			fmt.Fprintf(w, "zinnia_%s_total{kind=%q} %s\n", m.name, kv.Key, kv.Value)
+		})
+	}
+	writeLatencies(w)
+}
