--- /dev/null
+++ b/host/pull_test.go
@@ -0,0 +1,178 @@
+package host
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/internal/boottime"
+)
+
+const pullPartitions = 4
+
+// pullWorld is a registry with one target that pulls its grants.
+type pullWorld struct {
+	t  *testing.T
+	c  *fakeControl
+	a  api.Announcement
+	at uint64 // sequence of the last announcement
+}
+
+func newPullWorld(t *testing.T) *pullWorld {
+	c, _ := newFakeControl(t, Options{Host: "h1", LongestHold: 2 * time.Second, LostAfter: 200 * time.Millisecond})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	w := &pullWorld{t: t, c: c}
+	w.a = api.Announcement{ID: "i-1@100", Instance: "i-1", StartedMs: 100, Service: testService, Address: l.Addr().String(), Slots: 4}
+	c.change(func(v *api.View) {
+		v.LeaseEnd = boottime.Now() + time.Hour
+		v.Configuration = &api.Configuration{Version: 1, Services: api.Services{Services: []api.Service{{
+			Name: testService, Key: &api.KeySource{Header: "K", Span: 400}, Partitions: pullPartitions,
+		}}}}
+	})
+	return w
+}
+
+// own assigns partitions with one epoch each; 0 means unassigned.
+func (w *pullWorld) own(state api.AssignmentState, epochs ...api.Epoch) {
+	w.c.change(func(v *api.View) {
+		v.MapVersion++
+		list := make([]api.Assignment, pullPartitions)
+		for p, epoch := range epochs {
+			if epoch > 0 {
+				list[p] = api.Assignment{State: state, Target: w.a.ID, Session: v.Session, Epoch: epoch, Place: "p", Handover: fmt.Sprint("from-", epoch)}
+			}
+		}
+		v.Assignments = api.Assignments{testService: list}
+	})
+}
+
+func (w *pullWorld) pull(p api.Pull) api.PullReply {
+	w.t.Helper()
+	w.at++
+	p.Sequence = w.at
+	reply, err := w.c.r.Pull(w.a, p)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return reply
+}
+
+func row(first, last int, epoch api.Epoch, handover string) api.RangeGrant {
+	return api.RangeGrant{KeyRange: api.KeyRange{First: first, Last: last}, Epoch: epoch, Handover: handover}
+}
+
+// Guards against grants that reach a target without the token of their last owner, in more rows
+// than needed, or for longer than the lease of the node allows a slow clock.
+func TestPullHandsOutGrants(t *testing.T) {
+	is := is.New(t)
+	w := newPullWorld(t)
+	w.own(api.Granted, 5, 5, 0, 7)
+	reply := w.pull(api.Pull{})
+	is.True(reply.Renews)
+	is.Equal(reply.Grants, []api.RangeGrant{row(0, 199, 5, "from-5"), row(300, 399, 7, "from-7")})
+	is.Equal(reply.Hold, 2*time.Second) // the longest hold
+	reply = w.pull(api.Pull{Holds: []api.RangeGrant{row(0, 199, 5, ""), row(300, 399, 7, "")}})
+	is.Equal(reply.Grants, []api.RangeGrant{row(0, 199, 5, ""), row(300, 399, 7, "")}) // held: no token needed
+
+	w.c.change(func(v *api.View) { v.LeaseEnd = boottime.Now() + time.Second })
+	reply = w.pull(api.Pull{})
+	is.True(reply.Hold < 980*time.Millisecond) // 2% slow, it still ends within the lease
+	is.True(reply.Hold > 900*time.Millisecond)
+}
+
+// Guards against a node without a lease that renews or takes away what its target holds.
+func TestPullWithoutLeaseRenewsNothing(t *testing.T) {
+	is := is.New(t)
+	w := newPullWorld(t)
+	w.own(api.Granted, 5)
+	w.c.change(func(v *api.View) { v.LeaseEnd = boottime.Now() })
+	is.Equal(w.pull(api.Pull{}).Renews, false)
+}
+
+// Guards against a move that is reported as released while the target still works on the range,
+// and against a handover token that is lost.
+func TestPullReleasesWhenTheTargetHasLetGo(t *testing.T) {
+	is := is.New(t)
+	w := newPullWorld(t)
+	w.own(api.Granted, 5)
+	w.pull(api.Pull{})
+	w.own(api.Releasing, 5)
+	held := []api.RangeGrant{row(0, 99, 5, "")}
+	is.Equal(len(w.pull(api.Pull{Holds: held}).Grants), 0) // left out from here
+	is.Equal(w.c.released(5), false)
+	w.pull(api.Pull{Holds: held}) // still working on it
+	is.Equal(w.c.released(5), false)
+	w.pull(api.Pull{Released: []api.RangeGrant{row(0, 99, 0, "token")}})
+	is.Equal(w.c.r.Released(), []api.Released{{PartitionRef: ref0(), Epoch: 5, Handover: "token"}})
+}
+
+// Guards against old announcements that undo later ones or bring a dead instance back, and against a
+// replaced instance whose ranges wait for a hold that nobody holds.
+func TestPullOrdersInstances(t *testing.T) {
+	is := is.New(t)
+	w := newPullWorld(t)
+	w.own(api.Granted, 5)
+	w.pull(api.Pull{})
+	_, err := w.c.r.Pull(w.a, api.Pull{Sequence: 1, Draining: true})
+	is.Equal(errkind.Of(err), errkind.Conflict)
+	is.Equal(w.c.r.Lookup(w.a.ID).State(), api.TargetServing)
+
+	old := w.a
+	w.a.ID, w.a.StartedMs = "i-1@200", 200
+	w.pull(api.Pull{})
+	eventually(t, "release of the former instance", func() bool { return w.c.released(5) })
+	_, err = w.c.r.Pull(old, api.Pull{Sequence: 99})
+	is.Equal(errkind.Of(err), errkind.Conflict)
+	older := old
+	older.ID, older.StartedMs = "i-0@50", 50
+	_, err = w.c.r.Pull(older, api.Pull{Sequence: 99})
+	is.Equal(errkind.Of(err), errkind.Conflict)
+}
+
+// Guards against a silent target whose ranges are released before its hold has ended.
+func TestSilentTargetKeepsItsHold(t *testing.T) {
+	w := newPullWorld(t)
+	w.own(api.Granted, 5)
+	w.pull(api.Pull{})
+	took := eventually(t, "release", func() bool { return w.c.released(5) })
+	if took < 1900*time.Millisecond {
+		t.Fatalf("released after %v of a hold of 2 s", took)
+	}
+}
+
+// Guards against a crashed target whose ranges wait for its hold although its address refuses
+// connections.
+func TestRefusedConnectionsReleaseAtOnce(t *testing.T) {
+	w := newPullWorld(t)
+	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.a.Address = dead.Addr().String()
+	_ = dead.Close()
+	w.own(api.Granted, 5)
+	w.pull(api.Pull{})
+	w.c.r.Lookup(w.a.ID).ConnectionRefused()
+	if took := eventually(t, "release", func() bool { return w.c.released(5) }); took > time.Second {
+		t.Fatalf("released after %v", took)
+	}
+}
+
+// Guards against a reply beyond 4 KiB: single ranges with tokens are cut to ranges without.
+func TestManyRowsLoseTheirTokens(t *testing.T) {
+	is := is.New(t)
+	var rows []api.RangeGrant
+	for i := range maxRows + 20 {
+		rows = append(rows, row(i*10, i*10+9, 5, fmt.Sprint("token-", i)))
+	}
+	is.Equal(withoutHandovers(rows), []api.RangeGrant{row(0, (maxRows+20)*10-1, 5, "")})
+}
--- a/replica/discovery.go
+++ b/replica/discovery.go
@@ -165,7 +165,7 @@
 }
 
 // keepJoined asks to be added for as long as the membership that this member knows does
-// not list it under its present addresses.
+// not list it under its present addresses, or no leader is heard of.
 func (r *Replica) keepJoined(ctx context.Context) error {
 	for {
 		select {
@@ -177,7 +177,8 @@
 		if p == nil {
 			continue
 		}
-		if known, ok := p.roster.find(r.self().ID); ok && known == r.record() {
+		// A member that was removed while it was away still lists itself, but hears of no leader.
+		if known, ok := p.roster.find(r.self().ID); ok && known == r.record() && p.status.Leader != 0 {
 			continue
 		}
 		if removed := r.requestJoin(ctx); removed {
--- /dev/null
+++ b/state/replace_test.go
@@ -0,0 +1,93 @@
+package state
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/errkind"
+)
+
+func replacement(base, label uint64, names ...string) api.Change {
+	return api.Change{
+		Kind:        api.Replace,
+		Replacement: &api.Replacement{BaseLabel: base, Label: label, Services: *services(4, names...), Document: []byte{byte(label)}},
+	}
+}
+
+// Guards against two changes on one base that both come into force, an old number, and a change
+// that is refused when it is sent again.
+func TestReplace(t *testing.T) {
+	is := is.New(t)
+	m := &tester{Machine: New(), t: t}
+	first := replacement(0, 5, "quotes")
+	first.ID = "first"
+	is.Equal(kind(m.change(first)), errkind.Kind(""))
+	is.Equal(kind(m.change(replacement(0, 7, "quotes"))), errkind.Conflict)
+	is.Equal(kind(m.change(replacement(5, 5, "quotes"))), errkind.Invalid)
+	is.Equal(kind(m.change(replacement(5, 7, "quotes", "quotes"))), errkind.Invalid)
+	is.Equal(m.View().Configuration.Label, uint64(5))
+	is.Equal(kind(m.change(replacement(5, 9, "quotes", "orders"))), errkind.Kind(""))
+	is.Equal(kind(m.change(first)), errkind.Kind("")) // a resend of what was accepted
+	is.Equal(m.View().Configuration.Label, uint64(9))
+	is.Equal(m.View().Configuration.Document, []byte{9})
+}
+
+// Guards against a refusal that is kept as the answer to a change whose base becomes current later.
+func TestRefusedReplaceMayBeSentAgain(t *testing.T) {
+	is := is.New(t)
+	m := &tester{Machine: New(), t: t}
+	early := replacement(5, 7, "quotes")
+	early.ID = "early"
+	is.Equal(kind(m.change(early)), errkind.Conflict)
+	is.Equal(kind(m.change(replacement(0, 5, "quotes"))), errkind.Kind(""))
+	is.Equal(kind(m.change(early)), errkind.Kind(""))
+}
+
+// Guards against a service that comes back while it is being released and is refused, or whose
+// owners are forgotten.
+func TestReplaceTakesAssignmentsBack(t *testing.T) {
+	is := is.New(t)
+	m := &tester{Machine: New(), t: t}
+	m.change(replacement(0, 1, "quotes"))
+	epoch := m.View().Assignments["quotes"][0].Epoch
+	m.batch(Batch{Grants: []Grant{{Step: step(0, epoch), Target: "t1", Session: "s1"}}})
+	m.change(replacement(1, 2, "orders"))
+	is.Equal(kind(m.change(replacement(2, 3, "orders", "quotes"))), errkind.Kind(""))
+	is.Equal(m.View().Assignments["quotes"][0].Target, api.TargetID("t1"))
+}
+
+// Guards against an evacuation that is refused when it is sent twice, or when there is none to end.
+func TestUnconditionalZones(t *testing.T) {
+	is := is.New(t)
+	m := newTester(t)
+	for _, k := range []api.ChangeKind{api.ZoneOut, api.ZoneOut, api.ZoneIn, api.ZoneIn} {
+		c := api.Change{Kind: k, Name: "a", Unconditional: true, BaseVersion: 1 << 40}
+		is.Equal(kind(m.change(c)), errkind.Kind(""))
+	}
+	is.Equal(len(m.View().Configuration.ZonesOut), 0)
+}
+
+// Guards against a token of a handover that does not reach the next owner, and against a rebind
+// that changes the epoch or goes to another target.
+func TestHandoverAndRebind(t *testing.T) {
+	is := is.New(t)
+	m := newTester(t)
+	epoch := m.View().Assignments["quotes"][0].Epoch
+	m.batch(Batch{Grants: []Grant{{Step: step(0, epoch), Target: "t1", Session: "s1", Place: "h/a"}}})
+	granted := m.View().Assignments["quotes"][0]
+	rebind := Grant{Step: step(0, granted.Epoch), Target: "t1", Session: "s2"}
+	is.Equal(m.batch(Batch{Rebinds: []Grant{rebind}}).(*BatchResult).Applied, 1)
+	want := granted
+	want.Session = "s2"
+	is.Equal(m.View().Assignments["quotes"][0], want)
+	rebind.Target = "t2"
+	is.Equal(len(m.batch(Batch{Rebinds: []Grant{rebind}}).(*BatchResult).Rejected), 1)
+
+	release := step(0, granted.Epoch)
+	release.Handover = "token"
+	m.batch(Batch{Releases: []Step{release}})
+	m.batch(Batch{Grants: []Grant{{Step: step(0, granted.Epoch), Target: "t2", Session: "s3"}}})
+	is.Equal(m.View().Assignments["quotes"][0].Handover, "token")
+}
