gate, gateway: refuse at once what cannot be answered within its objective; calls of targets first

Cause: under overload the gate queued requests up to their deadline.

A request is now refused at admission when the queue outlasts its objective; one whose caller has come back, seen by the time that its deadline lacks, waits an eighth of what is left. Requests without an organisation come from targets whose slots wait for the answer, so they go first.

--- a/api/target.go
+++ b/api/target.go
@@ -25,9 +25,11 @@
 	HeaderIdempotent   = "Zinnia-Idempotent"
 	HeaderOrigin       = "Zinnia-Origin"
 	HeaderPriority     = "Zinnia-Priority"
-	HeaderExpected     = "Zinnia-Expected-Ms"
-	HeaderCold         = "Zinnia-Cold"
-	HeaderShed         = "Zinnia-Shed"
+	// HeaderObjectiveMs is the time left to the latency objective; 0 says that it has passed.
+	HeaderObjectiveMs = "Zinnia-Objective-Ms"
+	HeaderExpected    = "Zinnia-Expected-Ms"
+	HeaderCold        = "Zinnia-Cold"
+	HeaderShed        = "Zinnia-Shed"
 )
 
 // HeaderPrefix starts every internal header; all are stripped from callers.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -147,8 +147,24 @@
 	Organisation api.OrganisationID
 	// Weight is the organisation's share; one that is not positive counts as 1.
 	Weight float64
-	// Priority is the rank of the request; 0 is the most urgent.
+	// Priority is the rank of the request; a lower one is more urgent.
 	Priority int
+	// Objective is when the answer loses most of its worth; the zero time means never. A request
+	// that cannot be answered by then is refused at once, while that is cheap for its caller.
+	Objective time.Time
+	// Patience bounds the wait of a request whose objective has passed; 0 means no bound.
+	Patience time.Duration
+}
+
+// latestStart is when a request has to start so that waiting for it is of use; zero means any time.
+func (c *Claim) latestStart(now time.Time, mean time.Duration) time.Time {
+	switch {
+	case c.Patience > 0:
+		return now.Add(c.Patience)
+	case !c.Objective.IsZero():
+		return c.Objective.Add(-mean)
+	}
+	return time.Time{}
 }
 
 // AcquireFor is Acquire with a priority, which the queue policy may use.
@@ -164,7 +180,7 @@
 		return nil, err
 	}
 	if w != nil {
-		ctx, cancel := withLatestStart(ctx, w.mean)
+		ctx, cancel := withLatestStart(ctx, w.mean, w.latest)
 		defer cancel()
 		if err := g.wait(ctx, w); err != nil {
 			return nil, err
@@ -190,6 +206,11 @@
 		return nil, err
 	}
 	w := &Waiter{Claim: c, ready: make(chan struct{}), mean: g.limiter.times.mean}
+	if latest := c.latestStart(now, w.mean); !latest.IsZero() {
+		// The estimate may be short by a part of one service time; a slot that comes a little later
+		// is still better than a refusal after the wait.
+		w.latest = latest.Add(w.mean / 2)
+	}
 	g.queue.Push(w)
 	g.pump()
 	return w, nil
@@ -204,7 +225,11 @@
 		return nil
 	}
 	turns := time.Duration(g.queue.Ahead(c) + 1)
-	need := mean*turns/time.Duration(g.limiter.limit()) + mean
+	wait := mean * turns / time.Duration(g.limiter.limit())
+	if latest := c.latestStart(now, mean); !latest.IsZero() && now.Add(wait).After(latest) {
+		return errkind.New(errkind.Overloaded, "queue needs %v, of use for %v", wait, latest.Sub(now))
+	}
+	need := wait + mean
 	if deadline.Sub(now) >= need {
 		return nil
 	}
@@ -213,12 +238,18 @@
 
 // withLatestStart ends the wait when the mean service time no longer fits before the deadline:
 // a request that starts later takes a slot and is most likely cut off in its work.
-func withLatestStart(ctx context.Context, mean time.Duration) (context.Context, context.CancelFunc) {
+func withLatestStart(ctx context.Context, mean time.Duration, latest time.Time) (context.Context, context.CancelFunc) {
 	deadline, ok := ctx.Deadline()
+	if ok {
+		deadline = deadline.Add(-mean)
+	}
+	if !latest.IsZero() && (!ok || latest.Before(deadline)) {
+		deadline, ok = latest, true
+	}
 	if !ok {
 		return ctx, func() {}
 	}
-	return context.WithDeadline(ctx, deadline.Add(-mean))
+	return context.WithDeadline(ctx, deadline)
 }
 
 func (g *Gate) makeRoom(c Claim) error {
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -14,6 +14,8 @@
 	ready chan struct{} // closed when the waiter got a slot or was refused
 	err   error         // set before ready is closed
 	mean  time.Duration // service time of the target when the waiter was queued
+	// latest is when waiting is no longer of use; zero means never.
+	latest time.Time
 }
 
 // Queue orders the waiting requests of one target. The gate serialises all calls.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -7,6 +7,7 @@
 
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/gate"
 )
 
 // call is one request on its way: of a caller, or of another node over a hop.
@@ -29,7 +30,8 @@
 	key        string
 	ref        api.PartitionRef // partition -1 for a service that is not divided by key
 	deadline   time.Time
-	left       int // attempts left, the next one included
+	objective  time.Time // when the answer loses most of its worth; zero for no objective
+	left       int       // attempts left, the next one included
 	token      heldToken
 }
 
@@ -92,6 +94,7 @@
 	if err := checkServing(v, c.service); err != nil {
 		return nil, err
 	}
+	c.setObjective(matched, envelope)
 	c.setLimits(envelope, matched.deadline(), matched.attemptsOr(g.attempts))
 	if err := c.readKey(v); err != nil {
 		return nil, err
@@ -132,6 +135,40 @@
 	return nil
 }
 
+// callPriority ranks requests without an organisation among callers that have one: they come from
+// targets at work, whose slots wait for the answer.
+const callPriority = -1
+
+// setObjective sets the objective. A caller that comes back after a refusal states less time than
+// callers of the route do at first; its objective counts from its first request.
+func (c *call) setObjective(r *route, e Envelope) {
+	if c.org == "" {
+		c.priority = callPriority
+		return
+	}
+	if r.objective <= 0 {
+		return
+	}
+	began := c.track.began
+	if e.DeadlineMs > 0 {
+		began = began.Add(-r.elapsed(e.DeadlineMs))
+	}
+	c.objective = began.Add(r.objective)
+}
+
+// claim is what the call wants at the gate of a target.
+func (c *call) claim(now time.Time) gate.Claim {
+	claim := gate.Claim{Organisation: c.org, Weight: c.weight, Priority: c.priority, Objective: c.objective}
+	if !c.objective.IsZero() && !c.objective.After(now) {
+		claim.Patience = c.deadline.Sub(now) / patienceShare
+	}
+	return claim
+}
+
+// patienceShare divides the time that is left to a request whose objective has passed: a refusal
+// within it leaves the caller time for something else.
+const patienceShare = 8
+
 // setLimits sets the deadline and the attempts; the caller's own limits only lower them.
 func (c *call) setLimits(e Envelope, longest time.Duration, attempts int) {
 	// Compared in milliseconds, since a large number would overflow a duration.
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -23,7 +23,7 @@
 		return nil, errkind.From(err)
 	}
 	began := time.Now()
-	slot, err := t.Gate().AcquireFor(ctx, gate.Claim{Organisation: c.org, Weight: c.weight, Priority: c.priority})
+	slot, err := t.Gate().AcquireFor(ctx, c.claim(began))
 	if err != nil {
 		return nil, errkind.From(err)
 	}
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -93,6 +93,9 @@
 		setOnce(out, api.HeaderOrigin, c.origin)
 	}
 	setOnce(out, api.HeaderPriority, strconv.Itoa(c.priority))
+	if !c.objective.IsZero() {
+		setOnce(out, api.HeaderObjectiveMs, strconv.FormatInt(max(time.Until(c.objective).Milliseconds(), 0), 10))
+	}
 	setOnce(out, api.HeaderAttempt, h.id)
 	setOnce(out, api.HeaderService, c.ref.Service)
 	setOnce(out, api.HeaderPartition, strconv.Itoa(c.ref.Partition))
--- a/gateway/internal.go
+++ b/gateway/internal.go
@@ -132,6 +132,9 @@
 		deadline:   time.Now().Add(time.Duration(ms) * time.Millisecond),
 	}
 	c.track.began = time.Now()
+	if left, err := strconv.ParseInt(h.Get(api.HeaderObjectiveMs), 10, 64); err == nil {
+		c.objective = c.track.began.Add(time.Duration(left) * time.Millisecond)
+	}
 	if org := v.Index.Organisations[c.org]; org != nil {
 		c.weight = org.Weight
 	}
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -24,6 +24,10 @@
 	priority int
 	attempts int
 	timeout  time.Duration
+	// objective is the time within which an answer is worth most; 0 when none is stated.
+	objective time.Duration
+	// longest is the longest deadline in milliseconds that a caller of the route has stated.
+	longest atomic.Int64
 	// split holds the services of a route that names shares, in place of service.
 	split []share
 	// repeatable overrides the default by method; nil means the default.
@@ -51,6 +55,27 @@
 	return r.split[len(r.split)-1].service
 }
 
+// returnShare is the share of the usual deadline that must be missing before a caller counts as one
+// that comes back; less is the way to the node.
+const returnShare = 0.05
+
+// elapsed is how long a caller that states the deadline has waited already, by the longest
+// deadline of the route.
+func (r *route) elapsed(deadlineMs int64) time.Duration {
+	longest := r.longest.Load()
+	for deadlineMs > longest {
+		if r.longest.CompareAndSwap(longest, deadlineMs) {
+			return 0
+		}
+		longest = r.longest.Load()
+	}
+	missing := longest - deadlineMs
+	if float64(missing) < returnShare*float64(longest) {
+		return 0
+	}
+	return time.Duration(missing) * time.Millisecond
+}
+
 // attemptsOr returns the bound on attempts; byDefault when the route states none.
 func (r *route) attemptsOr(byDefault int) int {
 	if r.attempts > 0 {
@@ -62,7 +87,7 @@
 // routeTable is the prepared routes of one configuration, longest prefix first.
 type routeTable struct {
 	configuration *api.Configuration
-	routes        []route
+	routes        []*route
 }
 
 // routeCache holds the table of the newest configuration seen.
@@ -82,7 +107,7 @@
 	for i := range configuration.Services.Services {
 		s := &configuration.Services.Services[i]
 		for _, r := range s.Routes {
-			t.routes = append(t.routes, route{
+			t.routes = append(t.routes, &route{
 				service:    s,
 				name:       r.Name,
 				host:       r.Host,
@@ -93,11 +118,12 @@
 				priority:   r.Priority,
 				attempts:   r.Attempts,
 				timeout:    time.Duration(r.TimeoutMs) * time.Millisecond,
+				objective:  time.Duration(r.ObjectiveMs) * time.Millisecond,
 				split:      newSplit(configuration, r.Split),
 			})
 		}
 	}
-	slices.SortStableFunc(t.routes, func(a, b route) int {
+	slices.SortStableFunc(t.routes, func(a, b *route) int {
 		return len(b.segments) - len(a.segments)
 	})
 	return t
@@ -121,7 +147,7 @@
 func (t *routeTable) match(method, host, path string) *route {
 	for i := range t.routes {
 		if t.routes[i].matches(method, host, path) {
-			return &t.routes[i]
+			return t.routes[i]
 		}
 	}
 	return nil
