host, control, replica: changes reach targets at once; a leader removes only voters that it had time to hear

Cause: a target heard of a grant or a move with its next heartbeat, up to 870 ms later, and a new leader waited 700 ms before it planned.

A reply that brings nothing new is held for up to half a second and sent when something changes. A new leader plans as soon as every place that owns something is reported. Elections take 350 to 700 ms.

Silence counts from the beginning of the leadership now.

--- a/config/pulled.go
+++ b/config/pulled.go
@@ -13,10 +13,10 @@
 	// PulledDriftMarginMs covers the difference of clocks over one lease.
 	PulledDriftMarginMs = 200
 	// PulledElectionMinMs outlasts a pause of a busy host with a fraction of a core.
-	PulledElectionMinMs = 500
-	PulledElectionMaxMs = 1000
-	// PulledRaftBeatMs fits four times into the shortest election timeout.
-	PulledRaftBeatMs = 120
+	PulledElectionMinMs = 350
+	PulledElectionMaxMs = 700
+	// PulledRaftBeatMs fits three times into the shortest election timeout.
+	PulledRaftBeatMs = 110
 )
 
 // PulledTiming returns the timing of a deployment whose targets pull their grants and hold them
--- a/control/leader.go
+++ b/control/leader.go
@@ -85,13 +85,37 @@
 	l.endTokensWait(view, now)
 	l.reserveSilent(view, now)
 	batch := &state.Batch{Term: l.term}
-	if !now.Before(l.planFrom) {
+	if !now.Before(l.planFrom) || l.allPlacesHeard(view) {
 		batch = l.plan(view, now)
 	}
 	l.planSessions(view, now, batch)
 	return batch
 }
 
+// allPlacesHeard says whether a target is reported for every place that owns something by the log:
+// then nothing is gained by waiting for more nodes.
+func (l *leader) allPlacesHeard(view *api.ControlState) bool {
+	reported := make(map[string]bool)
+	for _, s := range l.sessions {
+		for _, t := range s.last.Targets {
+			reported[t.Place] = true
+		}
+	}
+	owned := false
+	for _, list := range view.Assignments {
+		for _, a := range list {
+			if a.State == api.Unassigned {
+				continue
+			}
+			if a.Place == "" || !reported[a.Place] {
+				return false
+			}
+			owned = true
+		}
+	}
+	return owned
+}
+
 func (l *leader) followConfiguration(view *api.ControlState, now time.Time) {
 	if view.Configuration.Version == l.configVersion {
 		return
--- a/host/pull.go
+++ b/host/pull.go
@@ -35,6 +35,8 @@
 	left bool
 	// coldUntil is the end of the cold start that the target has stated.
 	coldUntil time.Time
+	// changed is closed and replaced when the node has something new for the target.
+	changed chan struct{}
 }
 
 // Pull takes in an announcement of a target that pulls its grants, and returns the grants that
@@ -56,10 +58,81 @@
 		}
 		t = r.Lookup(a.ID)
 	}
-	v := r.o.View()
-	reply, err := t.pull(v, p, arrived)
+	reply, changed, err := t.pull(r.o.View(), p, arrived)
 	t.kick()
-	return reply, err
+	if err != nil || changed == nil {
+		return reply, err
+	}
+	return t.awaitChange(p, reply, changed), nil
+}
+
+// pollLimit bounds how long a reply waits for something to tell. An announcement whose reply
+// takes a second has failed for the target.
+const pollLimit = 500 * time.Millisecond
+
+// awaitChange holds a reply that brings nothing new until something changes, so that a target hears
+// of it at once and not with its next announcement.
+func (t *Target) awaitChange(p api.Pull, reply api.PullReply, changed <-chan struct{}) api.PullReply {
+	timer := time.NewTimer(pollLimit)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+			reply, _ = t.replyAgain(p)
+			return reply
+		case <-t.done:
+			return reply
+		case <-changed:
+		}
+		var again <-chan struct{}
+		if reply, again = t.replyAgain(p); again == nil {
+			return reply
+		}
+		changed = again
+	}
+}
+
+// replyAgain builds the reply to an announcement anew.
+func (t *Target) replyAgain(p api.Pull) (api.PullReply, <-chan struct{}) {
+	v := t.r.o.View()
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	service := configured(v, t.info.Service)
+	if t.replaced || t.pulled.sequence != p.Sequence {
+		return api.PullReply{}, nil
+	}
+	if service == nil {
+		return api.PullReply{}, t.pulled.changed
+	}
+	if !service.Ranged() {
+		return api.PullReply{}, nil
+	}
+	t.takeOverView(v, now)
+	reply := t.replyToPull(v, service, p, now)
+	return reply, t.worthWaiting(p, reply)
+}
+
+// worthWaiting returns the channel of the next change when the reply tells the target nothing that
+// it does not do already; else nil. The caller holds t.mu.
+func (t *Target) worthWaiting(p api.Pull, reply api.PullReply) <-chan struct{} {
+	if t.draining || !sameRanges(p.Holds, reply.Grants) {
+		return nil
+	}
+	return t.pulled.changed
+}
+
+// sameRanges says whether the rows cover the same keys under the same epochs.
+func sameRanges(held, granted []api.RangeGrant) bool {
+	return slices.Equal(withoutHandovers(sortedRanges(held)), withoutHandovers(granted))
+}
+
+// notifyPull ends the wait of a held reply.
+func (t *Target) notifyPull() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	close(t.pulled.changed)
+	t.pulled.changed = make(chan struct{})
 }
 
 // LeavePulled notes that a target goes away for good; it gets no new work from now on. A target
@@ -101,14 +174,15 @@
 	return false
 }
 
-func (t *Target) pull(v *api.View, p api.Pull, now time.Time) (api.PullReply, error) {
+// pull takes in an announcement. The channel is set when the reply brings nothing new.
+func (t *Target) pull(v *api.View, p api.Pull, now time.Time) (api.PullReply, <-chan struct{}, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.replaced {
-		return api.PullReply{}, errkind.New(errkind.Conflict, "a later instance has taken the place of %s", t.info.ID)
+		return api.PullReply{}, nil, errkind.New(errkind.Conflict, "a later instance has taken the place of %s", t.info.ID)
 	}
 	if p.Sequence <= t.pulled.sequence {
-		return api.PullReply{}, errkind.New(errkind.Conflict, "announcement %d after %d", p.Sequence, t.pulled.sequence)
+		return api.PullReply{}, nil, errkind.New(errkind.Conflict, "announcement %d after %d", p.Sequence, t.pulled.sequence)
 	}
 	t.pulled.sequence = p.Sequence
 	t.announced = now
@@ -118,12 +192,16 @@
 	t.pulled.coldUntil = now.Add(p.ColdFor)
 	t.paceCold(v, now)
 	service := configured(v, t.info.Service)
-	if service == nil || !service.Ranged() {
-		return api.PullReply{}, nil
+	if service == nil {
+		return api.PullReply{}, t.pulled.changed, nil
+	}
+	if !service.Ranged() {
+		return api.PullReply{}, nil, nil
 	}
 	t.takeOverView(v, now)
 	t.settlePulled(service, p)
-	return t.replyToPull(v, service, p, now), nil
+	reply := t.replyToPull(v, service, p, now)
+	return reply, t.worthWaiting(p, reply), nil
 }
 
 func (t *Target) setDraining(draining bool) {
--- a/host/pull_test.go
+++ b/host/pull_test.go
@@ -176,3 +176,37 @@
 	}
 	is.Equal(withoutHandovers(rows), []api.RangeGrant{row(0, (maxRows+20)*10-1, 5, "")})
 }
+
+// Guards against grants and moves that wait for the next announcement of the target.
+func TestHeldReplyBringsChangesAtOnce(t *testing.T) {
+	is := is.New(t)
+	w := newPullWorld(t)
+	w.own(api.Granted)
+	began := time.Now()
+	time.AfterFunc(100*time.Millisecond, func() { w.own(api.Granted, 5) })
+	is.Equal(w.pull(api.Pull{}).Grants, []api.RangeGrant{row(0, 99, 5, "from-5")})
+	is.True(time.Since(began) < 300*time.Millisecond)
+
+	held := []api.RangeGrant{row(0, 99, 5, "")}
+	time.AfterFunc(100*time.Millisecond, func() { w.own(api.Releasing, 5) })
+	began = time.Now()
+	is.Equal(len(w.pull(api.Pull{Holds: held}).Grants), 0)
+	is.True(time.Since(began) < 300*time.Millisecond)
+}
+
+// Guards against a reply that is held for so long that the announcement fails, and against one that
+// is held from a target that leaves.
+func TestHeldReplyEndsInTime(t *testing.T) {
+	is := is.New(t)
+	w := newPullWorld(t)
+	w.own(api.Granted, 5)
+	held := []api.RangeGrant{row(0, 99, 5, "")}
+	w.pull(api.Pull{})
+	began := time.Now()
+	is.Equal(w.pull(api.Pull{Holds: held}).Grants, held)
+	took := time.Since(began)
+	is.True(took >= pollLimit && took < pollLimit+200*time.Millisecond)
+	began = time.Now()
+	w.pull(api.Pull{Holds: held, Draining: true})
+	is.True(time.Since(began) < 100*time.Millisecond)
+}
--- a/host/registry.go
+++ b/host/registry.go
@@ -207,6 +207,7 @@
 	}
 	for _, t := range r.all() {
 		t.kick()
+		t.notifyPull()
 	}
 }
 
--- a/host/target.go
+++ b/host/target.go
@@ -64,6 +64,7 @@
 		orders:    orderState{version: 1},
 		delivered: make(chan struct{}),
 		meter:     newMeter(arrived),
+		pulled:    pullState{changed: make(chan struct{})},
 	}
 }
 
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -37,7 +37,10 @@
 	roster  roster
 	context []byte // encoded form of roster
 
-	announced      LeadershipChange
+	announced LeadershipChange
+	// leading is the term that this member leads, since leadingSince; 0 on a follower.
+	leading        uint64
+	leadingSince   time.Duration
 	lastReconciled time.Duration
 	lastRetained   time.Duration
 }
@@ -167,6 +170,7 @@
 	if !bytes.Equal(status.Membership.Context, l.context) {
 		l.readRoster(status.Membership.Context)
 	}
+	l.noteLeading(status, now)
 	p := &published{status: status, roster: l.roster, leaseUntil: l.core.LeaseUntil(now), at: now}
 	p.ready = status.Role == raft.Leader && l.applier.appliedTerm.Load() == status.Term
 	l.announceLeadership(p)
@@ -176,6 +180,16 @@
 	}
 }
 
+// noteLeading notes since when this member leads: before, it could not hear from the others.
+func (l *loop) noteLeading(status raft.Status, now time.Duration) {
+	switch {
+	case status.Role != raft.Leader:
+		l.leading = 0
+	case l.leading != status.Term:
+		l.leading, l.leadingSince = status.Term, now
+	}
+}
+
 // announceLeadership stores p for readers and announces a change of leadership. A gain is
 // announced before HoldsLease can turn true, and a loss after it has turned false, so that
 // nobody acts in a new term on the state of an older one.
--- a/replica/members.go
+++ b/replica/members.go
@@ -227,11 +227,12 @@
 			continue
 		}
 		returned := old.Name == self.Name
-		if !returned && now-p.Contact < voterLostAfter {
+		silent := now - max(p.Contact, l.leadingSince)
+		if !returned && silent < voterLostAfter {
 			continue
 		}
 		l.r.log.WithField("member", p.ID).WithField("learner", learner).
-			WithField("silent", (now - p.Contact).String()).Info("Remove a voter in favour of a learner.")
+			WithField("silent", silent.String()).Info("Remove a voter in favour of a learner.")
 		return l.without(p.ID), true
 	}
 	return m, false
