--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -26,6 +26,8 @@
 	// Place names the address on a host where only one target can run at a time: another target
 	// that is reported for it proves that this one has ended. Empty when there is no such proof.
 	Place string `json:"place,omitempty"`
+	// StartedMs orders the targets that were reported for one place: Unix milliseconds of the start.
+	StartedMs int64 `json:"started_ms,omitempty"`
 	// PartitionLoad is the recent requests per second by partition; idle partitions are left out.
 	PartitionLoad map[int]float64 `json:"partition_load,omitempty"`
 	// HotKeys are single keys with a large share of the load of their partition.
--- a/control/plan.go
+++ b/control/plan.go
@@ -74,8 +74,7 @@
 func (l *leader) dropReplaced(targets map[api.TargetID]*targetInfo) {
 	latest := make(map[string]*targetInfo)
 	for _, t := range targets {
-		other := latest[t.Place]
-		if t.Place != "" && (other == nil || l.sessions[t.session].deadline.After(l.sessions[other.session].deadline)) {
+		if other := latest[t.Place]; t.Place != "" && (other == nil || t.StartedMs > other.StartedMs) {
 			latest[t.Place] = t
 		}
 	}
--- a/host/enter.go
+++ b/host/enter.go
@@ -68,6 +68,9 @@
 	if t.lost {
 		return nil, nil, nil, errkind.New(errkind.NoTarget, "target %s is lost", t.info.ID)
 	}
+	if err := t.mayWork(now); err != nil {
+		return nil, nil, nil, err
+	}
 	if ref.Partition == undivided {
 		return t.enterUndivided(ctx)
 	}
--- a/host/pull.go
+++ b/host/pull.go
@@ -33,6 +33,10 @@
 	sequence uint64
 	// left says that the target has said that it leaves for good.
 	left bool
+	// drainingSince is when the target said that it leaves, outSince when this node learnt that
+	// operators took it or its zone out; zero when they have not.
+	drainingSince time.Time
+	outSince      time.Time
 	// coldUntil is the end of the cold start that the target has stated.
 	coldUntil time.Time
 	// changed is closed and replaced when the node has something new for the target.
@@ -143,10 +147,9 @@
 		return
 	}
 	t.mu.Lock()
-	t.pulled.left, t.draining = true, true
+	t.pulled.left = true
+	t.setDraining(true)
 	t.mu.Unlock()
-	telemetry.Logger("host").WithField("target", id).Info("Target leaves.")
-	r.o.Kick()
 	t.kick()
 }
 
@@ -191,6 +194,7 @@
 	t.setDraining(p.Draining || t.pulled.left)
 	t.pulled.coldUntil = now.Add(p.ColdFor)
 	t.paceCold(v, now)
+	t.noteOut(v.Configuration, now)
 	service := configured(v, t.info.Service)
 	if service == nil {
 		return api.PullReply{}, t.pulled.changed, nil
@@ -209,6 +213,7 @@
 		return
 	}
 	t.draining = draining
+	t.pulled.drainingSince = time.Now()
 	telemetry.Logger("host").WithField("target", t.info.ID).WithField("draining", draining).Info("Target changes its state.")
 	t.r.o.Kick()
 }
@@ -230,6 +235,32 @@
 	}
 }
 
+// noteOut notes since when operators have taken the target or its zone out. The caller holds t.mu.
+func (t *Target) noteOut(c *api.Configuration, now time.Time) {
+	out := c != nil && (slices.Contains(c.ZonesOut, t.r.o.Zone) || slices.Contains(c.TargetsOut, t.info.ID))
+	switch {
+	case !out:
+		t.pulled.outSince = time.Time{}
+	case t.pulled.outSince.IsZero():
+		t.pulled.outSince = now
+	}
+}
+
+// mayWork refuses work for a pulling target that leaves or was taken out longer ago than it may
+// still get some. The caller holds t.mu.
+func (t *Target) mayWork(now time.Time) error {
+	p := &t.pulled
+	switch limit := t.r.o.AdmitDraining; {
+	case !t.draining || limit <= 0 || now.Sub(p.drainingSince) < limit:
+	default:
+		return errkind.New(errkind.WrongOwner, "target %s has been leaving for %v", t.info.ID, now.Sub(p.drainingSince))
+	}
+	if limit := t.r.o.AdmitOut; limit > 0 && !p.outSince.IsZero() && now.Sub(p.outSince) >= limit {
+		return errkind.New(errkind.WrongOwner, "target %s has been taken out for %v", t.info.ID, now.Sub(p.outSince))
+	}
+	return nil
+}
+
 // configured returns the service, or nil when the node does not know it.
 func configured(v *api.View, name string) *api.Service {
 	if v.Configuration == nil {
--- a/host/pull_test.go
+++ b/host/pull_test.go
@@ -24,7 +24,12 @@
 }
 
 func newPullWorld(t *testing.T) *pullWorld {
-	c, _ := newFakeControl(t, Options{Host: "h1", LongestHold: 2 * time.Second, LostAfter: 200 * time.Millisecond})
+	return newPullWorldWith(t, Options{})
+}
+
+func newPullWorldWith(t *testing.T, o Options) *pullWorld {
+	o.Host, o.LongestHold, o.LostAfter = "h1", 2*time.Second, 200*time.Millisecond
+	c, _ := newFakeControl(t, o)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -210,3 +215,34 @@
 	w.pull(api.Pull{Holds: held, Draining: true})
 	is.True(time.Since(began) < 100*time.Millisecond)
 }
+
+// Guards against work for a target beyond the time that it stated or that operators were promised,
+// when control is too slow to move its partitions.
+func TestLeavingTargetGetsNoWorkAfterItsLimit(t *testing.T) {
+	for name, leave := range map[string]func(w *pullWorld){
+		"draining": func(w *pullWorld) { w.pull(api.Pull{Draining: true}) },
+		"gone":     func(w *pullWorld) { w.c.r.LeavePulled(w.a.ID) },
+		"zone out": func(w *pullWorld) {
+			w.c.change(func(v *api.View) {
+				c := *v.Configuration
+				c.ZonesOut = []string{"z"}
+				v.Configuration = &c
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newPullWorldWith(t, Options{Zone: "z", AdmitDraining: 200 * time.Millisecond, AdmitOut: 200 * time.Millisecond})
+			w.own(api.Granted, 5)
+			w.pull(api.Pull{})
+			target := w.c.r.Lookup(w.a.ID)
+			leave(w)
+			_, done, err := target.Enter(t.Context(), ref0(), 5, "")
+			is.NoErr(err) // the partition has not moved yet
+			done()
+			time.Sleep(250 * time.Millisecond)
+			_, _, err = target.Enter(t.Context(), ref0(), 5, "")
+			is.Equal(errkind.Of(err), errkind.WrongOwner)
+		})
+	}
+}
--- a/host/registry.go
+++ b/host/registry.go
@@ -64,6 +64,11 @@
 	Host string
 	// LongestHold bounds the hold of a pulling target. Default api.DefaultLease.
 	LongestHold time.Duration
+	// AdmitDraining is how long a pulling target is still given work after it has said that it
+	// leaves, and AdmitOut the same after its zone or itself was taken out; by then its partitions
+	// have moved, unless control was slow. 0 means as long as it owns them.
+	AdmitDraining time.Duration
+	AdmitOut      time.Duration
 	// DeliveryWait bounds the wait of a request for a grant that the target has not got yet.
 	// Default defaultDeliveryWait.
 	DeliveryWait time.Duration
@@ -225,6 +230,7 @@
 	for _, t := range r.all() {
 		t.mu.Lock()
 		t.paceCold(v, now)
+		t.noteOut(v.Configuration, now)
 		t.mu.Unlock()
 	}
 }
--- a/host/target.go
+++ b/host/target.go
@@ -108,6 +108,7 @@
 		PartitionLoad: partitions,
 		HotKeys:       hot,
 		Place:         t.place(),
+		StartedMs:     t.info.StartedMs,
 	}
 }
 
--- a/internal/cluster/build.go
+++ b/internal/cluster/build.go
@@ -44,8 +44,8 @@
 	return code
 }
 
-// build returns the path of a program, which is built once per test process.
-func build(program string) (string, error) {
+// Build returns the path of a program, which is built once per test process.
+func Build(program string) (string, error) {
 	binaries.mu.Lock()
 	defer binaries.mu.Unlock()
 	if path := binaries.built[program]; path != "" {
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -91,7 +91,7 @@
 }
 
 func runBinary(program, settings string) (*exec.Cmd, error) {
-	path, err := build(program)
+	path, err := Build(program)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -179,16 +179,16 @@
 // TestBuildOnce guards against a program that is built again for each process.
 func TestBuildOnce(t *testing.T) {
 	is := is.New(t)
-	first, err := build("zinniactl")
+	first, err := Build("zinniactl")
 	is.NoErr(err)
 	before, err := os.Stat(first)
 	is.NoErr(err)
-	second, err := build("zinniactl")
+	second, err := Build("zinniactl")
 	is.NoErr(err)
 	after, err := os.Stat(second)
 	is.NoErr(err)
 	is.True(os.SameFile(before, after) && before.ModTime().Equal(after.ModTime()))
-	_, err = build("absent")
+	_, err = Build("absent")
 	is.True(err != nil)
 }
 
--- a/internal/cluster/process.go
+++ b/internal/cluster/process.go
@@ -72,7 +72,7 @@
 	cmd.Stdout, cmd.Stderr = log, log
 	// The kernel ends the process with the thread that started it, so that none outlives a test that crashes.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := spawn(cmd); err != nil {
+	if err := Spawn(cmd); err != nil {
 		return errors.Trace(err)
 	}
 	ended := make(chan struct{})
@@ -95,7 +95,8 @@
 	return requests
 })
 
-func spawn(cmd *exec.Cmd) error {
+// Spawn starts a command that the kernel ends with this test process.
+func Spawn(cmd *exec.Cmd) error {
 	result := make(chan error)
 	starts() <- func() { result <- cmd.Start() }
 	return <-result
--- a/node/node.go
+++ b/node/node.go
@@ -130,7 +130,11 @@
 		Host:         n.settings.Name,
 		LongestHold:  n.profile.LongestHold,
 		DeliveryWait: n.profile.PullInterval,
-		LostAfter:    silentPulls * n.profile.PullInterval,
+
+		AdmitDraining: n.profile.AdmitDraining,
+		AdmitOut:      n.profile.AdmitOut,
+
+		LostAfter: silentPulls * n.profile.PullInterval,
 	})
 	n.account = tokens.NewAccount(tokens.AccountOptions{
 		Organisation: func(id api.OrganisationID) *api.Organisation { return view().Index.Organisations[id] },
--- a/node/profile.go
+++ b/node/profile.go
@@ -38,6 +38,9 @@
 	Reseed func() []string
 	// PullInterval is the usual time between two announcements of such a target.
 	PullInterval time.Duration
+	// AdmitDraining and AdmitOut are those of host.Options.
+	AdmitDraining time.Duration
+	AdmitOut      time.Duration
 	// Silence and RetryBurst are those of gateway.Options.
 	Silence    time.Duration
 	RetryBurst int
