--- a/control/operator.go
+++ b/control/operator.go
@@ -14,7 +14,6 @@
 	"github.com/zinniapier/zinniapier/config"
 	"github.com/zinniapier/zinniapier/errkind"
 	"github.com/zinniapier/zinniapier/placement"
-	"github.com/zinniapier/zinniapier/state"
 )
 
 const (
@@ -130,10 +129,11 @@
 }
 
 func (c *Control) getConfiguration(context.Context, []byte) (any, *errkind.Error) {
-	if err := c.checkLease(); err != nil {
+	configuration, err := c.configurationHere()
+	if err != nil {
 		return nil, err
 	}
-	return &c.o.Machine.View().Configuration, nil
+	return configuration, nil
 }
 
 func (c *Control) postChange(ctx context.Context, body []byte) (any, *errkind.Error) {
@@ -144,19 +144,11 @@
 	if err := checkServices(change.Services); err != nil {
 		return nil, err
 	}
-	data, err := state.EncodeChange(change)
-	if err != nil {
-		return nil, errkind.From(err)
-	}
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	result, _, err := c.o.Log.Propose(ctx, data)
+	result, err := c.submitHere(ctx, change)
 	if err != nil {
-		return nil, proposeError(err)
-	}
-	c.kick()
-	if refused, ok := result.(*errkind.Error); ok {
-		return nil, refused
+		return nil, err
 	}
 	return result, nil
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/alecthomas/kingpin/v2"
 	"github.com/juju/errors"
 	"github.com/thejerf/suture/v4"
 
@@ -90,3 +91,32 @@
 	}
 	return tls.NewListener(l, config), nil
 }
+
+// Main runs a program that reads either its own settings or those of a platform, and ends the
+// process with the result.
+func Main(name, help string, run func(settings string) error, onPlatform func(context.Context) error) {
+	app := kingpin.New(name, help)
+	path := app.Flag("settings", "Path of the JSON settings.").String()
+	platform := app.Flag("platform", "Read the platform's settings instead.").Bool()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	switch {
+	case *platform:
+		Exit(runOnPlatform(onPlatform))
+	case *path == "":
+		app.Fatalf("required flag --settings or --platform not provided")
+	default:
+		Exit(run(*path))
+	}
+}
+
+func runOnPlatform(run func(context.Context) error) error {
+	if err := telemetry.Start(os.Stdout, platformLogLevel); err != nil {
+		return err
+	}
+	ctx, stop := SignalContext()
+	defer stop()
+	return run(ctx)
+}
+
+// platformLogLevel is the level of logs on a platform, whose settings state none.
+const platformLogLevel = "info"
--- a/host/pull.go
+++ b/host/pull.go
@@ -1,17 +1,10 @@
 package host
 
 import (
-	"cmp"
-	"net"
-	"slices"
-	"syscall"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
-	"github.com/zinniapier/zinniapier/internal/boottime"
 	"github.com/zinniapier/zinniapier/telemetry"
 )
 
@@ -70,75 +63,6 @@
 	return t.awaitChange(p, reply, changed), nil
 }
 
-// pollLimit bounds how long a reply waits for something to tell. An announcement whose reply
-// takes a second has failed for the target.
-const pollLimit = 500 * time.Millisecond
-
-// awaitChange holds a reply that brings nothing new until something changes, so that a target hears
-// of it at once and not with its next announcement.
-func (t *Target) awaitChange(p api.Pull, reply api.PullReply, changed <-chan struct{}) api.PullReply {
-	timer := time.NewTimer(pollLimit)
-	defer timer.Stop()
-	for {
-		select {
-		case <-timer.C:
-			reply, _ = t.replyAgain(p)
-			return reply
-		case <-t.done:
-			return reply
-		case <-changed:
-		}
-		var again <-chan struct{}
-		if reply, again = t.replyAgain(p); again == nil {
-			return reply
-		}
-		changed = again
-	}
-}
-
-// replyAgain builds the reply to an announcement anew.
-func (t *Target) replyAgain(p api.Pull) (api.PullReply, <-chan struct{}) {
-	v := t.r.o.View()
-	now := time.Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	service := configured(v, t.info.Service)
-	if t.replaced || t.pulled.sequence != p.Sequence {
-		return api.PullReply{}, nil
-	}
-	if service == nil {
-		return api.PullReply{}, t.pulled.changed
-	}
-	if !service.Ranged() {
-		return api.PullReply{}, nil
-	}
-	t.takeOverView(v, now)
-	reply := t.replyToPull(v, service, p, now)
-	return reply, t.worthWaiting(p, reply)
-}
-
-// worthWaiting returns the channel of the next change when the reply tells the target nothing that
-// it does not do already; else nil. The caller holds t.mu.
-func (t *Target) worthWaiting(p api.Pull, reply api.PullReply) <-chan struct{} {
-	if t.draining || !sameRanges(p.Holds, reply.Grants) {
-		return nil
-	}
-	return t.pulled.changed
-}
-
-// sameRanges says whether the rows cover the same keys under the same epochs.
-func sameRanges(held, granted []api.RangeGrant) bool {
-	return slices.Equal(withoutHandovers(sortedRanges(held)), withoutHandovers(granted))
-}
-
-// notifyPull ends the wait of a held reply.
-func (t *Target) notifyPull() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	close(t.pulled.changed)
-	t.pulled.changed = make(chan struct{})
-}
-
 // LeavePulled notes that a target goes away for good; it gets no new work from now on. A target
 // that is not known has nothing to leave.
 func (r *Registry) LeavePulled(id api.TargetID) {
@@ -218,49 +142,6 @@
 	t.r.o.Kick()
 }
 
-// StateCold tells what an answer said of the target's cold start; 0 means that it has ended.
-func (t *Target) StateCold(left time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := time.Now()
-	t.pulled.coldUntil = now.Add(left)
-	t.paceCold(t.r.o.View(), now)
-}
-
-// paceCold tells the gate of the target's cold start. The rate that the target bears then comes
-// with the configuration, which a node that has just started may get later. The caller holds t.mu.
-func (t *Target) paceCold(v *api.View, now time.Time) {
-	if service := configured(v, t.info.Service); service != nil {
-		t.gate.SetCold(max(t.pulled.coldUntil.Sub(now), 0), service.ColdRate)
-	}
-}
-
-// noteOut notes since when operators have taken the target or its zone out. The caller holds t.mu.
-func (t *Target) noteOut(c *api.Configuration, now time.Time) {
-	out := c != nil && (slices.Contains(c.ZonesOut, t.r.o.Zone) || slices.Contains(c.TargetsOut, t.info.ID))
-	switch {
-	case !out:
-		t.pulled.outSince = time.Time{}
-	case t.pulled.outSince.IsZero():
-		t.pulled.outSince = now
-	}
-}
-
-// mayWork refuses work for a pulling target that leaves or was taken out longer ago than it may
-// still get some. The caller holds t.mu.
-func (t *Target) mayWork(now time.Time) error {
-	p := &t.pulled
-	switch limit := t.r.o.AdmitDraining; {
-	case !t.draining || limit <= 0 || now.Sub(p.drainingSince) < limit:
-	default:
-		return errkind.New(errkind.WrongOwner, "target %s has been leaving for %v", t.info.ID, now.Sub(p.drainingSince))
-	}
-	if limit := t.r.o.AdmitOut; limit > 0 && !p.outSince.IsZero() && now.Sub(p.outSince) >= limit {
-		return errkind.New(errkind.WrongOwner, "target %s has been taken out for %v", t.info.ID, now.Sub(p.outSince))
-	}
-	return nil
-}
-
 // configured returns the service, or nil when the node does not know it.
 func configured(v *api.View, name string) *api.Service {
 	if v.Configuration == nil {
@@ -286,142 +167,3 @@
 		}
 	}
 }
-
-func within(inner, outer api.KeyRange) bool {
-	return outer.First <= inner.First && inner.Last <= outer.Last
-}
-
-func overlapsAny(held []api.RangeGrant, r api.KeyRange) bool {
-	for _, h := range held {
-		if h.First <= r.Last && r.First <= h.Last {
-			return true
-		}
-	}
-	return false
-}
-
-// holdsRange says whether the target holds the whole range under the epoch.
-func holdsRange(held []api.RangeGrant, r api.KeyRange, epoch api.Epoch) bool {
-	next := r.First
-	for _, h := range sortedRanges(held) {
-		if h.Epoch == epoch && h.First <= next && h.Last >= next {
-			next = h.Last + 1
-		}
-	}
-	return next > r.Last
-}
-
-// replyToPull builds the set of grants for the target. A grant that is being moved is left out
-// from now on: the target serves it until it reads the reply. The caller holds t.mu.
-func (t *Target) replyToPull(v *api.View, s *api.Service, p api.Pull, now time.Time) api.PullReply {
-	left := v.LeaseEnd - boottime.Now()
-	hold := min(time.Duration(float64(left)/(1+clockDrift))-holdMargin, t.r.o.LongestHold)
-	if hold <= 0 {
-		return api.PullReply{}
-	}
-	until := now.Add(time.Duration(float64(hold) * (1 + clockDrift)))
-	reply := api.PullReply{Renews: true, Hold: hold}
-	for partition := range s.Partitions {
-		g := t.grants[partition]
-		if g == nil {
-			continue
-		}
-		if g.phase == draining {
-			t.revoke(g, now)
-		}
-		if g.phase == revoking {
-			if g.leftOut == 0 {
-				g.leftOut = p.Sequence
-			}
-			continue
-		}
-		g.until = later(g.until, until)
-		g.usableUntil = now.Add(hold)
-		row := api.RangeGrant{KeyRange: s.Range(partition), Epoch: g.epoch}
-		if !g.held {
-			row.Handover = g.inherited
-		}
-		reply.Grants = appendRow(reply.Grants, row)
-	}
-	if len(reply.Grants) > maxRows {
-		reply.Grants = withoutHandovers(reply.Grants)
-	}
-	t.announceDelivery()
-	return reply
-}
-
-// appendRow adds a range, joined with the last one when they are neighbours under one grant.
-func appendRow(rows []api.RangeGrant, row api.RangeGrant) []api.RangeGrant {
-	if n := len(rows); n > 0 {
-		last := &rows[n-1]
-		if last.Last+1 == row.First && last.Epoch == row.Epoch && last.Handover == row.Handover {
-			last.Last = row.Last
-			return rows
-		}
-	}
-	return append(rows, row)
-}
-
-func withoutHandovers(rows []api.RangeGrant) []api.RangeGrant {
-	var joined []api.RangeGrant
-	for _, row := range rows {
-		row.Handover = ""
-		joined = appendRow(joined, row)
-	}
-	return joined
-}
-
-// ConnectionRefused tells that the target's address has refused a connection. A pulling target
-// that refuses a second one has ended, since its node is the only way to it.
-func (t *Target) ConnectionRefused() {
-	if !t.info.Pulls {
-		return
-	}
-	t.mu.Lock()
-	sequence := t.pulled.sequence
-	t.mu.Unlock()
-	t.r.confirmRefused(t, sequence)
-}
-
-func sortedRanges(rows []api.RangeGrant) []api.RangeGrant {
-	sorted := slices.Clone(rows)
-	slices.SortFunc(sorted, func(a, b api.RangeGrant) int { return cmp.Compare(a.First, b.First) })
-	return sorted
-}
-
-// refusalPause separates the two refused connections that show that a target has ended.
-const refusalPause = 30 * time.Millisecond
-
-// confirmRefused looks once more whether a target that has not announced itself since still
-// refuses connections, and marks it lost.
-func (r *Registry) confirmRefused(t *Target, sequence uint64) {
-	time.AfterFunc(refusalPause, func() {
-		conn, err := net.DialTimeout("tcp", t.info.Address, refusalPause)
-		if err == nil {
-			_ = conn.Close()
-			return
-		}
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		if !errors.Is(err, syscall.ECONNREFUSED) || t.pulled.sequence != sequence {
-			return
-		}
-		t.refused = true
-		t.markLost(time.Now(), "connection refused")
-		t.kick()
-	})
-}
-
-// silent says that a pulling target has announced nothing for LostAfter and no longer holds
-// anything: its requests would get no answer, and its partitions can go to others.
-func (t *Target) silent(now time.Time) bool {
-	if now.Sub(t.announced) < t.r.o.LostAfter {
-		return false
-	}
-	for _, g := range t.grants {
-		if !now.After(g.until.Add(t.r.o.DriftMargin)) {
-			return false
-		}
-	}
-	return true
-}
