--- a/gateway/route.go
+++ b/gateway/route.go
@@ -101,17 +101,17 @@
 	}
 }
 
-// mayTryAgain decides whether a call goes to the same owner again, and pays for it. An owner
-// that does not know of its grant yet costs no attempt: the map may reach other nodes one
-// heartbeat earlier than it.
+// mayTryAgain decides whether a call goes to the same owner again, and pays for it. A call that was
+// not sent to the target costs nothing: its node may not know of the grant yet, or is being
+// restarted, and the target has seen nothing.
 func (g *Gateway) mayTryAgain(c *call, e *errkind.Error) bool {
-	notYet := e.Kind == errkind.WrongOwner || e.Kind == errkind.NoOwner
-	if !notYet && c.left <= 1 || !g.retries.spend() {
-		return false
+	if !e.Sent {
+		return true
 	}
-	if !notYet {
-		c.left--
+	if c.left <= 1 || !g.retries.spend() {
+		return false
 	}
+	c.left--
 	return true
 }
 
--- a/gateway/turn_test.go
+++ b/gateway/turn_test.go
@@ -128,3 +128,16 @@
 	is.Equal(r.elapsed(800), 400*time.Millisecond)
 	is.Equal(r.elapsed(1500), time.Duration(0))
 }
+
+// Guards against a call that is refused because the node of its owner is being restarted: nothing has
+// reached the target, so waiting costs no attempt and no retry.
+func TestCallWaitsForARestartingNode(t *testing.T) {
+	is := is.New(t)
+	none := 0.0
+	a := newNode(t, "a", "", config.Traffic{Attempts: 1, RetryShare: &none, HedgeShare: &none})
+	b := newNode(t, "b", newTarget(t, sayOK).addr(), config.Traffic{})
+	connect(b, a, b)
+	b.closing.Store(true)
+	time.AfterFunc(400*time.Millisecond, func() { b.closing.Store(false) })
+	is.Equal(a.call(t, "POST", "/quotes/k", "x").status, http.StatusOK)
+}
--- a/member/member.go
+++ b/member/member.go
@@ -156,5 +156,7 @@
 		supervisor.Add(daemon.NewHTTPService("status", m.status, telemetry.Handler()))
 	}
 	telemetry.Logger("member").WithField("name", m.settings.Name).Info("Control member is up.")
-	return supervisor.Serve(ctx)
+	err := supervisor.Serve(ctx)
+	telemetry.Logger("member").WithField("name", m.settings.Name).Info("Control member has stopped.")
+	return err
 }
