--- a/gateway/call.go
+++ b/gateway/call.go
@@ -30,8 +30,9 @@
 	key        string
 	ref        api.PartitionRef // partition -1 for a service that is not divided by key
 	deadline   time.Time
-	objective  time.Time // when the answer loses most of its worth; zero for no objective
-	left       int       // attempts left, the next one included
+	objective  time.Time     // when the answer loses most of its worth; zero for no objective
+	span       time.Duration // the objective as a time from the first request
+	left       int           // attempts left, the next one included
 	token      heldToken
 }
 
@@ -149,6 +150,7 @@
 	if r.objective <= 0 {
 		return
 	}
+	c.span = r.objective
 	began := c.track.began
 	if e.DeadlineMs > 0 {
 		began = began.Add(-r.elapsed(e.DeadlineMs))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,9 @@
 	// soonAgain is when a caller may come again that another node can serve: a connection takes
 	// about 20 ms to a client.
 	soonAgain = 50 * time.Millisecond
+	// returnsWithin divides the latency objective: a quarter of it lets a short queue pass and leaves
+	// time for the work.
+	returnsWithin = 4
 	// laterAgain is when a caller may come again after a refusal for load or for a missing owner:
 	// a queue of one slot's work is served meanwhile.
 	laterAgain = 300 * time.Millisecond
@@ -189,7 +192,7 @@
 func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, c *call, e *errkind.Error) {
 	telemetry.CountRefusal(e.Kind)
 	g.requests.failed(r, g.requestID(r), c, g.view(), e)
-	g.dialect.Refuse(w, e, retryAfter(e.Kind))
+	g.dialect.Refuse(w, e, retryAfter(e.Kind, c))
 }
 
 // refuseHop is refuse for another node, which logs the request.
@@ -198,8 +201,12 @@
 	errkind.WriteHTTP(w, e)
 }
 
-// retryAfter is when a request that was refused as not run may come again.
-func retryAfter(kind errkind.Kind) time.Duration {
+// retryAfter is when a request that was refused as not run may come again. One that was refused for
+// load may still meet its objective then.
+func retryAfter(kind errkind.Kind, c *call) time.Duration {
+	if kind == errkind.Overloaded && c != nil && c.span > 0 {
+		return c.span / returnsWithin
+	}
 	switch kind {
 	case errkind.ShuttingDown, errkind.NodeUnreachable, errkind.TargetUnreachable, errkind.WrongOwner:
 		return soonAgain
--- a/gateway/turn_test.go
+++ b/gateway/turn_test.go
@@ -141,3 +141,12 @@
 	time.AfterFunc(400*time.Millisecond, func() { b.closing.Store(false) })
 	is.Equal(a.call(t, "POST", "/quotes/k", "x").status, http.StatusOK)
 }
+
+// Guards against callers that are sent away for so long that an answer can no longer meet its objective.
+func TestReturnAfterOverload(t *testing.T) {
+	is := is.New(t)
+	is.Equal(retryAfter(errkind.Overloaded, &call{span: 400 * time.Millisecond}), 100*time.Millisecond)
+	is.Equal(retryAfter(errkind.Overloaded, &call{}), laterAgain)
+	is.Equal(retryAfter(errkind.RateLimited, &call{span: 400 * time.Millisecond}), laterAgain)
+	is.Equal(retryAfter(errkind.Unauthenticated, nil), time.Duration(0))
+}
