--- a/control/overrides.go
+++ b/control/overrides.go
@@ -77,7 +77,8 @@
 // planOverrides gives hot keys their own partitions where moving the key would lower the
 // load of the target that owns it.
 func (p *servicePlan) planOverrides(service *api.Service, eligible []placement.Target) {
-	if len(eligible) < 2 {
+	// The partitions of a ranged service are ranges; a single key has none of its own.
+	if len(eligible) < 2 || service.Ranged() {
 		return
 	}
 	loads, mean, least := p.targetLoads(eligible)
--- a/node/profile.go
+++ b/node/profile.go
@@ -58,8 +58,9 @@
 const (
 	// pulledSilence is above the usual time of a request, so that most cost no question.
 	pulledSilence = 600 * time.Millisecond
-	// pulledRetryBurst over a dozen nodes stays within the slack of the repeats of a service.
-	pulledRetryBurst = 3
+	// pulledRetryBurst keeps the sum over some eighty nodes within the slack that a service has for
+	// repeats.
+	pulledRetryBurst = 2
 	// pulledMemberTimeout covers a member that waits for a fraction of a core.
 	pulledMemberTimeout = 400 * time.Millisecond
 )
--- a/state/override.go
+++ b/state/override.go
@@ -16,8 +16,8 @@
 func (e *editor) override(o OverrideKey) (api.PartitionRef, *errkind.Error) {
 	ref := api.PartitionRef{Service: o.Service, Partition: -1}
 	service := e.state.Configuration.Services.Find(o.Service)
-	if service == nil || !service.Divided() {
-		return ref, errkind.New(errkind.NotFound, "no service %q divided by key", o.Service)
+	if service == nil || !service.Divided() || service.Ranged() {
+		return ref, errkind.New(errkind.NotFound, "no service %q divided by the hash of its keys", o.Service)
 	}
 	if err := e.checkOverride(o); err != nil {
 		return ref, err
--- a/state/replace_test.go
+++ b/state/replace_test.go
@@ -91,3 +91,16 @@
 	m.batch(Batch{Grants: []Grant{{Step: step(0, granted.Epoch), Target: "t2", Session: "s3"}}})
 	is.Equal(m.View().Assignments["quotes"][0].Handover, "token")
 }
+
+// Guards against a single key of a ranged service that gets a partition outside all ranges: no target
+// would ever hold it, and its requests found no owner.
+func TestRangedServiceHasNoOverrides(t *testing.T) {
+	is := is.New(t)
+	m := &tester{Machine: New(), t: t}
+	c := replacement(0, 1, "quotes")
+	c.Replacement.Services.Services[0].Key.Span = 400
+	is.Equal(kind(m.change(c)), errkind.Kind(""))
+	result := m.batch(Batch{Overrides: []OverrideKey{{"quotes", "7"}}}).(*BatchResult)
+	is.Equal(len(result.Rejected), 1)
+	is.Equal(len(m.View().Assignments["quotes"]), 4)
+}
