integration: the race of changes starts once every member knows the leader

One of three members had not heard of the leader 0.48 s after the start and refused its three changes with no-quorum ("no leader is known"), which is a true refusal: nothing was proposed. The check that all other changes are refused with conflict stays.

--- a/integration/control_test.go
+++ b/integration/control_test.go
@@ -104,6 +104,7 @@
 	c := cluster.New(t, cluster.Options{Control: 3})
 	c.Start()
 	leader(t, c)
+	awaitLeaderKnown(t, c)
 	for round := range 10 {
 		_, base := configuration(t, c)
 		results := make([]*api.ChangeResult, 9)
@@ -126,6 +127,29 @@
 	}
 }
 
+// awaitLeaderKnown waits until every member knows the leader: one that has not heard of it yet refuses
+// changes as no-quorum, which is no outcome of a race.
+func awaitLeaderKnown(t *testing.T, c *cluster.Cluster) {
+	t.Helper()
+	for _, m := range c.Control {
+		cluster.Eventually(t, readyLimit, func() error {
+			resp, err := http.Get("http://" + m.Settings.OperatorListen + "/v1/status?local=1")
+			if err != nil {
+				return err
+			}
+			defer resp.Body.Close()
+			var s api.Status
+			if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+				return err
+			}
+			if s.Leader == "" {
+				return fmt.Errorf("%s knows no leader", m.Name)
+			}
+			return nil
+		})
+	}
+}
+
 // post sends a change to one member and returns its result.
 func post(t *testing.T, m *cluster.Control, change api.Change) *api.ChangeResult {
 	body, err := json.Marshal(change)
