Read-through: places found once for a plan, one stamp for an attempt, a setting without effect removed

- control: the occupied places were collected once to drop replaced targets and again for each service in each tick.
- gateway: the stamp of an attempt was built for the request and again for the answer; the id of an accepted request was read from its headers again for its line.
- max_connections of a service was decoded and documented and had no effect; slots bound the connections.

--- a/api/services.go
+++ b/api/services.go
@@ -22,8 +22,6 @@
 	TargetChoice string `json:"target_choice,omitempty"`
 	// Placement names the placement policy of a service divided by key.
 	Placement string `json:"placement,omitempty"`
-	// MaxConnections is the greatest number of connections to one target; 0 leaves it to the announcement.
-	MaxConnections int `json:"max_connections,omitempty"`
 	// ColdRate is the number of requests per second that a cold target bears; 0 means no such bound.
 	ColdRate float64 `json:"cold_rate,omitempty"`
 }
--- a/api/target.go
+++ b/api/target.go
@@ -54,7 +54,7 @@
 	EchoesAttempt bool `json:"echoes_attempt"`
 	// ClockMs is the target's monotonic clock in milliseconds.
 	ClockMs int64 `json:"clock_ms"`
-	// Instance is how the target names itself in requests and answers. Default ID.
+	// Instance is how the target names itself in requests and answers, where that is not its ID.
 	Instance string `json:"instance,omitempty"`
 	// StartedMs orders the instances at one address: the Unix time in milliseconds of their start.
 	StartedMs int64 `json:"started_ms,omitempty"`
--- a/control/plan.go
+++ b/control/plan.go
@@ -25,12 +25,13 @@
 	l.forgetStale(view)
 	batch := &state.Batch{Term: l.term}
 	targets := l.targets(&view.Configuration)
+	places := keepLatest(targets)
 	balance := !now.Before(l.nextBalance)
 	if balance {
 		l.nextBalance = now.Add(l.o.BalanceInterval)
 	}
 	for _, name := range serviceNames(view) {
-		p := &servicePlan{leader: l, view: view, name: name, now: now, batch: batch, balance: balance, targets: targets}
+		p := &servicePlan{leader: l, view: view, name: name, now: now, batch: batch, balance: balance, targets: targets, places: places}
 		p.run()
 	}
 	return batch
@@ -65,24 +66,24 @@
 			targets[t.ID] = &targetInfo{TargetReport: t, session: id, eligible: eligible, zone: zone}
 		}
 	}
-	l.dropReplaced(targets)
 	return targets
 }
 
-// dropReplaced leaves out the targets whose place is reported to have another one since: the old
-// session of a restarted machine is still open.
-func (l *leader) dropReplaced(targets map[api.TargetID]*targetInfo) {
-	latest := make(map[string]*targetInfo)
+// keepLatest removes the targets whose place is reported to have a later one, since the old session
+// of a restarted machine may still be open. It returns the places that are occupied.
+func keepLatest(targets map[api.TargetID]*targetInfo) map[string]*targetInfo {
+	places := make(map[string]*targetInfo)
 	for _, t := range targets {
-		if other := latest[t.Place]; t.Place != "" && (other == nil || t.StartedMs > other.StartedMs) {
-			latest[t.Place] = t
+		if other := places[t.Place]; t.Place != "" && (other == nil || t.StartedMs > other.StartedMs) {
+			places[t.Place] = t
 		}
 	}
 	for id, t := range targets {
-		if t.Place != "" && latest[t.Place] != t {
+		if t.Place != "" && places[t.Place] != t {
 			delete(targets, id)
 		}
 	}
+	return places
 }
 
 // forgetStale drops notes on assignments that have changed since.
@@ -115,8 +116,8 @@
 	// removed says that the service is no longer configured; nothing is granted.
 	removed bool
 	targets map[api.TargetID]*targetInfo
-	// byPlace holds the targets at places where only one can run at a time.
-	byPlace map[string]api.TargetID
+	// places holds the targets at places where only one can run at a time.
+	places map[string]*targetInfo
 
 	partitions []placement.Partition
 	// evacuate lists the granted partitions whose owner must lose them.
@@ -128,12 +129,6 @@
 	p.into = make(map[api.TargetID]int)
 	service := p.view.Configuration.Services.Find(p.name)
 	p.removed = service == nil
-	p.byPlace = make(map[string]api.TargetID)
-	for id, t := range p.targets {
-		if t.Place != "" {
-			p.byPlace[t.Place] = id
-		}
-	}
 	for i, a := range p.view.Assignments[p.name] {
 		p.classify(i, a)
 	}
@@ -188,11 +183,7 @@
 
 // replaced says that another target runs at the place of the owner, which has therefore ended.
 func (p *servicePlan) replaced(a api.Assignment) bool {
-	if a.Place == "" || p.targets[a.Target] != nil {
-		return false
-	}
-	_, other := p.byPlace[a.Place]
-	return other
+	return a.Place != "" && p.targets[a.Target] == nil && p.places[a.Place] != nil
 }
 
 // rebind gives an assignment to the session that now reports its target: the node was
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -72,6 +72,7 @@
 	leave   func()
 
 	shot    shot
+	stamp   Stamp // what the target was told
 	cancel  context.CancelFunc
 	began   time.Time // when the first byte was about to be sent
 	outcome gate.Outcome
@@ -142,11 +143,12 @@
 
 func (r *run) request(ctx context.Context, address string) *http.Request {
 	h := r.call.header.Clone()
-	r.gateway.dialect.Stamp(h, r.stamp())
+	r.stamp = r.newStamp()
+	r.gateway.dialect.Stamp(h, r.stamp)
 	return outgoing(httptrace.WithClientTrace(ctx, r.shot.trace()), r.call, "http", address, h)
 }
 
-func (r *run) stamp() Stamp {
+func (r *run) newStamp() Stamp {
 	return Stamp{
 		RequestID:    r.call.id,
 		Attempt:      r.id,
@@ -222,7 +224,7 @@
 // checkAnswer checks the header of an answer. Errors: CrossedAnswer, ShortAnswer, Unknown,
 // and what the target refused the attempt with.
 func (r *run) checkAnswer(info api.Announcement, resp *http.Response) *errkind.Error {
-	verdict := r.gateway.dialect.Judge(resp, r.stamp())
+	verdict := r.gateway.dialect.Judge(resp, r.stamp)
 	if verdict.Crossed {
 		r.shot.closeConn()
 		return errkind.New(errkind.CrossedAnswer, "target %s answered another attempt", info.ID)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -191,7 +191,13 @@
 // refused before it was accepted.
 func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, c *call, e *errkind.Error) {
 	telemetry.CountRefusal(e.Kind)
-	g.requests.failed(r, g.requestID(r), c, g.view(), e)
+	id := ""
+	if c != nil {
+		id = c.id
+	} else {
+		id = g.requestID(r)
+	}
+	g.requests.failed(r, id, c, g.view(), e)
 	g.dialect.Refuse(w, e, retryAfter(e.Kind, c))
 }
 
