daemon: a reload while a process leaves no longer ends it

Cause: the handler of SIGHUP was removed with the context of the process, that is at SIGTERM; a SIGHUP after it had the default effect and ended the process while it answered its last requests.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -35,19 +35,14 @@
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
 
-// OnReload calls f after each SIGHUP until ctx ends. Without it SIGHUP ends the process.
-func OnReload(ctx context.Context, f func()) {
+// OnReload calls f after each SIGHUP for as long as the process runs. Without it SIGHUP ends the
+// process, also one that is still answering its last requests after SIGTERM.
+func OnReload(f func()) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
 	go func() {
-		defer signal.Stop(signals)
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-signals:
-				f()
-			}
+		for range signals {
+			f()
 		}
 	}()
 }
