gateway: a restarted node does not answer for the attempts of its former process

Cause: the table of started attempts lives in the process, and the question for the fate of an attempt named no session. A node that had been killed and was back at the same address said 'not started' of an attempt that its former process had sent to the target: the first node answered 503 'not run', or sent the request again. Ruled out: the transport sending a request again (a shot fires once).

--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -158,6 +158,8 @@
 // FateRequest asks the owner's node what became of an attempt.
 type FateRequest struct {
 	Attempt string
+	// Session is the one to which the attempt was sent.
+	Session SessionID
 	// Peek asks without barring an attempt that has not started.
 	Peek bool
 }
@@ -166,6 +168,9 @@
 // the attempt has been barred for good.
 type FateReply struct {
 	Started bool
+	// Former says that the session belongs to a former process, which may have started the attempt
+	// and will not answer it.
+	Former bool
 	// Received says that the request of the attempt has reached the node.
 	Received bool
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -89,14 +89,16 @@
 
 // Main runs a program that reads either its own settings or those of a platform, and ends the
 // process with the result.
-func Main(name, help string, run func(settings string) error, onPlatform func(context.Context) error) {
+func Main(name, help string, run func(settings string) error, onPlatform func(ctx context.Context, listenIP string) error) {
 	app := kingpin.New(name, help)
 	path := app.Flag("settings", "Path of the JSON settings.").String()
 	platform := app.Flag("platform", "Read the platform's settings instead.").Bool()
+	listenIP := app.Flag("listen-ip", "With --platform: IP number to listen on for other hosts, where it is not the one that they dial, "+
+		"as behind a port forwarder.").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	switch {
 	case *platform:
-		Exit(runOnPlatform(onPlatform))
+		Exit(runOnPlatform(func(ctx context.Context) error { return onPlatform(ctx, *listenIP) }))
 	case *path == "":
 		app.Fatalf("required flag --settings or --platform not provided")
 	default:
--- a/gateway/fate.go
+++ b/gateway/fate.go
@@ -23,6 +23,10 @@
 // Fate answers another node that lost its hop. It is registered on rpc as "Node". Unless
 // the request is a peek, an attempt that has not started is barred for good.
 func (g *Gateway) Fate(req api.FateRequest, reply *api.FateReply) error {
+	if _, own := g.sessions.Load(req.Session); !own {
+		reply.Received, reply.Started, reply.Former = true, true, true
+		return nil
+	}
 	if req.Peek {
 		reply.Received, reply.Started = g.started.Peek(req.Attempt)
 		return nil
@@ -32,6 +36,14 @@
 	return nil
 }
 
+// noteSession remembers the sessions of this process. Attempts are kept over a change of session, but
+// not over a restart.
+func (g *Gateway) noteSession(id api.SessionID) {
+	if _, known := g.sessions.Load(id); !known {
+		g.sessions.Store(id, struct{}{})
+	}
+}
+
 // fateClients are the connections over which other nodes are asked.
 type fateClients struct {
 	tls *tls.Config
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -72,6 +72,12 @@
 	is.Equal(n.tokens.refunded.Load(), int64(1))
 }
 
+// loseAnswer passes the request on and ends the connection with the first byte of the answer.
+func loseAnswer(from, to net.Conn) {
+	go func() { _, _ = io.Copy(to, from) }()
+	_, _ = to.Read(make([]byte, 1))
+}
+
 // Guards against a wrong verdict on a lost hop: a request that arrived and started must not
 // run again, and one that did not arrive is routed again and runs once.
 func TestLostHopFollowsItsFate(t *testing.T) {
@@ -79,10 +85,7 @@
 		lose func(from, to net.Conn)
 		kind errkind.Kind
 	}{
-		"after the start": {func(from, to net.Conn) {
-			go func() { _, _ = io.Copy(to, from) }()
-			_, _ = to.Read(make([]byte, 1)) // the answer's first byte
-		}, errkind.Unknown},
+		"after the start": {loseAnswer, errkind.Unknown},
 		"before the start": {func(from, _ net.Conn) { _, _ = from.Read(make([]byte, 1)) }, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -107,6 +110,30 @@
 	}
 }
 
+// Guards against a request that runs twice because its owner's node was restarted: the new process does
+// not know what the former one had started, and must not say that it was nothing.
+func TestRestartedNodeDoesNotKnowFormerAttempts(t *testing.T) {
+	is := is.New(t)
+	target := newTarget(t, sayOK)
+	a := newNode(t, "a", "", config.Traffic{})
+	b := newNode(t, "b", target.addr(), config.Traffic{})
+	restarted := newNode(t, "restarted", "", config.Traffic{})
+	link := newRelay(t, b.peer.InternalAddr, func(n int64, from, to net.Conn) {
+		if n == 0 {
+			loseAnswer(from, to)
+			return
+		}
+		pipe(from, to)
+	})
+	b.peer.InternalAddr = link.Addr().String()
+	b.peer.FateAddr = restarted.peer.FateAddr
+	connect(b, a, b, restarted)
+	got := a.call(t, "POST", "/quotes/k", "x")
+	is.Equal(got.kind, errkind.Unknown)
+	is.Equal(got.notRun, "false")
+	is.Equal(target.runs.Load(), int64(1))
+}
+
 // Guards against a barred attempt whose request arrives late and runs after all.
 func TestBarredAttemptNeverStarts(t *testing.T) {
 	is := is.New(t)
@@ -114,7 +141,7 @@
 	b := newNode(t, "b", target.addr(), config.Traffic{})
 	connect(b, b)
 	var fate api.FateReply
-	is.NoErr(b.Fate(api.FateRequest{Attempt: "late"}, &fate))
+	is.NoErr(b.Fate(api.FateRequest{Attempt: "late", Session: b.peer.Session}, &fate))
 	is.Equal(fate.Started, false)
 	send := func(id string) *http.Response {
 		req, err := http.NewRequest("POST", b.hops.URL+"/quotes/k", nil)
@@ -133,7 +160,7 @@
 	is.Equal(send("late").Header.Get(errkind.HeaderNotRun), "true")
 	is.Equal(target.runs.Load(), int64(0))
 	is.Equal(send("other").StatusCode, 200)
-	is.NoErr(b.Fate(api.FateRequest{Attempt: "other"}, &fate))
+	is.NoErr(b.Fate(api.FateRequest{Attempt: "other", Session: b.peer.Session}, &fate))
 	is.Equal(fate.Started, true)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/tls"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -80,6 +81,7 @@
 
 	routes      routeCache
 	started     *gate.Attempts
+	sessions    sync.Map // all that this process has had, by id
 	targetLinks *links
 	nodeLinks   *links
 	fates       *fateClients
@@ -153,10 +155,12 @@
 
 func (g *Gateway) end() { g.running.Add(-1) }
 
-// ViewChanged wakes the requests that wait for an owner. It is called after each
-// publication of a view, for which session.Subscribe serves; without it, waiting requests
-// look at the view at intervals.
-func (g *Gateway) ViewChanged(*api.View) { g.renewChanged() }
+// ViewChanged notes the session and wakes the requests that wait for an owner. It must be called
+// after each publication of a view, for which session.Subscribe serves.
+func (g *Gateway) ViewChanged(v *api.View) {
+	g.noteSession(v.Session)
+	g.renewChanged()
+}
 
 func (g *Gateway) renewChanged() {
 	next := make(chan struct{})
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -127,8 +127,8 @@
 	if ctx.Err() != nil {
 		return
 	}
-	reply, err := h.gateway.fates.ask(ctx, h.place.peer.FateAddr, api.FateRequest{Attempt: h.id, Peek: true})
-	if err == nil && !reply.Received && h.bar() {
+	reply, err := h.gateway.fates.ask(ctx, h.place.peer.FateAddr, api.FateRequest{Attempt: h.id, Session: h.place.session, Peek: true})
+	if err == nil && (reply.Former || !reply.Received && h.bar()) {
 		h.abandon()
 		return
 	}
@@ -150,7 +150,7 @@
 	if h.barred.Load() {
 		return true
 	}
-	reply, err := h.gateway.fates.ask(context.Background(), h.place.peer.FateAddr, api.FateRequest{Attempt: h.id})
+	reply, err := h.gateway.fates.ask(context.Background(), h.place.peer.FateAddr, api.FateRequest{Attempt: h.id, Session: h.place.session})
 	if err != nil || reply.Started {
 		return false
 	}
--- a/internal/cluster/link.go
+++ b/internal/cluster/link.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
 	"github.com/Shopify/toxiproxy/v2/stream"
@@ -36,6 +38,7 @@
 
 	mu    sync.Mutex
 	proxy *toxiproxy.Proxy
+	open  map[net.Conn]struct{} // connections that are passed now
 }
 
 // Cut stops the data of a direction, on open and on new connections, until Heal. New connections
@@ -48,6 +51,35 @@
 // Silence stops all data on the connections that are open now, for good; new connections work.
 func (l *Link) Silence() { l.valve.silence() }
 
+// Reset ends the connections that are open now with a reset; new connections work.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.open {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+}
+
+// Delay makes the data of both directions take longer; 0 ends the delay.
+func (l *Link) Delay(d time.Duration) { l.valve.delay(d) }
+
+// track notes the begin or the end of a connection.
+func (l *Link) track(conn net.Conn, begins bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !begins {
+		delete(l.open, conn)
+		return
+	}
+	if l.open == nil {
+		l.open = make(map[net.Conn]struct{})
+	}
+	l.open[conn] = struct{}{}
+}
+
 // toxiproxyServer is needed by proxies for their logger and metrics; it does not listen.
 var toxiproxyServer = toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
 
--- a/internal/cluster/sockets.go
+++ b/internal/cluster/sockets.go
@@ -78,26 +78,25 @@
 // sockets of all connections that are opened in a burst.
 type socketOwners struct {
 	mu    sync.Mutex
-	known map[string]*Process // by inode
+	known map[string]string // names by inode
 }
 
-// find returns the process that has the socket open, or nil.
-func (o *socketOwners) find(inode string, processes []*Process) *Process {
+// find returns the name of the process that has the socket open, or "". pids holds the running
+// processes by name.
+func (o *socketOwners) find(inode string, pids map[string]int) string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if p := o.known[inode]; p != nil {
-		return p
+	if name := o.known[inode]; name != "" {
+		return name
 	}
-	o.known = make(map[string]*Process)
-	for _, p := range processes {
-		if pid := p.PID(); pid != 0 {
-			o.look(p, pid)
-		}
+	o.known = make(map[string]string)
+	for name, pid := range pids {
+		o.look(name, pid)
 	}
 	return o.known[inode]
 }
 
-func (o *socketOwners) look(p *Process, pid int) {
+func (o *socketOwners) look(process string, pid int) {
 	dir := fmt.Sprintf("/proc/%d/fd/", pid)
 	d, err := os.Open(dir)
 	if err != nil {
@@ -108,7 +107,7 @@
 	for _, name := range names {
 		link, err := os.Readlink(dir + name)
 		if inode, isSocket := strings.CutPrefix(link, "socket:["); err == nil && isSocket {
-			o.known[strings.TrimSuffix(inode, "]")] = p
+			o.known[strings.TrimSuffix(inode, "]")] = process
 		}
 	}
 }
--- a/internal/cluster/switchboard.go
+++ b/internal/cluster/switchboard.go
@@ -69,16 +69,25 @@
 	if link == nil {
 		return
 	}
-	address, err := link.address()
-	if err != nil {
+	if err := link.pass(conn); err != nil {
 		c.logf("proxy of %s to %s: %v", link.From, link.To, err)
-		return
+	}
+}
+
+// pass sends a connection through the proxy of the link until it ends.
+func (l *Link) pass(conn net.Conn) error {
+	address, err := l.address()
+	if err != nil {
+		return err
 	}
 	proxied, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
-		return
+		return nil // the listener has gone
 	}
+	l.track(conn, true)
+	defer l.track(conn, false)
 	splice(conn, proxied)
+	return nil
 }
 
 // splice copies both ways and closes both connections when either way ends.
@@ -98,13 +107,25 @@
 
 // dialler returns the process that opened the connection, or nil.
 func (c *Cluster) dialler(conn net.Conn) *Process {
+	pids := make(map[string]int)
+	byName := make(map[string]*Process)
+	for _, p := range c.processes() {
+		if pid := p.PID(); pid != 0 {
+			pids[p.Name], byName[p.Name] = pid, p
+		}
+	}
+	return byName[c.owners.dialler(conn, pids)]
+}
+
+// dialler returns the name of the process that opened the connection, or "".
+func (o *socketOwners) dialler(conn net.Conn, pids map[string]int) string {
 	local := conn.RemoteAddr().(*net.TCPAddr).AddrPort()
 	remote := conn.LocalAddr().(*net.TCPAddr).AddrPort()
 	inode, err := inodeOf(unmap(local), unmap(remote))
 	if err != nil {
-		return nil
+		return ""
 	}
-	return c.owners.find(inode, c.processes())
+	return o.find(inode, pids)
 }
 
 func unmap(a netip.AddrPort) netip.AddrPort { return netip.AddrPortFrom(a.Addr().Unmap(), a.Port()) }
--- a/internal/cluster/valve.go
+++ b/internal/cluster/valve.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/Shopify/toxiproxy/v2/stream"
 	"github.com/Shopify/toxiproxy/v2/toxics"
@@ -24,6 +25,8 @@
 	cut [2]bool
 	// generation grows with each silence; connections of an earlier one stay silent.
 	generation uint64
+	// latency is how long each piece of data is held back.
+	latency time.Duration
 	// released lets everything pass, so that the goroutines of connections end with the test.
 	released bool
 	changed  chan struct{}
@@ -52,6 +55,18 @@
 
 func (v *valve) silence() { v.update(func() { v.generation++ }) }
 
+func (v *valve) delay(d time.Duration) { v.update(func() { v.latency = d }) }
+
+// due returns when data that has arrived now may pass.
+func (v *valve) due() time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.released || v.latency <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(v.latency)
+}
+
 func (v *valve) release() { v.update(func() { v.released = true }) }
 
 // connection is what the valve knows of one direction of one connection.
@@ -116,6 +131,8 @@
 	stub      *toxics.ToxicStub
 	// held is data that was read and not yet passed on.
 	held *stream.StreamChunk
+	// due is when it may pass.
+	due time.Time
 	// ended says that the sender has closed the connection.
 	ended bool
 }
@@ -126,6 +143,8 @@
 	switch {
 	case !open:
 		return f.wait(changed)
+	case f.held != nil && time.Now().Before(f.due):
+		return f.sleep()
 	case f.held != nil:
 		return f.send(changed)
 	case f.ended:
@@ -145,6 +164,18 @@
 	}
 }
 
+// sleep waits until the data may pass, also while the valve changes.
+func (f *flow) sleep() bool {
+	timer := time.NewTimer(time.Until(f.due))
+	defer timer.Stop()
+	select {
+	case <-f.stub.Interrupt:
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 func (f *flow) send(changed <-chan struct{}) bool {
 	select {
 	case <-f.stub.Interrupt:
@@ -164,7 +195,7 @@
 	case <-changed:
 		return true
 	case f.held = <-f.stub.Input:
-		f.ended = f.held == nil
+		f.due, f.ended = f.valve.due(), f.held == nil
 		return true
 	}
 }
