--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -85,7 +85,7 @@
 		lose func(from, to net.Conn)
 		kind errkind.Kind
 	}{
-		"after the start": {loseAnswer, errkind.Unknown},
+		"after the start":  {loseAnswer, errkind.Unknown},
 		"before the start": {func(from, _ net.Conn) { _, _ = from.Read(make([]byte, 1)) }, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
