host: a target at work is not lost because it refuses new connections

Cause: two refused connections 30 ms apart counted as the end of a pulling target; its grants ended at once and the requests that it was working on were cancelled. Ruled out: the end of the target (its runs would have ended 30 ms earlier, with the first refusal). Now the end of a process must also have ended the connections of the requests that were running before the refusal. TestRefusedConnectionsDoNotCutRunningWork failed before.

--- a/host/enter.go
+++ b/host/enter.go
@@ -17,6 +17,7 @@
 
 // attempt is one request in flight under a grant.
 type attempt struct {
+	began  time.Time
 	cancel context.CancelCauseFunc
 }
 
@@ -136,7 +137,7 @@
 		return nil, nil, t.delivered, err
 	}
 	attemptCtx, cancel := context.WithCancelCause(ctx)
-	a := &attempt{cancel: cancel}
+	a := &attempt{began: now, cancel: cancel}
 	g.attempts[a] = struct{}{}
 	t.running++
 	t.meter.count(ref.Partition, key)
--- a/host/pull.go
+++ b/host/pull.go
@@ -30,6 +30,8 @@
 	// operators took it or its zone out; zero when they have not.
 	drainingSince time.Time
 	outSince      time.Time
+	// confirming says that a refused connection is being looked into.
+	confirming bool
 	// coldUntil is the end of the cold start that the target has stated.
 	coldUntil time.Time
 	// changed is closed and replaced when the node has something new for the target.
--- a/host/pull_test.go
+++ b/host/pull_test.go
@@ -172,6 +172,30 @@
 	}
 }
 
+// Guards against requests that are cut because a target that leaves, or has too many connections, refuses
+// new ones while it is at work on those that it has.
+func TestRefusedConnectionsDoNotCutRunningWork(t *testing.T) {
+	is := is.New(t)
+	w := newPullWorld(t)
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	w.a.Address = closed.Addr().String()
+	_ = closed.Close()
+	w.own(api.Granted, 5)
+	w.pull(api.Pull{})
+	target := w.c.r.Lookup(w.a.ID)
+	ctx, leave, err := target.Enter(t.Context(), api.PartitionRef{Service: testService}, 5, "k")
+	is.NoErr(err)
+	time.Sleep(10 * time.Millisecond)
+	target.ConnectionRefused()
+	time.Sleep(5 * refusalPause)
+	is.NoErr(ctx.Err())
+	is.Equal(target.State(), api.TargetServing)
+	leave()
+	eventually(t, "loss once nothing runs", func() bool { return target.State() == api.TargetLost })
+	eventually(t, "release", func() bool { return w.c.released(5) })
+}
+
 // Guards against a reply beyond 4 KiB: single ranges with tokens are cut to ranges without.
 func TestManyRowsLoseTheirTokens(t *testing.T) {
 	is := is.New(t)
--- a/host/pulllimits.go
+++ b/host/pulllimits.go
@@ -73,33 +73,54 @@
 }
 
 // ConnectionRefused tells that the target's address has refused a connection. A pulling target
-// that refuses a second one has ended, since its node is the only way to it.
+// that refuses a second one has ended, since its node is the only way to it, unless it is at work on
+// a request from before: the end of a process ends all its connections.
 func (t *Target) ConnectionRefused() {
 	if !t.info.Pulls {
 		return
 	}
 	t.mu.Lock()
 	sequence := t.pulled.sequence
+	confirming := t.pulled.confirming
+	t.pulled.confirming = true
 	t.mu.Unlock()
-	t.r.confirmRefused(t, sequence)
+	if !confirming {
+		time.AfterFunc(refusalPause, func() { t.confirmRefused(sequence, time.Now()) })
+	}
 }
 
 // confirmRefused looks once more whether a target that has not announced itself since still
-// refuses connections, and marks it lost.
-func (r *Registry) confirmRefused(t *Target, sequence uint64) {
-	time.AfterFunc(refusalPause, func() {
-		conn, err := net.DialTimeout("tcp", t.info.Address, refusalPause)
-		if err == nil {
-			_ = conn.Close()
-			return
-		}
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		if !errors.Is(err, syscall.ECONNREFUSED) || t.pulled.sequence != sequence {
-			return
+// refuses connections, and marks it lost. first is the time of the first look.
+func (t *Target) confirmRefused(sequence uint64, first time.Time) {
+	conn, err := net.DialTimeout("tcp", t.info.Address, refusalPause)
+	if err == nil {
+		_ = conn.Close()
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !errors.Is(err, syscall.ECONNREFUSED) || t.pulled.sequence != sequence {
+		t.pulled.confirming = false
+		return
+	}
+	if t.worksSince(first.Add(-refusalPause)) {
+		time.AfterFunc(refusalPause, func() { t.confirmRefused(sequence, first) })
+		return
+	}
+	t.pulled.confirming = false
+	t.refused = true
+	t.markLost(time.Now(), "connection refused")
+	t.kick()
+}
+
+// worksSince says whether the target is at work under a grant on a request from before the time. The
+// caller holds t.mu.
+func (t *Target) worksSince(before time.Time) bool {
+	for _, g := range t.grants {
+		for a := range g.attempts {
+			if a.began.Before(before) {
+				return true
+			}
 		}
-		t.refused = true
-		t.markLost(time.Now(), "connection refused")
-		t.kick()
-	})
+	}
+	return false
 }
