control, host, api: as many ranges as the fleet has targets for; assignments in a table on the wire

The leader chooses the number for the first configuration by the nodes in contact and the service that their settings name, 128 to 2,048; later configurations keep it. A reply to a target never has more rows than 4 KiB hold; further ranges are not granted. AssignmentUpdates are encoded with a table of texts: 2,048 partitions take below 40 KB. Ruled out for now: splitting a partition while it is hot (needs a split of grants in flight); sizing by announced targets (they announce themselves a second after the first configuration).

--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -88,6 +88,8 @@
 	InternalAddr  string // request hop, host:port
 	FateAddr      string // net/rpc service of the node, host:port
 	CallerAddr    string // caller listener, host:port
+	// Hosts is the service of the target on this host by the node's settings; empty when they name none.
+	Hosts         string
 	ConfigVersion uint64
 	MapVersion    uint64
 	// PeersVersion is the version of the list of nodes that the node holds.
@@ -133,7 +135,7 @@
 	Configuration *Configuration
 	ConfigVersion uint64
 	// Map is a full copy when MapFull is set, else the entries changed since the node's version.
-	Map        []AssignmentUpdate
+	Map        AssignmentUpdates
 	MapFull    bool
 	MapVersion uint64
 	// Peers is set when the node's PeersVersion differs from the current one. Versions are
--- a/control/control.go
+++ b/control/control.go
@@ -90,7 +90,7 @@
 	log        *logrus.Entry
 	client     *http.Client
 	heartbeats chan *heartbeat
-	queries    chan chan<- *api.Status
+	queries    chan func()
 	outcomes   chan outcome
 	wake       chan struct{}
 	leader     *leader // nil on a follower
@@ -115,7 +115,7 @@
 		log:        telemetry.Logger("control"),
 		client:     &http.Client{Transport: transport, Timeout: forwardTimeout},
 		heartbeats: make(chan *heartbeat),
-		queries:    make(chan chan<- *api.Status),
+		queries:    make(chan func()),
 		outcomes:   make(chan outcome),
 		wake:       make(chan struct{}, 1),
 	}, nil
@@ -143,7 +143,7 @@
 		case h := <-c.heartbeats:
 			plan = c.answer(h)
 		case q := <-c.queries:
-			q <- c.status()
+			q()
 			plan = false
 		case out := <-c.outcomes:
 			c.finish(out)
@@ -156,6 +156,16 @@
 	}
 }
 
+// onLoop has the loop run a function, and says whether it does; it does not when ctx ends first.
+func (c *Control) onLoop(ctx context.Context, f func()) bool {
+	select {
+	case c.queries <- f:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // kick makes the loop plan now.
 func (c *Control) kick() {
 	select {
--- a/control/fake_test.go
+++ b/control/fake_test.go
@@ -180,6 +180,7 @@
 
 // node follows the rules of the node side of the heartbeat protocol.
 type node struct {
+	hosts    string // service of the target on the host
 	w        *world
 	session  api.SessionID
 	target   api.TargetID
@@ -249,6 +250,7 @@
 		PeersVersion: n.peersV, Targets: []api.TargetReport{n.report}, Final: n.final,
 		Tokens: map[api.OrganisationID]api.TokenReport{"org": {Issued: n.issued, Demand: max(n.demand, 10)}},
 		Term:   n.term,
+		Hosts:  n.hosts,
 	}
 	if n.config != nil {
 		req.ConfigVersion = n.config.Version
--- a/control/operator.go
+++ b/control/operator.go
@@ -120,12 +120,10 @@
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	answer := make(chan *api.Status, 1)
-	select {
-	case c.queries <- answer:
-		return <-answer, nil
-	case <-ctx.Done():
+	if !c.onLoop(ctx, func() { answer <- c.status() }) {
 		return c.localStatus(), nil
 	}
+	return <-answer, nil
 }
 
 func (c *Control) getConfiguration(context.Context, []byte) (any, *errkind.Error) {
--- a/control/submit.go
+++ b/control/submit.go
@@ -78,7 +78,7 @@
 	if err := c.checkVoters(change); err != nil {
 		return nil, err
 	}
-	data, err := state.EncodeChange(change)
+	data, err := state.EncodeChange(c.sizeRanges(ctx, change))
 	if err != nil {
 		return nil, errkind.From(err)
 	}
--- a/host/pull.go
+++ b/host/pull.go
@@ -14,9 +14,12 @@
 	clockDrift = 0.02
 	// holdMargin is taken off each hold for the rounding of times on the way.
 	holdMargin = 20 * time.Millisecond
-	// maxRows bounds the ranges in a reply. One with a handover token takes up to 45 bytes, and
-	// a target reads at most 4 KiB; beyond the bound the tokens are left out.
-	maxRows = 80
+	// MaxRowsWithTokens bounds the ranges in a reply with handover tokens. Such a range takes up to 45
+	// bytes, and a target reads at most 4 KiB; beyond the bound the tokens are left out.
+	MaxRowsWithTokens = 80
+	// MostRows bounds the ranges in any reply; one without a token takes up to 26 bytes. Further ranges
+	// are not granted: a reply that cannot be read would end all of them.
+	MostRows = 140
 )
 
 // pullState is what is known of a target that takes its grants from the replies to its
--- a/host/pull_test.go
+++ b/host/pull_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"testing"
@@ -200,10 +201,41 @@
 func TestManyRowsLoseTheirTokens(t *testing.T) {
 	is := is.New(t)
 	var rows []api.RangeGrant
-	for i := range maxRows + 20 {
+	for i := range MaxRowsWithTokens + 20 {
 		rows = append(rows, row(i*10, i*10+9, 5, fmt.Sprint("token-", i)))
 	}
-	is.Equal(withoutHandovers(rows), []api.RangeGrant{row(0, (maxRows+20)*10-1, 5, "")})
+	is.Equal(withoutHandovers(rows), []api.RangeGrant{row(0, (MaxRowsWithTokens+20)*10-1, 5, "")})
+}
+
+// Guards against a reply that a target cannot read because it owns more single ranges than fit.
+func TestRangesBeyondTheReplyAreNotGranted(t *testing.T) {
+	is := is.New(t)
+	const owned = MostRows + 10
+	w := newPullWorld(t)
+	w.c.change(func(v *api.View) {
+		v.Configuration.Services.Services[0].Key.Span = 65536
+		v.Configuration.Services.Services[0].Partitions = 2 * owned
+		v.MapVersion++
+		list := make([]api.Assignment, 2*owned)
+		for i := range owned {
+			list[2*i] = api.Assignment{State: api.Granted, Target: w.a.ID, Session: v.Session, Epoch: 5, Place: "p", Handover: "token"}
+		}
+		v.Assignments = api.Assignments{testService: list}
+	})
+	reply := w.pull(api.Pull{})
+	is.Equal(len(reply.Grants), MostRows)
+	is.Equal(reply.Grants[0].Handover, "")
+	enter := func(partition int) error {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		_, leave, err := w.c.r.Lookup(w.a.ID).Enter(ctx, api.PartitionRef{Service: testService, Partition: partition}, 5, "")
+		if err == nil {
+			leave()
+		}
+		return err
+	}
+	is.NoErr(enter(0))
+	is.True(enter(2*(owned-1)) != nil)
 }
 
 // Guards against grants and moves that wait for the next announcement of the target.
--- a/host/pullreply.go
+++ b/host/pullreply.go
@@ -7,6 +7,7 @@
 
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/internal/boottime"
+	"github.com/zinniapier/zinniapier/telemetry"
 )
 
 // pollLimit bounds how long a reply waits for something to tell. An announcement whose reply
@@ -23,6 +24,7 @@
 	}
 	until := now.Add(time.Duration(float64(hold) * (1 + clockDrift)))
 	reply := api.PullReply{Renews: true, Hold: hold}
+	var plain []api.RangeGrant
 	for partition := range s.Partitions {
 		g := t.grants[partition]
 		if g == nil {
@@ -37,16 +39,22 @@
 			}
 			continue
 		}
+		row := api.RangeGrant{KeyRange: s.Range(partition), Epoch: g.epoch}
+		if joined := appendRow(plain, row); len(joined) <= MostRows {
+			plain = joined
+		} else {
+			telemetry.CountEvent("range_beyond_reply", 1)
+			continue
+		}
 		g.until = later(g.until, until)
 		g.usableUntil = now.Add(hold)
-		row := api.RangeGrant{KeyRange: s.Range(partition), Epoch: g.epoch}
 		if !g.held {
 			row.Handover = g.inherited
 		}
 		reply.Grants = appendRow(reply.Grants, row)
 	}
-	if len(reply.Grants) > maxRows {
-		reply.Grants = withoutHandovers(reply.Grants)
+	if len(reply.Grants) > MaxRowsWithTokens {
+		reply.Grants = plain
 	}
 	t.announceDelivery()
 	return reply
--- a/node/node.go
+++ b/node/node.go
@@ -174,6 +174,7 @@
 		InternalAddr: advertised(s.InternalAdvertise, n.internal),
 		FateAddr:     advertised(s.RPCAdvertise, n.fate),
 		CallerAddr:   advertised(s.CallerAdvertise, n.caller),
+		Hosts:        n.profile.Origin,
 		Members:      s.ControlMembers,
 		TLS:          n.tls.Client,
 		Source:       n.registry,
--- a/session/beat.go
+++ b/session/beat.go
@@ -30,6 +30,7 @@
 		InternalAddr:  s.o.InternalAddr,
 		FateAddr:      s.o.FateAddr,
 		CallerAddr:    s.o.CallerAddr,
+		Hosts:         s.o.Hosts,
 		ConfigVersion: configVersion(v),
 		MapVersion:    v.MapVersion,
 		PeersVersion:  v.PeersVersion,
--- a/session/session.go
+++ b/session/session.go
@@ -58,6 +58,7 @@
 	InternalAddr string // host:port of the request hop
 	FateAddr     string // host:port of the node's rpc service
 	CallerAddr   string // host:port of the caller listener
+	Hosts        string // service of the target on this host, empty when it is not known
 	// Members are the rpc addresses of the control members.
 	Members []string
 	// Reseed returns the members to ask when all known ones fail; nil means Members again.
--- a/state/replace_test.go
+++ b/state/replace_test.go
@@ -34,6 +34,25 @@
 	is.Equal(m.View().Configuration.Document, []byte{9})
 }
 
+// Guards against keys that change their partition because a later configuration was sized for another
+// number of targets.
+func TestReplaceKeepsTheNumberOfRanges(t *testing.T) {
+	is := is.New(t)
+	m := &tester{Machine: New(), t: t}
+	ranged := func(base, label uint64, partitions int) api.Change {
+		c := replacement(base, label, "quotes")
+		c.Replacement.Services.Services[0].Key = &api.KeySource{Header: "K", Span: 400}
+		c.Replacement.Services.Services[0].Partitions = partitions
+		return c
+	}
+	is.Equal(kind(m.change(ranged(0, 1, 16))), errkind.Kind(""))
+	for label, partitions := range []int{0, 32, 8} {
+		is.Equal(kind(m.change(ranged(uint64(label+1), uint64(label+2), partitions))), errkind.Kind(""))
+		is.Equal(m.View().Configuration.Services.Find("quotes").Partitions, 16)
+		is.Equal(len(m.View().Assignments["quotes"]), 16)
+	}
+}
+
 // Guards against a refusal that is kept as the answer to a change whose base becomes current later.
 func TestRefusedReplaceMayBeSentAgain(t *testing.T) {
 	is := is.New(t)
--- a/state/services.go
+++ b/state/services.go
@@ -16,7 +16,7 @@
 
 // applyServices replaces the services. The assignments of a removed service stay until
 // its partitions have been released; until then it cannot be added again, unless takeBack lets
-// it take up the assignments that it had.
+// it take up the assignments that it had. A ranged service then keeps its number of partitions.
 func (e *editor) applyServices(s *api.Services, takeBack bool) *errkind.Error {
 	if s == nil {
 		return errkind.New(errkind.Invalid, "no services")
@@ -24,6 +24,9 @@
 	services := api.Services{Services: slices.Clone(s.Services)}
 	for i := range services.Services {
 		v := &services.Services[i]
+		if have := e.state.Assignments[v.Name]; takeBack && v.Ranged() && len(have) > 0 {
+			v.Partitions = len(have)
+		}
 		if v.Divided() && v.Partitions == 0 {
 			v.Partitions = defaultPartitions
 		}
