session: a long reply may take several timeouts while it arrives

Cause: a node on a link of 10 Mbit/s that uploads keep busy gave each heartbeat 400 ms. Now a call ends when nothing has arrived for the timeout, and after five of them in any case. TestLongReplyOverSlowLink failed before.

--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -10,6 +10,7 @@
 	netrpc "net/rpc"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/juju/errors"
 
@@ -89,6 +90,9 @@
 	address string
 	tls     *tls.Config
 
+	// received counts the bytes read over all connections.
+	received atomic.Int64
+
 	mu     sync.Mutex
 	client *netrpc.Client
 }
@@ -101,6 +105,23 @@
 // Address returns the address that the client dials.
 func (c *Client) Address() string { return c.address }
 
+// Received returns the number of bytes that have been read over all connections; while it grows, a
+// reply is on its way.
+func (c *Client) Received() int64 { return c.received.Load() }
+
+// countedConn counts the bytes that are read.
+type countedConn struct {
+	net.Conn
+	received *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
+}
+
 // Call calls "Receiver.Method". When ctx ends first, the connection is closed, since it may
 // have gone silent, and the next call dials a new one. Errors that the receiver returned
 // as *errkind.Error come back as such; a failed dial is NodeUnreachable and any other
@@ -158,7 +179,7 @@
 		_ = conn.Close()
 		return c.client, nil
 	}
-	c.client = netrpc.NewClient(conn)
+	c.client = netrpc.NewClient(countedConn{conn, &c.received})
 	return c.client, nil
 }
 
--- a/session/beat.go
+++ b/session/beat.go
@@ -70,20 +70,34 @@
 	return err
 }
 
-// send calls the current member. It returns at the latest after the member timeout, even when
+// longestReply is the number of member timeouts in which a reply must be whole. On a busy link a
+// long one takes a while; begun anew with each timeout, it would never arrive.
+const longestReply = 5
+
+// send calls the current member. It returns when nothing has arrived for a member timeout, even when
 // the connection takes no more bytes; the call is then abandoned and its reply never read.
 func (s *Session) send(ctx context.Context, req *api.HeartbeatRequest) (*api.HeartbeatReply, error) {
-	callCtx, cancel := context.WithTimeout(ctx, s.o.MemberTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, longestReply*s.o.MemberTimeout)
 	defer cancel()
 	client := s.members.client()
 	reply := new(api.HeartbeatReply)
 	result := make(chan error, 1)
 	go func() { result <- client.Call(callCtx, heartbeatMethod, req, reply) }()
-	select {
-	case err := <-result:
-		return reply, err
-	case <-callCtx.Done():
-		return nil, errkind.New(errkind.Unknown, "no answer from %s: %v", client.Address(), callCtx.Err())
+	quiet := time.NewTicker(s.o.MemberTimeout)
+	defer quiet.Stop()
+	for received := client.Received(); ; {
+		select {
+		case err := <-result:
+			return reply, err
+		case <-callCtx.Done():
+			return nil, errkind.New(errkind.Unknown, "no answer from %s: %v", client.Address(), callCtx.Err())
+		case <-quiet.C:
+			now := client.Received()
+			if now == received {
+				return nil, errkind.New(errkind.Unknown, "no answer from %s for %v", client.Address(), s.o.MemberTimeout)
+			}
+			received = now
+		}
 	}
 }
 
--- a/session/leave.go
+++ b/session/leave.go
@@ -18,7 +18,7 @@
 	s.Kick()
 	drained := s.awaitDrained(ctx)
 	req := finishRequest{ctx: ctx, final: drained, result: make(chan error, 1)}
-	timer := time.NewTimer(s.o.MemberTimeout + finalLimit)
+	timer := time.NewTimer(longestReply*s.o.MemberTimeout + finalLimit)
 	defer timer.Stop()
 	select {
 	case s.finish <- req:
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -211,6 +213,47 @@
 	is.Equal(part.Owner(api.PartitionRef{Service: "q", Partition: 1}).State, api.Unassigned)
 }
 
+// Guards against a node on a busy link that never gets a long reply: each try ends before the reply is
+// whole, and the next one begins anew.
+func TestLongReplyOverSlowLink(t *testing.T) {
+	is := is.New(t)
+	c := startControl(t)
+	c.set(func(req *api.HeartbeatRequest, reply *api.HeartbeatReply) error {
+		err := lead(1, 1)(req, reply)
+		if reply.Configuration != nil {
+			reply.Configuration.ZonesOut = []string{strings.Repeat("z", 2000)}
+		}
+		return err
+	})
+	slow, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = slow.Close() })
+	go func() {
+		for {
+			from, err := slow.Accept()
+			if err != nil {
+				return
+			}
+			to, err := net.Dial("tcp", c.address)
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(to, from) }()
+			go func() {
+				defer from.Close()
+				for {
+					if _, err := io.CopyN(from, to, 200); err != nil {
+						return
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+			}()
+		}
+	}()
+	s, _, _ := startSession(t, Options{MemberTimeout: 80 * time.Millisecond}, slow.Addr().String())
+	eventually(t, "lease", s.valid)
+}
+
 // Guards against a node that never finds a leader outside its settings, or a replaced group.
 func TestHintsAndLearnedMembers(t *testing.T) {
 	is := is.New(t)
