gateway: a large body crosses to the owner's node once its target has a slot

Cause: the body of an upload was sent along with the hop's header. A hop with 16 KiB or more asks first (Expect: 100-continue); the answer comes when the target's body is read. TestRefusedUploadIsTurnedWithoutItsBody failed before (503 instead of 200 from the free target).

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -176,7 +176,10 @@
 		ForceQuery: in.URL.ForceQuery,
 	}
 	req := &http.Request{
-		Method:        in.Method,
+		Method: in.Method,
+		// net/http waits for permission to send a body only in requests of a stated protocol.
+		ProtoMajor:    1,
+		ProtoMinor:    1,
 		URL:           u,
 		Host:          in.Host,
 		Header:        h,
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -105,6 +105,11 @@
 	setOnce(out, api.HeaderIdempotent, strconv.FormatBool(c.idempotent))
 	setOnce(out, api.HeaderAttemptsLeft, strconv.Itoa(h.place.left))
 	setOnce(out, api.HeaderDeadlineMs, remainingMs(hopDeadline(c.deadline)))
+	if c.body.length < 0 || c.body.length >= bulkBytes {
+		// The owner's node asks for the body once its target has a slot: a refused one does not cross
+		// the link, and can still be sent elsewhere.
+		setOnce(out, "Expect", "100-continue")
+	}
 	return out
 }
 
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -111,6 +111,8 @@
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+		// The deadline of the request ends the wait for permission to send a body.
+		ExpectContinueTimeout: longestDeadline,
 		// The answer's headers are small; the default of 10 MB is a risk to memory.
 		MaxResponseHeaderBytes: 1 << 20,
 	}
