session: a node on a link with a long queue waits longer for members

The limit doubles with each round in which every member has failed, up to three times the timeout. TestAnswerSlowerThanTheTimeout failed before.

--- a/session/beat.go
+++ b/session/beat.go
@@ -74,16 +74,28 @@
 // long one takes a while; begun anew with each timeout, it would never arrive.
 const longestReply = 5
 
-// send calls the current member. It returns when nothing has arrived for a member timeout, even when
+// mostPatience is the multiple of the member timeout that a node waits for when no member has answered
+// within it: where a queue on its link takes longer, no shorter wait would ever succeed.
+const mostPatience = 3
+
+// quietLimit is how long nothing may arrive before the next member is asked. It doubles with each
+// round in which every member has failed.
+func (s *Session) quietLimit() time.Duration {
+	rounds := min(s.failures/s.members.count(), 2)
+	return s.o.MemberTimeout * time.Duration(min(1<<rounds, mostPatience))
+}
+
+// send calls the current member. It returns when nothing has arrived for the quiet limit, even when
 // the connection takes no more bytes; the call is then abandoned and its reply never read.
 func (s *Session) send(ctx context.Context, req *api.HeartbeatRequest) (*api.HeartbeatReply, error) {
+	limit := s.quietLimit()
 	callCtx, cancel := context.WithTimeout(ctx, longestReply*s.o.MemberTimeout)
 	defer cancel()
 	client := s.members.client()
 	reply := new(api.HeartbeatReply)
 	result := make(chan error, 1)
 	go func() { result <- client.Call(callCtx, heartbeatMethod, req, reply) }()
-	quiet := time.NewTicker(s.o.MemberTimeout)
+	quiet := time.NewTicker(limit)
 	defer quiet.Stop()
 	for received := client.Received(); ; {
 		select {
@@ -94,7 +106,7 @@
 		case <-quiet.C:
 			now := client.Received()
 			if now == received {
-				return nil, errkind.New(errkind.Unknown, "no answer from %s for %v", client.Address(), s.o.MemberTimeout)
+				return nil, errkind.New(errkind.Unknown, "no answer from %s for %v", client.Address(), limit)
 			}
 			received = now
 		}
--- a/session/session.go
+++ b/session/session.go
@@ -95,6 +95,7 @@
 
 	// The fields below belong to the control thread.
 	sequence uint64
+	failures int  // heartbeats that have failed in a row
 	lapsed   bool // the lease has run out and the tokens were told
 	members  *members
 }
@@ -167,15 +168,14 @@
 // suture.ErrDoNotRestart or the error of ctx.
 func (s *Session) Serve(ctx context.Context) error {
 	defer s.members.close()
-	failures := 0
 	for {
 		started := time.Now()
 		err := s.beat(ctx, s.heartbeat(time.Now()))
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		failures = s.countFailures(failures, err)
-		if s.wait(ctx, started, failures) {
+		s.failures = s.countFailures(s.failures, err)
+		if s.wait(ctx, started, s.failures) {
 			return suture.ErrDoNotRestart
 		}
 	}
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -216,7 +216,6 @@
 // Guards against a node on a busy link that never gets a long reply: each try ends before the reply is
 // whole, and the next one begins anew.
 func TestLongReplyOverSlowLink(t *testing.T) {
-	is := is.New(t)
 	c := startControl(t)
 	c.set(func(req *api.HeartbeatRequest, reply *api.HeartbeatReply) error {
 		err := lead(1, 1)(req, reply)
@@ -225,33 +224,55 @@
 		}
 		return err
 	})
-	slow, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	t.Cleanup(func() { _ = slow.Close() })
+	slow := startRelay(t, c.address, func(from, to net.Conn) {
+		for {
+			if _, err := io.CopyN(from, to, 200); err != nil {
+				return
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+	s, _, _ := startSession(t, Options{MemberTimeout: 80 * time.Millisecond}, slow)
+	eventually(t, "lease", s.valid)
+}
+
+// Guards against a node on a link with a long queue that gives up each member before an answer can come.
+func TestAnswerSlowerThanTheTimeout(t *testing.T) {
+	c := startControl(t)
+	slow := startRelay(t, c.address, func(from, to net.Conn) {
+		time.Sleep(200 * time.Millisecond)
+		_, _ = io.Copy(from, to)
+	})
+	s, _, _ := startSession(t, Options{MemberTimeout: 80 * time.Millisecond}, slow)
+	eventually(t, "lease", s.valid)
+}
+
+// startRelay passes connections on to an address; back passes what comes from there.
+func startRelay(t *testing.T, address string, back func(from, to net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
-			from, err := slow.Accept()
+			from, err := l.Accept()
 			if err != nil {
 				return
 			}
-			to, err := net.Dial("tcp", c.address)
+			to, err := net.Dial("tcp", address)
 			if err != nil {
 				return
 			}
 			go func() { _, _ = io.Copy(to, from) }()
 			go func() {
 				defer from.Close()
-				for {
-					if _, err := io.CopyN(from, to, 200); err != nil {
-						return
-					}
-					time.Sleep(20 * time.Millisecond)
-				}
+				back(from, to)
 			}()
 		}
 	}()
-	s, _, _ := startSession(t, Options{MemberTimeout: 80 * time.Millisecond}, slow.Addr().String())
-	eventually(t, "lease", s.valid)
+	return l.Addr().String()
 }
 
 // Guards against a node that never finds a leader outside its settings, or a replaced group.
