control, state, host: busy ranges are divided and their parts spread

The parts keep owner and epoch, so nothing changes for the target; they are then moved like other partitions, with expected loads until they have been measured. Refused requests count as load. Parts are not joined again; their number is bounded. Requests that wait follow a division (TestWaitingRequestFollowsADivision failed before), and a reply to a target is held for 700 ms in place of 500, since a grant waited up to 370 ms for the next heartbeat.

--- a/api/control.go
+++ b/api/control.go
@@ -77,6 +77,9 @@
 	Index         uint64        `json:"index"`
 	Configuration Configuration `json:"configuration"`
 	Assignments   Assignments   `json:"assignments"`
+	// Divisions tells how ranged services are divided; like their assignments, they outlive the service
+	// until all its partitions have been released.
+	Divisions map[string]Division `json:"divisions,omitempty"`
 	// MapVersion is the log index of the last change of Assignments.
 	MapVersion uint64 `json:"map_version"`
 	// Sessions are the open sessions in ascending order. A session is in the log before its node
@@ -84,6 +87,12 @@
 	Sessions []SessionID `json:"sessions,omitempty"`
 }
 
+// Division is how the keys of a ranged service are divided.
+type Division struct {
+	Partitions int          `json:"partitions"`
+	Splits     []RangeSplit `json:"splits,omitempty"`
+}
+
 // ChangeKind names an operator change.
 type ChangeKind string
 
--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -82,12 +82,12 @@
 	Sequence uint64
 	// Term is the greatest raft term of which the node has received a reply. A heartbeat that
 	// carries the leader's own term was sent after the leader took over.
-	Term          uint64
-	Name          string
-	Zone          string
-	InternalAddr  string // request hop, host:port
-	FateAddr      string // net/rpc service of the node, host:port
-	CallerAddr    string // caller listener, host:port
+	Term         uint64
+	Name         string
+	Zone         string
+	InternalAddr string // request hop, host:port
+	FateAddr     string // net/rpc service of the node, host:port
+	CallerAddr   string // caller listener, host:port
 	// Hosts is the service of the target on this host by the node's settings; empty when they name none.
 	Hosts         string
 	ConfigVersion uint64
--- a/api/services.go
+++ b/api/services.go
@@ -13,9 +13,12 @@
 	// Key says where the owned key stands; nil for a service that is not divided by key.
 	Key *KeySource `json:"key,omitempty"`
 	// Partitions is the fixed number of partitions of a service divided by key. Default 64.
-	Partitions int      `json:"partitions,omitempty"`
-	Routes     []Route  `json:"routes"`
-	DependsOn  []string `json:"depends_on,omitempty"`
+	Partitions int `json:"partitions,omitempty"`
+	// Splits are the partitions of a ranged service that the control leader has divided because they
+	// were busy, in ascending order of Base. Operators do not set them.
+	Splits    []RangeSplit `json:"splits,omitempty"`
+	Routes    []Route      `json:"routes"`
+	DependsOn []string     `json:"depends_on,omitempty"`
 	// DeadlineMs is the longest time for a request, in milliseconds. Default 10,000.
 	DeadlineMs int `json:"deadline_ms,omitempty"`
 	// TargetChoice names the plug-in that selects a target of an undivided service.
@@ -47,6 +50,9 @@
 
 // Range returns the keys of a partition of a ranged service.
 func (s *Service) Range(partition int) KeyRange {
+	if split := s.splitInto(partition); split != nil {
+		return split.part(s.Range(split.Base), partition-split.First)
+	}
 	return KeyRange{First: s.firstKey(partition), Last: s.firstKey(partition+1) - 1}
 }
 
@@ -65,7 +71,11 @@
 	if err != nil || n < 0 || n >= s.Key.Span {
 		return -1
 	}
-	return n * s.Partitions / s.Key.Span
+	base := n * s.Partitions / s.Key.Span
+	if i, found := s.findSplit(base); found {
+		return s.Splits[i].First + s.Splits[i].partOf(s.Range(base), n)
+	}
+	return base
 }
 
 // Route maps requests to a service. Prefix matches whole path segments.
--- a/control/leader.go
+++ b/control/leader.go
@@ -47,7 +47,9 @@
 	// evacuating holds since when a service has partitions on targets that must lose them.
 	evacuating map[string]time.Time
 	// holds says from when on an override may leave its first owner.
-	holds       map[api.PartitionRef]time.Time
+	holds map[api.PartitionRef]time.Time
+	// fresh holds the splits whose parts have not been measured, by the partition that was divided.
+	fresh       map[api.PartitionRef]*freshSplit
 	nextBalance time.Time
 }
 
@@ -68,6 +70,7 @@
 		intended:   make(map[api.PartitionRef]api.TargetID),
 		evacuating: make(map[string]time.Time),
 		holds:      make(map[api.PartitionRef]time.Time),
+		fresh:      make(map[api.PartitionRef]*freshSplit),
 		// Versions of the list of peers must differ between terms.
 		peersVersion: term << 32,
 	}
--- a/control/plan.go
+++ b/control/plan.go
@@ -98,6 +98,11 @@
 			delete(l.intended, ref)
 		}
 	}
+	for ref := range l.fresh {
+		if view.Configuration.Services.Find(ref.Service) == nil {
+			delete(l.fresh, ref)
+		}
+	}
 	for ref := range l.holds {
 		if overrideOf(view, ref) == nil {
 			delete(l.holds, ref)
@@ -110,11 +115,10 @@
 	*leader
 	view    *api.ControlState
 	name    string
+	service *api.Service // nil when it is no longer configured
 	now     time.Time
 	batch   *state.Batch
 	balance bool
-	// removed says that the service is no longer configured; nothing is granted.
-	removed bool
 	targets map[api.TargetID]*targetInfo
 	// places holds the targets at places where only one can run at a time.
 	places map[string]*targetInfo
@@ -128,12 +132,17 @@
 func (p *servicePlan) run() {
 	p.into = make(map[api.TargetID]int)
 	service := p.view.Configuration.Services.Find(p.name)
-	p.removed = service == nil
+	p.service = service
+	if p.takeFresh(service) {
+		p.balance = true
+	}
 	for i, a := range p.view.Assignments[p.name] {
-		p.classify(i, a)
+		if service == nil || !service.IsSplit(i) {
+			p.classify(i, a)
+		}
 	}
 	eligible := p.eligibleTargets()
-	if p.removed || len(eligible) == 0 {
+	if service == nil || len(eligible) == 0 {
 		p.revokeAll()
 		return
 	}
@@ -145,6 +154,7 @@
 	if p.balance {
 		p.planOverrides(service, eligible)
 	}
+	p.planSplits(service, eligible)
 }
 
 func (p *servicePlan) ref(i int) api.PartitionRef {
@@ -229,7 +239,7 @@
 func (p *servicePlan) grantIntended(i int, a api.Assignment) {
 	to, ok := p.intended[p.ref(i)]
 	t := p.targets[to]
-	if p.removed || !ok || t == nil || !t.eligible || t.Service != p.name || p.full() {
+	if p.service == nil || !ok || t == nil || !t.eligible || t.Service != p.name || p.full() {
 		return
 	}
 	last := &p.partitions[len(p.partitions)-1]
@@ -257,7 +267,7 @@
 		if a.State != api.Granted || p.full() || !p.live(a.Session, p.now) || p.released[p.ref(i)].Epoch == a.Epoch {
 			continue
 		}
-		if p.removed || slices.Contains(p.evacuate, i) {
+		if p.service == nil || slices.Contains(p.evacuate, i) {
 			p.revoke(i)
 		}
 	}
@@ -294,12 +304,14 @@
 	return list
 }
 
-// load returns the requests per second of a partition as its owner reports them.
+// load returns the requests per second of a partition as its owner reports them, or as they are
+// expected of the part of a fresh split.
 func (p *servicePlan) load(i int, owner api.TargetID) float64 {
+	load := p.estimate(i)
 	if t := p.targets[owner]; t != nil {
-		return t.PartitionLoad[i]
+		load = max(load, t.PartitionLoad[i])
 	}
-	return 0
+	return load
 }
 
 func (p *servicePlan) policy(service *api.Service) placement.Policy {
--- /dev/null
+++ b/control/split_test.go
@@ -0,0 +1,144 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/state"
+)
+
+// splitWorld is a leader with targets that pull ranges of one service, without a loop.
+type splitWorld struct {
+	*leader
+	machine *state.Machine
+	index   uint64
+	now     time.Time
+	loads   map[string]map[int]float64 // by target
+}
+
+func newSplitWorld(t *testing.T, targets int) *splitWorld {
+	t.Helper()
+	w := &splitWorld{machine: state.New(), now: time.Now(), loads: map[string]map[int]float64{}}
+	o := Options{Log: newFakeLog(), Machine: w.machine}
+	if err := o.setDefaults(); err != nil {
+		t.Fatal(err)
+	}
+	w.leader = newLeader(&o, logrus.NewEntry(logrus.New()), 1, w.now)
+	w.apply(t, func() ([]byte, error) {
+		return state.EncodeChange(&api.Change{ID: "first", Kind: api.Replace, Replacement: &api.Replacement{Label: 1, Services: api.Services{
+			Services: []api.Service{{Name: "quotes", Key: &api.KeySource{Header: "K", Span: 65536}, Partitions: 128}}}}})
+	})
+	for i := range targets {
+		name := fmt.Sprint("t", i)
+		w.loads[name] = map[int]float64{}
+		w.sessions[api.SessionID(name)] = &session{deadline: w.now.Add(time.Hour), last: api.HeartbeatRequest{Targets: []api.TargetReport{{
+			ID: api.TargetID(name), Service: "quotes", Slots: 18, State: api.TargetServing, Place: "host-" + name, PartitionLoad: w.loads[name],
+		}}}}
+	}
+	w.step(t)
+	return w
+}
+
+func (w *splitWorld) apply(t *testing.T, encode func() ([]byte, error)) {
+	t.Helper()
+	data, err := encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.index++
+	switch r := w.machine.Apply(w.index, data).(type) {
+	case *api.ChangeResult:
+		if r.Error != nil {
+			t.Fatal(r.Error)
+		}
+	case *state.BatchResult:
+		if len(r.Rejected) > 0 {
+			t.Fatal(r.Rejected[0].Error)
+		}
+	}
+}
+
+// step plans and commits; revoked partitions are released before the next step.
+func (w *splitWorld) step(t *testing.T) *state.Batch {
+	t.Helper()
+	w.now = w.now.Add(100 * time.Millisecond)
+	batch := w.plan(w.machine.View(), w.now)
+	w.apply(t, func() ([]byte, error) { return state.EncodeBatch(batch) })
+	for _, s := range batch.Revokes {
+		a := assignment(w.machine.View(), s.PartitionRef)
+		w.released[s.PartitionRef] = api.Released{PartitionRef: s.PartitionRef, Epoch: a.Epoch, Handover: "token"}
+	}
+	return batch
+}
+
+func (w *splitWorld) service() *api.Service {
+	return w.machine.View().Configuration.Services.Find("quotes")
+}
+
+// load has a load of all keys measured where they are now: usual a partition, and hot on a range.
+func (w *splitWorld) load(usual, hot float64, keys api.KeyRange) (most float64) {
+	for _, loads := range w.loads {
+		clear(loads)
+	}
+	sums := map[api.TargetID]float64{}
+	s := w.service()
+	s.InKeyOrder(func(p int) {
+		r := s.Range(p)
+		load := usual * float64(r.Len()) / 512
+		if busy := min(r.Last, keys.Last) - max(r.First, keys.First) + 1; busy > 0 {
+			load += hot * float64(busy) / float64(keys.Len())
+		}
+		owner := assignment(w.machine.View(), api.PartitionRef{Service: "quotes", Partition: p}).Target
+		w.loads[string(owner)][p] = load
+		sums[owner] += load
+	})
+	for _, sum := range sums {
+		most = max(most, sum)
+	}
+	return most
+}
+
+// Guards against busy neighbouring keys that stay on one target while others have room.
+func TestBusyPartitionIsDividedAndSpread(t *testing.T) {
+	is := is.New(t)
+	w := newSplitWorld(t, 7)
+	hot := api.KeyRange{First: 1030, Last: 1230} // within one partition
+	before := w.load(1, 100, hot)
+	is.True(before > 100)
+	for range 20 { // two seconds
+		w.step(t)
+		w.load(1, 100, hot)
+	}
+	mean := (128 + 100.0) / 7
+	is.Equal(len(w.service().Splits), 1)
+	is.True(w.load(1, 100, hot) < 1.6*mean)
+	for range 100 {
+		w.step(t)
+		w.load(1, 100, hot)
+	}
+	is.Equal(len(w.service().Splits), 1) // parts are not divided again
+}
+
+// Guards against partitions that are divided by chance or without an end.
+func TestDividingHasBounds(t *testing.T) {
+	is := is.New(t)
+	w := newSplitWorld(t, 3)
+	for range 50 {
+		w.load(10, 0, api.KeyRange{First: 0, Last: 0})
+		w.step(t)
+	}
+	is.Equal(len(w.service().Splits), 0)
+	for i := range 128 {
+		w.load(1, 1000, w.service().Range(i))
+		for range 3 {
+			w.step(t)
+		}
+	}
+	is.True(len(w.service().Splits) > 0)
+	is.True(w.service().Count()-128 <= 3*partsPerTarget)
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -228,7 +228,10 @@
 		}
 	}
 	if c.service.Divided() {
-		c.ref.Partition = v.Partition(c.service, c.key)
+		// The service of the present configuration says how its keys are divided now.
+		if s := v.Configuration.Services.Find(c.service.Name); s != nil && s.Divided() {
+			c.ref.Partition = v.Partition(s, c.key)
+		}
 	}
 	return nil
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -25,6 +25,7 @@
 	began := time.Now()
 	slot, err := t.Gate().AcquireFor(ctx, c.claim(began))
 	if err != nil {
+		t.Refused(c.ref, c.key)
 		return nil, errkind.From(err)
 	}
 	telemetry.Observe("gate", c.ref.Service, time.Since(began))
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -16,6 +16,8 @@
 	ConnectionRefused()
 	// StateCold tells what an answer said of the target's cold start; 0 means that it has ended.
 	StateCold(left time.Duration)
+	// Refused tells that the gate has refused a request for a key of the partition: it counts as load.
+	Refused(ref api.PartitionRef, key string)
 	// Enter checks that the target may start work under the grant now and counts the
 	// attempt as in flight until leave is called. The returned context is derived from ctx
 	// and ends when attempts under the grant must stop, as at the drain limit of a move. For
--- a/gateway/internal.go
+++ b/gateway/internal.go
@@ -135,6 +135,10 @@
 	if left, err := strconv.ParseInt(h.Get(api.HeaderObjectiveMs), 10, 64); err == nil {
 		c.objective = c.track.began.Add(time.Duration(left) * time.Millisecond)
 	}
+	if s := v.Configuration.Services.Find(c.ref.Service); s != nil && s.Ranged() && partition >= 0 {
+		// The first node may not know yet, or know before this one, that the partition was divided.
+		c.ref.Partition = v.Partition(s, key)
+	}
 	if org := v.Index.Organisations[c.org]; org != nil {
 		c.weight = org.Weight
 	}
--- /dev/null
+++ b/gateway/split_test.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/config"
+)
+
+// divide publishes a view in which the first range of "quotes" is divided in two. The owner's
+// assignments are those of the whole until it is divided.
+func divide(n *testNode) {
+	n.change(func(v *api.View) {
+		c := *v.Configuration
+		c.Services.Services = slices.Clone(c.Services.Services)
+		c.Services.Services[0].Splits = []api.RangeSplit{{Base: 0, First: 4, Parts: 2}}
+		v.Configuration = &c
+		list := append([]api.Assignment{{Epoch: 7}}, v.Assignments["quotes"][1:]...)
+		list = append(list, v.Assignments["quotes"][0], v.Assignments["quotes"][0])
+		v.Assignments = api.Assignments{"quotes": list}
+	})
+}
+
+// ranged publishes a view in which "quotes" has ranges of 100 numbers.
+func ranged(n *testNode) {
+	n.change(func(v *api.View) {
+		c := *v.Configuration
+		c.Services.Services = slices.Clone(c.Services.Services)
+		c.Services.Services[0].Key = &api.KeySource{Header: "K", Span: 400}
+		v.Configuration = &c
+	})
+}
+
+// Guards against requests that wait for an owner of a partition that was divided meanwhile.
+func TestWaitingRequestFollowsADivision(t *testing.T) {
+	is := is.New(t)
+	target := newTarget(t, sayOK)
+	a := newNode(t, "a", target.addr(), config.Traffic{})
+	connect(a, a)
+	ranged(a)
+	owned := a.now.Load().Assignments
+	a.change(func(v *api.View) { v.Assignments = api.Assignments{"quotes": make([]api.Assignment, 4)} })
+	time.AfterFunc(100*time.Millisecond, func() {
+		a.change(func(v *api.View) { v.Assignments = owned })
+		divide(a)
+	})
+	began := time.Now()
+	is.Equal(a.call(t, "GET", "/quotes/x", "", "K", "60").status, http.StatusOK)
+	is.True(time.Since(began) < time.Second)
+}
+
+// Guards against requests that are refused because one of two nodes has heard of a division first.
+func TestHopBetweenViewsOfADivision(t *testing.T) {
+	for name, first := range map[string]bool{"first node": true, "owner's node": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			target := newTarget(t, sayOK)
+			a := newNode(t, "a", "", config.Traffic{})
+			b := newNode(t, "b", target.addr(), config.Traffic{})
+			connect(b, a, b)
+			ranged(a)
+			ranged(b)
+			if first {
+				divide(a)
+			} else {
+				divide(b)
+			}
+			began := time.Now()
+			is.Equal(a.call(t, "GET", "/quotes/x", "", "K", "60").status, http.StatusOK)
+			is.True(time.Since(began) < epochWait)
+		})
+	}
+}
--- a/host/enter.go
+++ b/host/enter.go
@@ -144,6 +144,17 @@
 	return attemptCtx, sync.OnceFunc(func() { t.leaveGrant(g, a) }), nil, nil
 }
 
+// Refused counts a request that the gate has refused as load of its partition. Without it, the load of
+// a partition that is far beyond its target would look like what the target can bear.
+func (t *Target) Refused(ref api.PartitionRef, key string) {
+	if ref.Partition == undivided {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.meter.count(ref.Partition, key)
+}
+
 func (t *Target) leaveGrant(g *grant, a *attempt) {
 	a.cancel(nil)
 	t.mu.Lock()
--- a/host/grants.go
+++ b/host/grants.go
@@ -73,6 +73,9 @@
 	}
 	t.seen = current
 	list := v.Assignments[t.info.Service]
+	if s := configured(v, t.info.Service); s != nil {
+		t.divideGrants(s)
+	}
 	added := make(map[api.Epoch][]int)
 	for p := range list {
 		a := &list[p]
@@ -96,6 +99,28 @@
 	}
 }
 
+// divideGrants replaces the grants of divided partitions by grants of their parts. Nothing changes for
+// the target, and requests that run go on under the first part.
+func (t *Target) divideGrants(s *api.Service) {
+	for _, split := range s.Splits {
+		g := t.grants[split.Base]
+		if g == nil {
+			continue
+		}
+		delete(t.grants, split.Base)
+		for i := range split.Parts {
+			part := *g
+			part.partition = split.First + i
+			if i > 0 {
+				part.attempts = make(map[*attempt]struct{})
+			}
+			if t.grants[part.partition] == nil && t.r.admitEpoch(api.PartitionRef{Service: s.Name, Partition: part.partition}, part.epoch) {
+				t.grants[part.partition] = &part
+			}
+		}
+	}
+}
+
 func holds(a *api.Assignment, id api.TargetID, session api.SessionID, epoch api.Epoch) bool {
 	return a.State != api.Unassigned && a.Target == id && a.Session == session && a.Epoch == epoch
 }
--- a/host/pull_test.go
+++ b/host/pull_test.go
@@ -207,6 +207,61 @@
 	is.Equal(withoutHandovers(rows), []api.RangeGrant{row(0, (MaxRowsWithTokens+20)*10-1, 5, "")})
 }
 
+// Guards against a target that loses keys, or requests that are cut, because a partition is divided, and
+// against a part that cannot be moved alone.
+func TestDividedPartitionStaysWithItsTarget(t *testing.T) {
+	is := is.New(t)
+	w := newPullWorld(t)
+	w.own(api.Granted, 5, 5)
+	first := w.pull(api.Pull{})
+	is.Equal(first.Grants, []api.RangeGrant{row(0, 199, 5, "from-5")})
+	target := w.c.r.Lookup(w.a.ID)
+	ctx, leave, err := target.Enter(t.Context(), api.PartitionRef{Service: testService}, 5, "")
+	is.NoErr(err)
+	defer leave()
+
+	divide := func(states ...api.AssignmentState) {
+		w.c.change(func(v *api.View) {
+			v.MapVersion++
+			c := *v.Configuration
+			s := c.Services.Services[0]
+			s.Splits = []api.RangeSplit{{Base: 0, First: pullPartitions, Parts: 4}}
+			c.Services.Services = []api.Service{s}
+			v.Configuration = &c
+			a := v.Assignments[testService][1]
+			list := make([]api.Assignment, pullPartitions+4)
+			list[0], list[1] = api.Assignment{Epoch: 5}, a
+			for i := range 4 {
+				part := a
+				part.State = states[i]
+				list[pullPartitions+i] = part
+			}
+			v.Assignments = api.Assignments{testService: list}
+		})
+	}
+	divide(api.Granted, api.Granted, api.Granted, api.Granted)
+	held := []api.RangeGrant{row(0, 199, 5, "")}
+	is.Equal(w.pull(api.Pull{Holds: held}).Grants, held)
+	is.NoErr(ctx.Err())
+	_, leavePart, err := target.Enter(t.Context(), api.PartitionRef{Service: testService, Partition: pullPartitions + 2}, 5, "")
+	is.NoErr(err)
+	leavePart()
+
+	divide(api.Granted, api.Releasing, api.Granted, api.Granted)
+	rest := []api.RangeGrant{row(0, 24, 5, ""), row(50, 199, 5, "")}
+	is.Equal(w.pull(api.Pull{Holds: held}).Grants, rest)
+	w.pull(api.Pull{Holds: rest, Released: []api.RangeGrant{row(25, 49, 0, "token")}})
+	eventually(t, "release of the part", func() bool {
+		for _, r := range w.c.r.Released() {
+			if r.Partition == pullPartitions+1 && r.Epoch == 5 && r.Handover == "token" {
+				return true
+			}
+		}
+		return false
+	})
+	is.NoErr(ctx.Err())
+}
+
 // Guards against a reply that a target cannot read because it owns more single ranges than fit.
 func TestRangesBeyondTheReplyAreNotGranted(t *testing.T) {
 	is := is.New(t)
--- a/host/pullreply.go
+++ b/host/pullreply.go
@@ -11,8 +11,9 @@
 )
 
 // pollLimit bounds how long a reply waits for something to tell. An announcement whose reply
-// takes a second has failed for the target.
-const pollLimit = 500 * time.Millisecond
+// takes a second has failed for the target; between the reply and the next announcement, some
+// 870 ms after the last one, the target hears of nothing.
+const pollLimit = 700 * time.Millisecond
 
 // replyToPull builds the set of grants for the target. A grant that is being moved is left out
 // from now on: the target serves it until it reads the reply. The caller holds t.mu.
@@ -25,10 +26,10 @@
 	until := now.Add(time.Duration(float64(hold) * (1 + clockDrift)))
 	reply := api.PullReply{Renews: true, Hold: hold}
 	var plain []api.RangeGrant
-	for partition := range s.Partitions {
+	s.InKeyOrder(func(partition int) {
 		g := t.grants[partition]
 		if g == nil {
-			continue
+			return
 		}
 		if g.phase == draining {
 			t.revoke(g, now)
@@ -37,14 +38,14 @@
 			if g.leftOut == 0 {
 				g.leftOut = p.Sequence
 			}
-			continue
+			return
 		}
 		row := api.RangeGrant{KeyRange: s.Range(partition), Epoch: g.epoch}
 		if joined := appendRow(plain, row); len(joined) <= MostRows {
 			plain = joined
 		} else {
 			telemetry.CountEvent("range_beyond_reply", 1)
-			continue
+			return
 		}
 		g.until = later(g.until, until)
 		g.usableUntil = now.Add(hold)
@@ -52,7 +53,7 @@
 			row.Handover = g.inherited
 		}
 		reply.Grants = appendRow(reply.Grants, row)
-	}
+	})
 	if len(reply.Grants) > MaxRowsWithTokens {
 		reply.Grants = plain
 	}
--- a/state/batch.go
+++ b/state/batch.go
@@ -146,6 +146,9 @@
 		ref, err := e.override(o)
 		record(ref, err)
 	}
+	for _, s := range b.Splits {
+		record(s.PartitionRef, e.split(s))
+	}
 	result.Applied += e.sessions(b.Opens, b.Closes)
 	pruned := e.prune()
 	m.publish(e, pruned)
@@ -200,6 +203,7 @@
 			e.own()
 			e.copied[name] = true
 			delete(e.state.Assignments, name)
+			e.setDivision(name, nil)
 			pruned = true
 		}
 	}
--- a/state/command.go
+++ b/state/command.go
@@ -41,6 +41,8 @@
 	Overrides []OverrideKey `json:"overrides,omitempty"`
 	// Rebinds give an assignment to another session of the node whose target owns it.
 	Rebinds []Grant `json:"rebinds,omitempty"`
+	// Splits divide busy partitions; they are applied last.
+	Splits []SplitRange `json:"splits,omitempty"`
 	// Opens and Closes are sessions of nodes.
 	Opens  []api.SessionID `json:"opens,omitempty"`
 	Closes []api.SessionID `json:"closes,omitempty"`
@@ -51,7 +53,8 @@
 
 // Len returns the number of steps.
 func (b *Batch) Len() int {
-	return len(b.Releases) + len(b.Revokes) + len(b.Grants) + len(b.Overrides) + len(b.Rebinds) + len(b.Opens) + len(b.Closes)
+	return len(b.Releases) + len(b.Revokes) + len(b.Grants) + len(b.Overrides) + len(b.Rebinds) +
+		len(b.Splits) + len(b.Opens) + len(b.Closes)
 }
 
 // Step changes a partition whose assignment still has the expected epoch.
@@ -76,6 +79,12 @@
 	Key     string `json:"key"`
 }
 
+// SplitRange divides a partition of a ranged service that still has the expected epoch.
+type SplitRange struct {
+	Step
+	Parts int `json:"parts"`
+}
+
 // Rejection tells why a step of a batch was not applied.
 type Rejection struct {
 	Ref   api.PartitionRef
--- a/state/services.go
+++ b/state/services.go
@@ -24,8 +24,12 @@
 	services := api.Services{Services: slices.Clone(s.Services)}
 	for i := range services.Services {
 		v := &services.Services[i]
-		if have := e.state.Assignments[v.Name]; takeBack && v.Ranged() && len(have) > 0 {
-			v.Partitions = len(have)
+		v.Splits = nil
+		if d, divided := e.division(v.Name); divided && v.Ranged() {
+			v.Splits = d.Splits
+			if takeBack {
+				v.Partitions = d.Partitions
+			}
 		}
 		if v.Divided() && v.Partitions == 0 {
 			v.Partitions = defaultPartitions
@@ -62,7 +66,7 @@
 	if old != nil && (old.Divided() != v.Divided() || v.Divided() && old.Partitions != v.Partitions) {
 		return errkind.New(errkind.Invalid, "service %q: the number of partitions cannot change", v.Name)
 	}
-	if have, releasing := e.state.Assignments[v.Name]; old == nil && releasing && !(takeBack && len(have) == v.Partitions) {
+	if have, releasing := e.state.Assignments[v.Name]; old == nil && releasing && !(takeBack && len(have) == v.Count()) {
 		return errkind.New(errkind.Conflict, "service %q was removed and is still being released", v.Name)
 	}
 	return nil
@@ -87,6 +91,9 @@
 }
 
 func (e *editor) create(v api.Service) {
+	if v.Ranged() {
+		e.setDivision(v.Name, &api.Division{Partitions: v.Partitions})
+	}
 	list := make([]api.Assignment, v.Partitions)
 	e.set(v.Name, list)
 	for i := range list {
