control: the acknowledgement of a change waits for nodes in contact, 600 ms at most

An operator gives up after a second, so the wait is shorter; nodes silent for a second are not waited for. Ruled out: refusing requests at nodes without contact, which would end service whenever control is away.

--- a/control/control.go
+++ b/control/control.go
@@ -56,6 +56,9 @@
 	// most one lease plus margin, which is the default. What is owned by a session that it has
 	// not heard of stays owned for the whole lease in any case.
 	PlanDelay time.Duration
+	// AckWait is how long the acknowledgement of a change waits for nodes in contact that do not have it
+	// yet; 0 means not at all.
+	AckWait time.Duration
 	// MinVoters is the number of voters that the group must have before it accepts its first
 	// whole configuration; 0 means any.
 	MinVoters int
--- a/control/reserve.go
+++ b/control/reserve.go
@@ -18,8 +18,7 @@
 	}
 	silent := 0
 	for _, s := range latest {
-		heard := s.deadline.Add(-l.o.Lease - l.o.Margin)
-		if now.Sub(heard) >= tokens.ReserveAfter {
+		if now.Sub(l.heardAt(s)) >= tokens.ReserveAfter {
 			silent++
 		}
 	}
--- a/control/submit.go
+++ b/control/submit.go
@@ -96,6 +96,7 @@
 			line.WithError(r.Error).Info("Change refused.")
 		} else {
 			line.Info("Change accepted.")
+			c.awaitNodes(ctx, r.Version)
 		}
 		return r, nil
 	case *errkind.Error:
--- a/member/member.go
+++ b/member/member.go
@@ -110,6 +110,7 @@
 		Margin:            milliseconds(s.Timing.DriftMarginMs),
 		Tick:              m.profile.Tick,
 		PlanDelay:         m.profile.PlanDelay,
+		AckWait:           m.profile.AckWait,
 		BalanceInterval:   m.profile.BalanceInterval,
 		MinVoters:         m.profile.Voters,
 		RateTolerance:     m.profile.RateTolerance,
--- a/member/profile.go
+++ b/member/profile.go
@@ -21,6 +21,8 @@
 	// PlanDelay and BalanceInterval are those of control.Options.
 	PlanDelay       time.Duration
 	BalanceInterval time.Duration
+	// AckWait is that of control.Options.
+	AckWait time.Duration
 	// RateTolerance is that of control.Options.
 	RateTolerance tokens.Tolerance
 }
@@ -31,6 +33,8 @@
 	pulledTick = 30 * time.Millisecond
 	// pulledPlanDelay lets every node turn to a new leader before it plans.
 	pulledPlanDelay = 700 * time.Millisecond
+	// pulledAckWait leaves an operator that gives up after a second its answer.
+	pulledAckWait = 600 * time.Millisecond
 	// pulledBalanceInterval is long since a move of keys costs their requests up to two heartbeats
 	// of a target.
 	pulledBalanceInterval = 3 * time.Second
@@ -38,6 +42,7 @@
 
 // Pulled fills in what suits targets that pull their grants.
 func (p Profile) Pulled() Profile {
+	p.AckWait = pulledAckWait
 	p.Tick, p.PlanDelay, p.BalanceInterval = pulledTick, pulledPlanDelay, pulledBalanceInterval
 	return p
 }
