host: a leaving target that refuses connections has not ended; config refuses splits

TestRefusalOfALeavingTargetIsNoProof failed before. Splits of a service in a services file are refused, and documented as what the leader shows.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -141,6 +141,7 @@
 		{"internal header as key", "services.json", `"path_segment": 1`, `"header": "zinnia-key"`, "services[1].key.header: "},
 		{"header name", "services.json", `"path_segment": 1`, `"header": "a b"`, "services[1].key.header: "},
 		{"partitions", "services.json", `64`, `-1`, "services[1].partitions: "},
+		{"splits", "services.json", `"partitions": 64`, `"partitions": 64, "splits": [{"base": 0, "first": 64, "parts": 2}]`, "services[1].splits: "},
 		{"partitions without key", "services.json", `"key": {"path_segment": 1},`, ``, "services[1].partitions: "},
 		{"deadline", "services.json", `5000`, `-5`, "services[1].deadline_ms: "},
 		{"placement plug-in", "services.json", `"deadline_ms": 5000`, `"placement": "a b"`, "services[1].placement: "},
--- a/config/services.go
+++ b/config/services.go
@@ -66,6 +66,9 @@
 	if len(s.Routes) == 0 {
 		p.add(path+".routes", "missing")
 	}
+	if len(s.Splits) > 0 {
+		p.add(path+".splits", "only the control leader divides ranges")
+	}
 	for i := range s.Routes {
 		p.route(indexed(path+".routes", i), &s.Routes[i])
 	}
--- a/host/pull_test.go
+++ b/host/pull_test.go
@@ -262,6 +262,24 @@
 	is.NoErr(ctx.Err())
 }
 
+// Guards against keys that are granted elsewhere while a target that leaves still holds them: it refuses
+// new connections before it has ended.
+func TestRefusalOfALeavingTargetIsNoProof(t *testing.T) {
+	is := is.New(t)
+	w := newPullWorldWith(t, Options{AdmitDraining: 400 * time.Millisecond})
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	w.a.Address = closed.Addr().String()
+	_ = closed.Close()
+	w.own(api.Granted, 5)
+	w.pull(api.Pull{Draining: true})
+	target := w.c.r.Lookup(w.a.ID)
+	began := time.Now()
+	target.ConnectionRefused()
+	eventually(t, "loss after the time to leave", func() bool { return target.State() == api.TargetLost })
+	is.True(time.Since(began) >= 350*time.Millisecond)
+}
+
 // Guards against a reply that a target cannot read because it owns more single ranges than fit.
 func TestRangesBeyondTheReplyAreNotGranted(t *testing.T) {
 	is := is.New(t)
--- a/host/pulllimits.go
+++ b/host/pulllimits.go
@@ -15,6 +15,9 @@
 // refusalPause separates the two refused connections that show that a target has ended.
 const refusalPause = 30 * time.Millisecond
 
+// refusalAgain separates further looks at a target that may not have ended.
+const refusalAgain = 100 * time.Millisecond
+
 // StateCold tells what an answer said of the target's cold start; 0 means that it has ended.
 func (t *Target) StateCold(left time.Duration) {
 	t.mu.Lock()
@@ -74,7 +77,8 @@
 
 // ConnectionRefused tells that the target's address has refused a connection. A pulling target
 // that refuses a second one has ended, since its node is the only way to it, unless it is at work on
-// a request from before: the end of a process ends all its connections.
+// a request from before, as the end of a process ends all its connections, or leaves: it then may
+// refuse connections before it ends.
 func (t *Target) ConnectionRefused() {
 	if !t.info.Pulls {
 		return
@@ -102,8 +106,9 @@
 		t.pulled.confirming = false
 		return
 	}
-	if t.worksSince(first.Add(-refusalPause)) {
-		time.AfterFunc(refusalPause, func() { t.confirmRefused(sequence, first) })
+	leaves := t.draining && time.Since(t.pulled.drainingSince) < t.r.o.AdmitDraining
+	if leaves || t.worksSince(first.Add(-refusalPause)) {
+		time.AfterFunc(refusalAgain, func() { t.confirmRefused(sequence, first) })
 		return
 	}
 	t.pulled.confirming = false
