gateway: a request that the present process has received runs on under a former session

Cause: after the restart of a node, others may know it for some seconds by its former session, under which it takes requests for undivided services. TestAttemptUnderAFormerSessionRunsOn failed before.

--- a/gateway/fate.go
+++ b/gateway/fate.go
@@ -23,12 +23,13 @@
 // Fate answers another node that lost its hop. It is registered on rpc as "Node". Unless
 // the request is a peek, an attempt that has not started is barred for good.
 func (g *Gateway) Fate(req api.FateRequest, reply *api.FateReply) error {
-	if _, own := g.sessions.Load(req.Session); !own {
+	reply.Received, reply.Started = g.started.Peek(req.Attempt)
+	if _, own := g.sessions.Load(req.Session); !own && !reply.Received {
+		// A former process may have had it. One that this process has received was not sent to another.
 		reply.Received, reply.Started, reply.Former = true, true, true
 		return nil
 	}
 	if req.Peek {
-		reply.Received, reply.Started = g.started.Peek(req.Attempt)
 		return nil
 	}
 	reply.Started = g.started.Bar(req.Attempt)
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -134,6 +135,29 @@
 	is.Equal(target.runs.Load(), int64(1))
 }
 
+// Guards against requests that are cut while they run because the first node still knows the owner's node
+// by the session that it had before its restart: the present process has the request.
+func TestAttemptUnderAFormerSessionRunsOn(t *testing.T) {
+	is := is.New(t)
+	target := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(3 * defaultSilence)
+		sayOK(w, r)
+	})
+	a := newNode(t, "a", "", config.Traffic{})
+	b := newNode(t, "b", target.addr(), config.Traffic{})
+	connect(nil, a, b)
+	a.change(func(v *api.View) {
+		v.Peers = slices.Clone(v.Peers)
+		for i := range v.Peers {
+			if v.Peers[i].Name == "b" {
+				v.Peers[i].Session = "s-former"
+			}
+		}
+	})
+	is.Equal(a.call(t, "POST", "/orders/k", "x").status, http.StatusOK)
+	is.Equal(target.runs.Load(), int64(1))
+}
+
 // Guards against a barred attempt whose request arrives late and runs after all.
 func TestBarredAttemptNeverStarts(t *testing.T) {
 	is := is.New(t)
