tokens: without a leader, nodes admit by their part of the demand, fractions of a token by chance

Cause: while no leader issues tokens, a node admitted 0.9 of an even share of each rate in whole tokens. The leader tells each node its part of the arrivals of the last ten seconds and sets the told parts of silent nodes aside; a node with less than a token admits one with that probability, so that all together admit as many as they may. TestNodesWithoutLeaderShareByDemand, TestToldShareIsReserved and TestManyNodesWithLittleOfARate failed before.

--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -73,6 +73,10 @@
 	Scarce bool `json:"scarce"`
 	// Exhausted says that one central bucket would be empty, so that waiting is of no use.
 	Exhausted bool `json:"exhausted"`
+	// Share is the part of the organisation's arrivals that the session had of late, from 0 to 1, which
+	// the node may admit by itself when no leader issues tokens. It counts only when Shared is set.
+	Share  float64 `json:"share"`
+	Shared bool    `json:"shared"`
 }
 
 // HeartbeatRequest renews the session of a node.
--- a/control/reserve.go
+++ b/control/reserve.go
@@ -16,10 +16,10 @@
 			latest[name] = s
 		}
 	}
-	silent := 0
+	var silent []api.SessionID
 	for _, s := range latest {
 		if now.Sub(l.heardAt(s)) >= tokens.ReserveAfter {
-			silent++
+			silent = append(silent, s.last.Session)
 		}
 	}
 	unheard := 0
@@ -28,7 +28,5 @@
 			unheard++
 		}
 	}
-	if n := len(latest) + unheard; n > 0 {
-		l.authority.Reserve(now, float64(silent+unheard)/float64(n))
-	}
+	l.authority.Reserve(now, silent, unheard, len(latest)+unheard)
 }
--- a/tokens/account.go
+++ b/tokens/account.go
@@ -110,7 +110,8 @@
 
 // takeAlone admits a request of the node's own share.
 func (a *Account) takeAlone(now time.Time, org *orgAccount, limits *api.Organisation) (*Token, error) {
-	if !a.alone.take(now, limits) {
+	share, told := org.toldShare()
+	if !a.alone.take(now, limits, share, told) {
 		return nil, errkind.New(errkind.RateLimited, "organisation %s is beyond this node's share of its rate", limits.ID)
 	}
 	return &Token{org: org, done: true}, nil
--- a/tokens/account_org.go
+++ b/tokens/account_org.go
@@ -60,6 +60,8 @@
 	// scarce is what the last reply said: tokens are kept only for arrivals that are certain.
 	scarce   bool
 	floor    int64 // tokens kept without demand
+	share    float64
+	shared   bool  // a leader has told the share
 	arrived  int64 // requests of the session
 	arrivals int64 // requests since measured
 	measured time.Time
@@ -197,6 +199,13 @@
 	}, outstanding
 }
 
+// toldShare returns the share that a leader has told, and whether one has.
+func (o *orgAccount) toldShare() (float64, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.share, o.shared
+}
+
 func (o *orgAccount) demand(now time.Time) int64 {
 	o.measure(now)
 	wanted := o.rate * demandBeats * o.beat.Seconds()
@@ -228,6 +237,9 @@
 	defer o.mu.Unlock()
 	o.kicked = false
 	o.floor, o.exhausted, o.scarce = reply.Floor, reply.Exhausted, reply.Scarce
+	if reply.Shared {
+		o.share, o.shared = reply.Share, true
+	}
 	if reply.Issued > o.issued {
 		o.free += reply.Issued - o.issued
 		o.issued = reply.Issued
--- a/tokens/authority.go
+++ b/tokens/authority.go
@@ -26,7 +26,7 @@
 	sessions map[api.SessionID]*holder
 	// tolerance widens every rate and burst.
 	tolerance Tolerance
-	// reserved is the share of every rate that nodes out of contact admit by themselves.
+	// reserved is what was set aside last, for buckets to come.
 	reserved float64
 }
 
@@ -49,6 +49,7 @@
 	last        time.Time
 	removed     bool
 	shadow      shadow
+	demand      demand
 	lastArrival time.Time
 	// wanted is the sum of the unmet demand in the last reports of the holders.
 	wanted int64
@@ -68,6 +69,9 @@
 	arrivals                  int64
 	wanted, waiting           int64
 	floor                     int64
+	demand                    demand
+	told                      float64 // share that the node was told last
+	toldAny                   bool
 }
 
 func (a *account) outstanding() int64 { return a.issued - a.settled - a.returned }
@@ -123,18 +127,6 @@
 	}
 }
 
-// Reserve sets aside a share of every rate, in 0..1, that nodes out of contact admit by themselves.
-func (a *Authority) Reserve(now time.Time, share float64) {
-	if share == a.reserved {
-		return
-	}
-	a.reserved = share
-	for _, b := range a.buckets {
-		b.refill(now)
-		b.reserved = share
-	}
-}
-
 // Report takes in the report of a session, renews the validity of its tokens and returns
 // the answers by organisation. Repeated and reordered reports do no harm, because counts
 // never fall. It costs time only in the organisations of the report, those of earlier
@@ -151,6 +143,8 @@
 		first := h.accounts[id] == nil
 		arrived := h.update(b, id, r)
 		b.shadow.arrive(now, arrived)
+		b.demand.add(now, arrived)
+		h.accounts[id].demand.add(now, arrived)
 		if arrived > 0 || first && r.Arrivals > 0 {
 			a.noteActive(now, id, b)
 		}
@@ -162,7 +156,9 @@
 		if !now.Before(a.start) {
 			b.issue(acc)
 		}
-		replies[id] = api.TokenReply{Issued: acc.issued, Floor: acc.floor, Scarce: b.scarce(), Exhausted: b.shadow.empty}
+		reply := api.TokenReply{Issued: acc.issued, Floor: acc.floor, Scarce: b.scarce(), Exhausted: b.shadow.empty}
+		b.tell(now, acc, &reply)
+		replies[id] = reply
 	}
 	return replies
 }
--- a/tokens/standalone.go
+++ b/tokens/standalone.go
@@ -1,6 +1,7 @@
 package tokens
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -25,6 +26,7 @@
 	nodes func() int
 
 	mu      sync.Mutex
+	known   bool      // a leader has issued tokens to this node
 	last    time.Time // when the leader was last known to issue
 	buckets map[api.OrganisationID]*localBucket
 }
@@ -39,7 +41,7 @@
 func (s *standalone) heard(at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.last = at
+	s.last, s.known = at, true
 	clear(s.buckets)
 }
 
@@ -54,12 +56,18 @@
 	return until <= 0, until
 }
 
-// take says whether the node's share of the organisation bears one more request.
-func (s *standalone) take(now time.Time, o *api.Organisation) bool {
+// take says whether the node's share of the organisation bears one more request. The share is the one
+// that a leader has told; a node that was told none has an even one, or next to none when leaders have
+// told others theirs.
+func (s *standalone) take(now time.Time, o *api.Organisation, share float64, told bool) bool {
 	n := float64(max(s.nodes(), 1))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	rate, burst := standaloneShare*o.Rate/n, max(standaloneShare*o.Burst/n, 1)
+	if !told && !s.known {
+		share = 1 / n
+	}
+	mine := standaloneShare * part(share, n)
+	rate, burst := mine*o.Rate, max(mine*o.Burst, 1)
 	b := s.buckets[o.ID]
 	if b == nil {
 		// The share of the time without a leader has not been used; the burst may have been.
@@ -69,7 +77,11 @@
 	b.level = min(b.level+rate*now.Sub(b.last).Seconds(), burst)
 	b.last = now
 	if b.level < 1 {
-		return false
+		// In a large fleet each node has a small part of a token. It admits one with that probability, so
+		// that all of them together admit as many as they may, however many requests there are.
+		chance := b.level
+		b.level = 0
+		return rand.Float64() < chance
 	}
 	b.level--
 	return true
--- a/tokens/standalone_test.go
+++ b/tokens/standalone_test.go
@@ -1,6 +1,7 @@
 package tokens
 
 import (
+	"context"
 	"math"
 	"testing"
 	"testing/synctest"
@@ -67,11 +68,117 @@
 	a := NewAuthority(start, time.Second, Tolerance{})
 	a.SetOrganisations(start, []api.Organisation{{ID: "o", Rate: 100, Burst: 1000}})
 	a.EndWait(start)
-	a.Reserve(start, 0.25)
+	a.Reserve(start, nil, 1, 4)
 	status := a.Status(start.Add(2 * time.Second))
 	is.Equal(status[0].Level, 150.0)
 }
 
+// Guards against an organisation that is refused within its rate while no leader issues tokens, because
+// its requests reach few nodes, and against nodes that together admit more than the rate.
+func TestNodesWithoutLeaderShareByDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		org := &api.Organisation{ID: "o", Rate: 100, Burst: 100}
+		const nodes = 20
+		leader := NewAuthority(time.Now(), time.Second, Tolerance{})
+		leader.SetOrganisations(time.Now(), []api.Organisation{*org})
+		leader.EndWait(time.Now())
+		var accounts []*Account
+		for range nodes {
+			accounts = append(accounts, NewAccount(AccountOptions{
+				Organisation: func(api.OrganisationID) *api.Organisation { return org },
+				Nodes:        func() int { return nodes },
+			}))
+		}
+		busy := accounts[:2]
+		ask := func(each int) (admitted int) {
+			for _, a := range busy {
+				for range each {
+					ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+					if _, err := a.Take(ctx, "o"); err == nil {
+						admitted++
+					}
+					cancel()
+				}
+			}
+			return admitted
+		}
+		for range 100 { // 10 s with 60 requests a second
+			for i, a := range accounts {
+				now := time.Now()
+				a.Apply(1, leader.Report(now, api.SessionID(rune('a'+i)), a.Report()))
+				a.Heard(now)
+			}
+			ask(3)
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(StandaloneAfter)
+		admitted := 0
+		for range 50 { // 5 s within the rate
+			admitted += ask(3)
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.True(admitted >= 290) // of 300
+		busy = accounts
+		admitted = 0
+		for range 500 { // 5 s far beyond it, at all nodes
+			admitted += ask(1)
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(admitted <= 100*5+100)
+	})
+}
+
+// Guards against a large fleet that refuses most requests of an organisation while no leader issues tokens:
+// each of its nodes has less than a token of a rate that is not used up, or rounds it up and admits more
+// than the rate when the organisation presses.
+func TestManyNodesWithLittleOfARate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		org := &api.Organisation{ID: "o", Rate: 36, Burst: 36}
+		const nodes = 81
+		play := func(perSecond int) (admitted int) {
+			alone := make([]standalone, nodes)
+			for i := range alone {
+				alone[i] = standalone{nodes: func() int { return nodes }, last: time.Now(), known: true, buckets: map[api.OrganisationID]*localBucket{}}
+			}
+			time.Sleep(StandaloneAfter)
+			for i := range 5 * perSecond {
+				if alone[i*29%nodes].take(time.Now(), org, 1.0/nodes, true) {
+					admitted++
+				}
+				time.Sleep(time.Second / time.Duration(perSecond))
+			}
+			return admitted
+		}
+		is.True(play(22) >= 5*22*6/10) // within the rate
+		// Far beyond it; the users' platform agrees on a tenth and 20 above rate and burst.
+		is.True(float64(play(2000)) <= 1.1*(36*5+36)+20)
+	})
+}
+
+// Guards against a leader that issues what silent nodes admit by the shares that it has told them.
+func TestToldShareIsReserved(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	a := NewAuthority(now, time.Minute, Tolerance{})
+	a.SetOrganisations(now, []api.Organisation{{ID: "o", Rate: 100, Burst: 1000}})
+	a.EndWait(now)
+	report := func(session api.SessionID, arrivals int64) {
+		a.Report(now, session, map[api.OrganisationID]api.TokenReport{"o": {Arrivals: arrivals}})
+	}
+	report("busy", 0)
+	report("calm", 0)
+	report("busy", 90)
+	report("calm", 10)
+	report("busy", 90) // is told its share of all
+	before := a.Status(now)[0].Level
+	a.Reserve(now, []api.SessionID{"busy"}, 0, 4)
+	now = now.Add(2 * time.Second)
+	gained := a.Status(now)[0].Level - before
+	is.True(math.Abs(gained-200*(1-(0.95*0.9+0.05/4))) < 0.5)
+}
+
 // Guards against a tolerance that is not applied to the rate or to the burst.
 func TestTolerance(t *testing.T) {
 	is := is.New(t)
