session: longer waits for members only on the users' platform, twice the timeout at most

The wait is a setting of the node's profile now: one timeout in the product's own interface, two on the platform.

--- a/node/node.go
+++ b/node/node.go
@@ -183,6 +183,7 @@
 		Heartbeat:    milliseconds(s.Timing.HeartbeatMs),
 
 		MemberTimeout: n.profile.MemberTimeout,
+		Patience:      n.profile.MemberPatience,
 		WithoutLease:  n.profile.WithoutLease,
 		Reseed:        n.profile.Reseed,
 	})
--- a/node/profile.go
+++ b/node/profile.go
@@ -32,6 +32,8 @@
 	LeaveLimit time.Duration
 	// MemberTimeout is the wait for one control member. Default session.DefaultMemberTimeout.
 	MemberTimeout time.Duration
+	// MemberPatience is the Patience of session.Options.
+	MemberPatience int
 	// LongestHold bounds how long a target that pulls its grants holds them.
 	LongestHold time.Duration
 	// Reseed is that of session.Options.
@@ -63,12 +65,14 @@
 	pulledRetryBurst = 2
 	// pulledMemberTimeout covers a member that waits for a fraction of a core.
 	pulledMemberTimeout = 400 * time.Millisecond
+	// pulledMemberPatience covers a queue of 0.8 s on the link of a host; a lease lasts 5 s.
+	pulledMemberPatience = 2
 )
 
 // Pulled fills in what suits targets that pull their grants.
 func (p Profile) Pulled() Profile {
 	p.Silence, p.RetryBurst = pulledSilence, pulledRetryBurst
-	p.MemberTimeout = pulledMemberTimeout
+	p.MemberTimeout, p.MemberPatience = pulledMemberTimeout, pulledMemberPatience
 	p.FixedLimit = true
 	p.TargetChoice = gateway.NearChoice
 	return p
--- a/session/beat.go
+++ b/session/beat.go
@@ -74,15 +74,12 @@
 // long one takes a while; begun anew with each timeout, it would never arrive.
 const longestReply = 5
 
-// mostPatience is the multiple of the member timeout that a node waits for when no member has answered
-// within it: where a queue on its link takes longer, no shorter wait would ever succeed.
-const mostPatience = 3
-
-// quietLimit is how long nothing may arrive before the next member is asked. It doubles with each
-// round in which every member has failed.
+// quietLimit is how long nothing may arrive before the next member is asked. It grows by the timeout
+// with each round in which every member has failed, up to the patience of the node: where a queue on
+// its link takes longer than the timeout, no shorter wait would ever succeed.
 func (s *Session) quietLimit() time.Duration {
-	rounds := min(s.failures/s.members.count(), 2)
-	return s.o.MemberTimeout * time.Duration(min(1<<rounds, mostPatience))
+	rounds := s.failures / s.members.count()
+	return s.o.MemberTimeout * time.Duration(min(1+rounds, s.o.Patience))
 }
 
 // send calls the current member. It returns when nothing has arrived for the quiet limit, even when
--- a/session/session.go
+++ b/session/session.go
@@ -75,6 +75,9 @@
 	Heartbeat time.Duration
 	// MemberTimeout is the wait for one member. Default DefaultMemberTimeout.
 	MemberTimeout time.Duration
+	// Patience is the greatest multiple of MemberTimeout that is waited for when no member answers in
+	// time. Heartbeats are rarer meanwhile, also those whose answers alone are lost. Default 1.
+	Patience int
 }
 
 // Session is the control thread of a node.
@@ -120,6 +123,7 @@
 	if o.MemberTimeout <= 0 {
 		o.MemberTimeout = DefaultMemberTimeout
 	}
+	o.Patience = max(o.Patience, 1)
 	if o.Idle == nil {
 		o.Idle = func() bool { return true }
 	}
