ports: listeners with a known address take it below the range of outgoing connections

Ruled out: a listener left by another test; the package starts its deployments one after the other and port 43417 is not in a block of internal/cluster. The blocks of ports of internal/cluster are now internal/ports, with one copy for all; tests that need an address that refuses connections use it too. The collision itself was not reproduced.

--- a/capacity/leader.go
+++ b/capacity/leader.go
@@ -15,7 +15,7 @@
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/control"
 	"github.com/zinniapier/zinniapier/daemon"
-	"github.com/zinniapier/zinniapier/local"
+	"github.com/zinniapier/zinniapier/internal/ports"
 	"github.com/zinniapier/zinniapier/replica"
 	"github.com/zinniapier/zinniapier/rpc"
 	"github.com/zinniapier/zinniapier/state"
@@ -101,7 +101,7 @@
 func (g *group) open(o groupOptions) error {
 	var peers []replica.Peer
 	for i := range o.members {
-		address, err := local.FreeAddress()
+		address, err := ports.FreeAddress()
 		if err != nil {
 			return err
 		}
--- a/host/pull_test.go
+++ b/host/pull_test.go
@@ -12,6 +12,7 @@
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
 	"github.com/zinniapier/zinniapier/internal/boottime"
+	"github.com/zinniapier/zinniapier/internal/ports"
 )
 
 const pullPartitions = 4
@@ -159,12 +160,10 @@
 // connections.
 func TestRefusedConnectionsReleaseAtOnce(t *testing.T) {
 	w := newPullWorld(t)
-	dead, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	var err error
+	if w.a.Address, err = ports.FreeAddress(); err != nil {
 		t.Fatal(err)
 	}
-	w.a.Address = dead.Addr().String()
-	_ = dead.Close()
 	w.own(api.Granted, 5)
 	w.pull(api.Pull{})
 	w.c.r.Lookup(w.a.ID).ConnectionRefused()
@@ -178,10 +177,9 @@
 func TestRefusedConnectionsDoNotCutRunningWork(t *testing.T) {
 	is := is.New(t)
 	w := newPullWorld(t)
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	var err error
+	w.a.Address, err = ports.FreeAddress()
 	is.NoErr(err)
-	w.a.Address = closed.Addr().String()
-	_ = closed.Close()
 	w.own(api.Granted, 5)
 	w.pull(api.Pull{})
 	target := w.c.r.Lookup(w.a.ID)
@@ -267,10 +265,9 @@
 func TestRefusalOfALeavingTargetIsNoProof(t *testing.T) {
 	is := is.New(t)
 	w := newPullWorldWith(t, Options{AdmitDraining: 400 * time.Millisecond})
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	var err error
+	w.a.Address, err = ports.FreeAddress()
 	is.NoErr(err)
-	w.a.Address = closed.Addr().String()
-	_ = closed.Close()
 	w.own(api.Granted, 5)
 	w.pull(api.Pull{Draining: true})
 	target := w.c.r.Lookup(w.a.ID)
--- a/internal/cluster/declare.go
+++ b/internal/cluster/declare.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 
 	"github.com/zinniapier/zinniapier/config"
+	"github.com/zinniapier/zinniapier/internal/ports"
 )
 
 // declare lays out the deployment: names, addresses, endpoints and settings files.
@@ -121,3 +122,13 @@
 	c.write(t.Name, &t.Settings)
 	c.Targets = append(c.Targets, t)
 }
+
+// FreeAddress returns a loopback address that nothing listens on.
+func (c *Cluster) FreeAddress() string {
+	c.t.Helper()
+	address, err := ports.FreeAddress()
+	if err != nil {
+		c.t.Fatalf("cluster: %v", err)
+	}
+	return address
+}
--- a/local/local.go
+++ b/local/local.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"path/filepath"
 	"time"
 
@@ -15,6 +14,7 @@
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/config"
 	"github.com/zinniapier/zinniapier/daemon"
+	"github.com/zinniapier/zinniapier/internal/ports"
 	"github.com/zinniapier/zinniapier/member"
 	"github.com/zinniapier/zinniapier/node"
 	"github.com/zinniapier/zinniapier/operator"
@@ -107,10 +107,10 @@
 	for i := range n {
 		p := config.ControlPeer{Name: fmt.Sprintf("control-%d", i+1)}
 		var err error
-		if p.RPCAddress, err = FreeAddress(); err != nil {
+		if p.RPCAddress, err = ports.FreeAddress(); err != nil {
 			return nil, err
 		}
-		if p.OperatorAddress, err = FreeAddress(); err != nil {
+		if p.OperatorAddress, err = ports.FreeAddress(); err != nil {
 			return nil, err
 		}
 		if i == 0 && firstOperator != "" {
@@ -121,16 +121,6 @@
 	return peers, nil
 }
 
-// FreeAddress returns a loopback address whose port was free at the time of the call.
-func FreeAddress() (string, error) {
-	l, err := net.Listen("tcp", anyPort)
-	if err != nil {
-		return "", errors.Trace(err)
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 func (d *Deployment) addHost(o Options, index int, h Host) error {
 	settings := config.DefaultNodeSettings()
 	settings.Name = fmt.Sprintf("node-%d", index+1)
--- a/local/local_test.go
+++ b/local/local_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/zinniapier/zinniapier/internal/ports"
 )
 
 const testLimit = 30 * time.Second
@@ -59,9 +61,9 @@
 
 func runDemo(t *testing.T, folder string) {
 	is := is.New(t)
-	listen, err := FreeAddress()
+	listen, err := ports.FreeAddress()
 	is.NoErr(err)
-	operatorListen, err := FreeAddress()
+	operatorListen, err := ports.FreeAddress()
 	is.NoErr(err)
 	d, err := New(DemoOptions(folder, listen, operatorListen))
 	is.NoErr(err)
--- a/operator/client_test.go
+++ b/operator/client_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -16,6 +15,7 @@
 
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/internal/ports"
 )
 
 // member is a stand-in for a control member; answers are used in order, the last one repeatedly.
@@ -65,12 +65,11 @@
 func hangUp(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := ports.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 func newClient(t *testing.T, addresses ...string) *Client {
