gateway: large bodies from other nodes are spaced by the speed of the link

Cause: a body of 16 KiB or more crossed the link as soon as its target had a slot, so that up to 18 bodies of 60 KB shared a link of 7 or 10 Mbit/s; heartbeats and small requests waited behind them, and slots were held while bodies crossed. A node now asks for a body only when its link will be free for it, by the bytes asked for before, with a quarter of the link left for the rest; a body that would come too late is refused before it crosses and turned to another target. The wait is stated with each answer, so that other nodes choose a target with a free link. New setting traffic.link_mbps (platform: LinkMbps). Ruled out as measure: the slot first and then the link; waiting uploads would hold the slots of small requests.

--- a/api/target.go
+++ b/api/target.go
@@ -28,8 +28,10 @@
 	// HeaderObjectiveMs is the time left to the latency objective; 0 says that it has passed.
 	HeaderObjectiveMs = "Zinnia-Objective-Ms"
 	HeaderExpected    = "Zinnia-Expected-Ms"
-	HeaderCold        = "Zinnia-Cold"
-	HeaderShed        = "Zinnia-Shed"
+	// HeaderBodyWaitMs is the time until the link of the owner's node is free for a large body.
+	HeaderBodyWaitMs = "Zinnia-Body-Wait-Ms"
+	HeaderCold       = "Zinnia-Cold"
+	HeaderShed       = "Zinnia-Shed"
 )
 
 // HeaderPrefix starts every internal header; all are stripped from callers.
--- a/config/check.go
+++ b/config/check.go
@@ -178,6 +178,9 @@
 	if t.MaxBodyBytes < 1 || t.MaxBodyBytes > maxBodyBytes {
 		p.add(path+".max_body_bytes", "%d is not between 1 and %d", t.MaxBodyBytes, int64(maxBodyBytes))
 	}
+	if t.LinkMbps < 0 {
+		p.add(path+".link_mbps", "%g is negative", t.LinkMbps)
+	}
 }
 
 func (p *problems) share(path string, v float64) {
--- a/config/settings.go
+++ b/config/settings.go
@@ -74,6 +74,9 @@
 	StaticNodes int `json:"static_nodes,omitempty"`
 	// MaxBodyBytes bounds a request body. Default 64 MiB.
 	MaxBodyBytes int64 `json:"max_body_bytes,omitempty"`
+	// LinkMbps is the speed of the host's network link in Mbit/s. Large bodies that other nodes send
+	// to this one are spaced so that they leave a quarter of it. Default 0: they are not spaced.
+	LinkMbps float64 `json:"link_mbps,omitempty"`
 }
 
 // ControlSettings are the settings of zinnia-control.
--- a/gate/claim.go
+++ b/gate/claim.go
@@ -22,8 +22,8 @@
 	Patience time.Duration
 }
 
-// latestStart is when a request has to start so that waiting for it is of use; zero means any time.
-func (c *Claim) latestStart(now time.Time, mean time.Duration) time.Time {
+// LatestStart is when a request has to start so that waiting for it is of use; zero means any time.
+func (c Claim) LatestStart(now time.Time, mean time.Duration) time.Time {
 	switch {
 	case c.Patience > 0:
 		return now.Add(c.Patience)
@@ -43,7 +43,7 @@
 	}
 	turns := time.Duration(g.queue.Ahead(c) + 1)
 	wait := mean * turns / time.Duration(g.limiter.limit())
-	if latest := c.latestStart(now, mean); !latest.IsZero() && now.Add(wait).After(latest) {
+	if latest := c.LatestStart(now, mean); !latest.IsZero() && now.Add(wait).After(latest) {
 		return errkind.New(errkind.Overloaded, "queue needs %v, of use for %v", wait, latest.Sub(now))
 	}
 	need := wait + mean
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -181,7 +181,7 @@
 		return nil, err
 	}
 	w := &Waiter{Claim: c, ready: make(chan struct{}), mean: g.limiter.times.mean}
-	if latest := c.latestStart(now, w.mean); !latest.IsZero() {
+	if latest := c.LatestStart(now, w.mean); !latest.IsZero() {
 		// The estimate may be short by a part of one service time; a slot that comes a little later
 		// is still better than a refusal after the wait.
 		w.latest = latest.Add(w.mean / 2)
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -64,6 +64,12 @@
 	return errkind.New(errkind.BadRequest, "body ended early: %v", err)
 }
 
+// largeBody is the length in bytes from which a body crosses a link only once it is wanted there.
+const largeBody = 16 << 10
+
+// large says whether the body weighs more on a link than the request and its answer.
+func (b *body) large() bool { return b.length < 0 || b.length >= largeBody }
+
 // replayable says whether the body can still be sent from its start.
 func (b *body) replayable() bool { return b.stream == nil || !b.taken.Load() }
 
--- a/gateway/choice.go
+++ b/gateway/choice.go
@@ -22,8 +22,8 @@
 	now     time.Time
 	// zone is the availability zone of this node.
 	zone string
-	// bytes is the length of the request's body; negative when it is not known.
-	bytes int64
+	// large says that the request has a large body.
+	large bool
 }
 
 // Len returns the number of candidates.
@@ -32,11 +32,16 @@
 // At returns one candidate with its load.
 func (c Candidates) At(i int) Candidate {
 	l := c.loads.get(c.targets[i].Target.ID)
+	s := l.stated(c.now)
+	if !c.large {
+		s.bodyWait = 0
+	}
 	return Candidate{
 		At:          c.targets[i],
 		Outstanding: l.outstanding.Load(),
 		Latency:     l.current(c.now),
-		Stated:      l.stated(c.now),
+		Stated:      s.expected,
+		BodyWait:    s.bodyWait,
 		Near:        c.targets[i].Peer.Zone == c.zone,
 	}
 }
@@ -51,6 +56,9 @@
 	// Stated is the time of one more request as the target's node stated it within statementLife;
 	// zero when it did not.
 	Stated time.Duration
+	// BodyWait is the time that the body waits for the link of the target's node, as that stated it
+	// within statementLife; zero for a small body.
+	BodyWait time.Duration
 	// Near says that the target is in the availability zone of this node.
 	Near bool
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -23,8 +23,16 @@
 		return nil, errkind.From(err)
 	}
 	began := time.Now()
+	giveBack := func() {}
+	if fromHop && c.body.large() {
+		var err error
+		if giveBack, err = g.bodies.await(ctx, c.body.length, c.claim(began), t.Gate().Expected()); err != nil {
+			return nil, errkind.From(err)
+		}
+	}
 	slot, err := t.Gate().AcquireFor(ctx, c.claim(began))
 	if err != nil {
+		giveBack()
 		t.Refused(c.ref, c.key)
 		return nil, errkind.From(err)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -90,6 +90,7 @@
 	retries     *budget
 	hedges      *budget
 	requests    *requestLog
+	bodies      *bodyPace
 
 	closing atomic.Bool
 	running atomic.Int64
@@ -117,6 +118,7 @@
 		retries:  newBudget(shareOr(t.RetryShare, defaultRetryShare), o.RetryBurst),
 		hedges:   newBudget(shareOr(t.HedgeShare, defaultHedgeShare), 0),
 		requests: newRequestLog(),
+		bodies:   newBodyPace(t.LinkMbps),
 	}
 	if g.dialect == nil {
 		g.dialect = ownDialect{}
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -105,9 +105,9 @@
 	setOnce(out, api.HeaderIdempotent, strconv.FormatBool(c.idempotent))
 	setOnce(out, api.HeaderAttemptsLeft, strconv.Itoa(h.place.left))
 	setOnce(out, api.HeaderDeadlineMs, remainingMs(hopDeadline(c.deadline)))
-	if c.body.length < 0 || c.body.length >= bulkBytes {
-		// The owner's node asks for the body once its target has a slot: a refused one does not cross
-		// the link, and can still be sent elsewhere.
+	if c.body.large() {
+		// The owner's node asks for the body once its link and its target are free for it: a refused one
+		// does not cross the link, and can still be sent elsewhere.
 		setOnce(out, "Expect", "100-continue")
 	}
 	return out
@@ -193,8 +193,10 @@
 		h.shot.closeConn()
 		return errkind.New(errkind.CrossedAnswer, "node %s answered another attempt", h.place.peer.Name)
 	}
-	if ms, err := strconv.ParseInt(resp.Header.Get(api.HeaderExpected), 10, 64); err == nil {
-		h.gateway.loads.get(h.place.target).state(time.Duration(ms)*time.Millisecond, time.Now())
+	if expected, ok := readMilliseconds(resp.Header, api.HeaderExpected); ok {
+		// A node whose link is not limited states no wait.
+		wait, _ := readMilliseconds(resp.Header, api.HeaderBodyWaitMs)
+		h.gateway.loads.get(h.place.target).state(statement{expected: expected, bodyWait: wait, at: time.Now()})
 	}
 	if kind := resp.Header.Get(errkind.HeaderKind); kind != "" {
 		return readRefusal(errkind.Kind(kind), resp)
@@ -205,6 +207,14 @@
 	return nil
 }
 
+func milliseconds(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
+
+// readMilliseconds returns the time in a header of another node, and whether there is one.
+func readMilliseconds(h http.Header, name string) (time.Duration, bool) {
+	ms, err := strconv.ParseInt(h.Get(name), 10, 64)
+	return time.Duration(ms) * time.Millisecond, err == nil
+}
+
 func readRefusal(kind errkind.Kind, resp *http.Response) *errkind.Error {
 	e := &errkind.Error{}
 	text, err := io.ReadAll(io.LimitReader(resp.Body, refusalSize))
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -31,31 +31,35 @@
 	mu      sync.Mutex
 	latency time.Duration
 	at      time.Time
-	// expected is what the target's node stated last as the time of one more request, and
-	// statedAt when that arrived.
-	expected time.Duration
-	statedAt time.Time
+	last    statement
+}
+
+// statement is what a target's node says of its load.
+type statement struct {
+	expected time.Duration // time of one more request
+	bodyWait time.Duration // until the node's link is free for a large body
+	at       time.Time     // when it arrived
 }
 
 // statementLife is how long a stated time is used. Slow moments of a target last some hundred
 // milliseconds.
 const statementLife = 500 * time.Millisecond
 
-// state notes what the target's node states as the time of one more request.
-func (l *load) state(expected time.Duration, now time.Time) {
+// state notes what the target's node states.
+func (l *load) state(s statement) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.expected, l.statedAt = expected, now
+	l.last = s
 }
 
-// stated returns the time of one more request that the target's node stated of late, or 0.
-func (l *load) stated(now time.Time) time.Duration {
+// stated returns what the target's node stated of late, or the zero value.
+func (l *load) stated(now time.Time) statement {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.Sub(l.statedAt) > statementLife {
-		return 0
+	if now.Sub(l.last.at) > statementLife {
+		return statement{}
 	}
-	return l.expected
+	return l.last
 }
 
 func (t *loadTable) get(id api.TargetID) *load {
--- a/gateway/near.go
+++ b/gateway/near.go
@@ -16,8 +16,6 @@
 	nearBias = 3.0
 	// bulkBias is the same for a large body, whose way between zones costs more than its wait.
 	bulkBias = 10.0
-	// bulkBytes is the length from which a body is large; its traffic then outweighs the answer's.
-	bulkBytes = 16 << 10
 	// unknownTime stands for the time of a target that nothing is known of.
 	unknownTime = 50 * time.Millisecond
 )
@@ -29,7 +27,7 @@
 func (nearChoice) Choose(candidates Candidates) int {
 	n := candidates.Len()
 	bias := nearBias
-	if candidates.bytes < 0 || candidates.bytes >= bulkBytes {
+	if candidates.large {
 		bias = bulkBias
 	}
 	best, bestTime := 0, 0.0
@@ -54,7 +52,7 @@
 	if base == 0 {
 		base = unknownTime
 	}
-	t := base.Seconds() * (1 + float64(c.Outstanding)/float64(max(c.At.Target.Slots, 1)))
+	t := base.Seconds()*(1+float64(c.Outstanding)/float64(max(c.At.Target.Slots, 1))) + c.BodyWait.Seconds()
 	if !c.Near {
 		t *= bias
 	}
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -179,7 +179,7 @@
 	if fresh := untried(targets, tried); len(fresh) > 0 {
 		targets = fresh
 	}
-	i := policy.Choose(Candidates{targets: targets, loads: &g.loads, now: time.Now(), zone: v.Zone, bytes: c.body.length})
+	i := policy.Choose(Candidates{targets: targets, loads: &g.loads, now: time.Now(), zone: v.Zone, large: c.body.large()})
 	p := placeAt(v, targets[i])
 	p.left = c.left
 	return p, nil
@@ -241,6 +241,6 @@
 	if t == nil {
 		return nil, errkind.New(errkind.WrongOwner, "target %s is not on this node", p.target)
 	}
-	defer func() { g.loads.get(p.target).state(t.Gate().Expected(), time.Now()) }()
+	defer func() { g.loads.get(p.target).state(statement{expected: t.Gate().Expected(), at: time.Now()}) }()
 	return g.dispatch(ctx, v, c, p, t, id, false)
 }
--- a/gateway/turn_test.go
+++ b/gateway/turn_test.go
@@ -83,18 +83,18 @@
 		return api.TargetAt{Target: api.PeerTarget{ID: api.TargetID(id), Slots: 10}, Peer: &api.Peer{Zone: zone}}
 	}
 	now := time.Now()
-	choose := func(near, far time.Duration, bytes int64) string {
+	choose := func(near, far time.Duration, large bool) string {
 		loads := &loadTable{}
-		loads.get("near").state(near, now)
-		loads.get("far").state(far, now)
-		c := Candidates{targets: []api.TargetAt{at("near", "a"), at("far", "b")}, loads: loads, now: now, zone: "a", bytes: bytes}
+		loads.get("near").state(statement{expected: near, at: now})
+		loads.get("far").state(statement{expected: far, at: now})
+		c := Candidates{targets: []api.TargetAt{at("near", "a"), at("far", "b")}, loads: loads, now: now, zone: "a", large: large}
 		return string(c.targets[nearChoice{}.Choose(c)].Target.ID)
 	}
-	is.Equal(choose(100*time.Millisecond, 100*time.Millisecond, 0), "near")
-	is.Equal(choose(100*time.Millisecond, 50*time.Millisecond, 0), "near")
-	is.Equal(choose(200*time.Millisecond, 50*time.Millisecond, 0), "far")
-	is.Equal(choose(200*time.Millisecond, 50*time.Millisecond, bulkBytes), "near") // its body costs more
-	is.Equal(choose(600*time.Millisecond, 50*time.Millisecond, bulkBytes), "far")
+	is.Equal(choose(100*time.Millisecond, 100*time.Millisecond, false), "near")
+	is.Equal(choose(100*time.Millisecond, 50*time.Millisecond, false), "near")
+	is.Equal(choose(200*time.Millisecond, 50*time.Millisecond, false), "far")
+	is.Equal(choose(200*time.Millisecond, 50*time.Millisecond, true), "near") // its body costs more
+	is.Equal(choose(600*time.Millisecond, 50*time.Millisecond, true), "far")
 }
 
 // Guards against routes that ignore their host, and shares that differ from their weights.
