gateway: an attempt whose body does not arrive ends with its deadline

Cause: net/http returns from an attempt only when the body is no longer read. The read is now ended with the attempt, and such a timeout is not held against the target. Ruled out: a longer deadline on the owner's node (the hop's deadline was 4 s); a stopped heartbeat loop (the node's views were renewed meanwhile).

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -21,6 +22,9 @@
 	buffer []byte
 	stream io.Reader // nil when the buffer is the whole body
 	taken  atomic.Bool
+	whole  atomic.Bool // the stream has been read to its end
+	// unblock ends a read of the stream that waits for its sender.
+	unblock func()
 }
 
 // readBody buffers a small body and wraps a large one. Errors: TooLarge, BadRequest.
@@ -33,11 +37,37 @@
 	}
 	limited := http.MaxBytesReader(w, r.Body, limit)
 	if r.ContentLength > bufferedBody {
-		return &body{length: r.ContentLength, stream: limited}, nil
+		return &body{length: r.ContentLength, stream: limited, unblock: unblocker(w)}, nil
 	}
-	return bufferBody(limited, r.ContentLength)
+	b, err := bufferBody(limited, r.ContentLength)
+	if err == nil && b.stream != nil {
+		b.unblock = unblocker(w)
+	}
+	return b, err
 }
 
+// unblocker returns a function that ends reads of the request's body. The connection cannot be used
+// for another request afterwards.
+func unblocker(w http.ResponseWriter) func() {
+	control := http.NewResponseController(w)
+	return func() {
+		// Not all writers know deadlines; then the read ends with the connection.
+		_ = control.SetReadDeadline(time.Now())
+	}
+}
+
+// interrupt ends a read that waits for the sender of the body. net/http returns from an attempt only
+// once its body is no longer read, so without it an attempt outlasts its deadline where the sender is
+// silent. A body that nothing was taken of can still be sent elsewhere and is left alone.
+func (b *body) interrupt() {
+	if b.unblock != nil && b.stuck() {
+		b.unblock()
+	}
+}
+
+// stuck says whether a part of the body was sent on and the rest has not come.
+func (b *body) stuck() bool { return b.taken.Load() && !b.whole.Load() }
+
 func bufferBody(from io.Reader, length int64) (*body, error) {
 	size := length
 	if size < 0 {
@@ -100,7 +130,11 @@
 	if stream == nil {
 		return n, err
 	}
-	return stream.Read(p)
+	n, err = stream.Read(p)
+	if errors.Is(err, io.EOF) {
+		a.body.whole.Store(true)
+	}
+	return n, err
 }
 
 // next copies from the buffer, or returns the stream once the buffer has been read.
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -94,7 +94,9 @@
 	link := r.gateway.targetLinks.get(string(info.ID)+"@"+info.Address, info.MaxConnections)
 	req := r.request(ctx, info.Address)
 	timer := r.watchSilence(link)
+	leave := context.AfterFunc(ctx, r.call.body.interrupt)
 	resp, err := link.transport.RoundTrip(req)
+	leave()
 	timer.Stop()
 	if err != nil {
 		e := r.failure(ctx, err)
@@ -217,6 +219,10 @@
 }
 
 func (r *run) failureAfterStart(ctx context.Context, err error) *errkind.Error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) && r.call.body.stuck() {
+		// The sender is late; that says nothing of the target.
+		return errkind.New(errkind.TargetTimeout, "the body for target %s did not arrive in time", r.place.target)
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		r.outcome = gate.Outcome{Failed: true, Allowed: time.Since(r.began)}
 		return errkind.New(errkind.TargetTimeout, "target %s gave no answer in time", r.place.target)
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -55,7 +55,9 @@
 	req := outgoing(httptrace.WithClientTrace(ctx, h.shot.trace()), h.call, h.scheme(), h.place.peer.InternalAddr, h.header())
 	h.watch(ctx)
 	began := time.Now()
+	leave := context.AfterFunc(ctx, h.call.body.interrupt)
 	resp, err := h.link.transport.RoundTrip(req)
+	leave()
 	h.timer.Stop()
 	telemetry.Observe("hop", h.call.ref.Service, time.Since(began))
 	if err != nil {
--- a/gateway/internal.go
+++ b/gateway/internal.go
@@ -179,5 +179,5 @@
 	if r.ContentLength == 0 {
 		return &body{}
 	}
-	return &body{length: r.ContentLength, stream: http.MaxBytesReader(w, r.Body, limit)}
+	return &body{length: r.ContentLength, stream: http.MaxBytesReader(w, r.Body, limit), unblock: unblocker(w)}
 }
--- /dev/null
+++ b/gateway/stalledbody_test.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/zinniapier/zinniapier/config"
+)
+
+// Guards against slots that are held beyond the deadline, and against a target that is taken for slow,
+// because the sender of a body has gone silent.
+func TestStalledBodyEndsWithItsDeadline(t *testing.T) {
+	is := is.New(t)
+	target := newTarget(t, sayOK)
+	a := newNode(t, "a", target.addr(), config.Traffic{})
+	connect(nil, a)
+	conn, err := net.Dial("tcp", a.peer.CallerAddr)
+	is.NoErr(err)
+	defer conn.Close()
+	began := time.Now()
+	_, err = fmt.Fprintf(conn, "POST /orders/k HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nZinnia-Deadline-Ms: 300\r\nContent-Length: %d\r\n\r\n%s",
+		orgKey, 4*bufferedBody, strings.Repeat("x", 2*bufferedBody))
+	is.NoErr(err)
+	is.NoErr(conn.SetReadDeadline(began.Add(3 * time.Second)))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusGatewayTimeout)
+	is.True(time.Since(began) < time.Second)
+	is.Equal(a.local.gate.Snapshot().Running, 0)
+	is.Equal(a.local.gate.Snapshot().Limit, 8)
+}
