api, control, session: configurations packed, and the list of nodes by difference

Cause: each heartbeat reply after a change carried the whole configuration as gob, and each change of one node the whole list of nodes. The leader now packs a configuration once for each version (gob, deflate) and sends of the list of nodes what differs from the version that the node holds; a node refuses a difference from a version that it does not hold. Tests: TestChangeOfOneNodeIsSentAlone (failed before: all entries were sent), TestPeerListReachesEveryNode, TestOldPeerListIsReplaced, TestServicesOverGob; TestLongReplyOverSlowLink now sends bytes that cannot be packed, since the former text shrank to nothing. The slopes of capacity measure packing and unpacking.

--- a/api/gob_test.go
+++ b/api/gob_test.go
@@ -1,8 +1,6 @@
 package api
 
 import (
-	"bytes"
-	"encoding/gob"
 	"testing"
 
 	"github.com/matryer/is"
@@ -13,14 +11,20 @@
 func TestServicesOverGob(t *testing.T) {
 	is := is.New(t)
 	segment, idempotent := 0, false
-	in := HeartbeatReply{Configuration: &Configuration{Services: Services{Services: []Service{{
+	in := Configuration{Document: []byte("as sent"), Services: Services{Services: []Service{{
 		Name:   "quotes",
 		Key:    &KeySource{PathSegment: &segment},
 		Routes: []Route{{Prefix: "/quotes", Idempotent: &idempotent}},
-	}}}}}
-	var buffer bytes.Buffer
-	is.NoErr(gob.NewEncoder(&buffer).Encode(in))
-	var out HeartbeatReply
-	is.NoErr(gob.NewDecoder(&buffer).Decode(&out))
-	is.Equal(out, in)
+	}}}}
+	packed, err := PackConfiguration(in)
+	is.NoErr(err)
+	out, err := packed.Unpack()
+	is.NoErr(err)
+	in.Document = nil
+	is.Equal(*out, in)
+	none, err := PackedConfiguration(nil).Unpack()
+	is.NoErr(err)
+	is.Equal(none, nil)
+	_, err = packed[:len(packed)/2].Unpack()
+	is.True(err != nil)
 }
--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -1,6 +1,10 @@
 package api
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // TargetState is the node's view of one of its targets.
 type TargetState string
@@ -136,17 +140,20 @@
 	// Lease is counted by the node from the moment it sent the heartbeat.
 	Lease time.Duration
 	// Configuration is set when the node's version differs from the current one.
-	Configuration *Configuration
+	Configuration PackedConfiguration
 	ConfigVersion uint64
 	// Map is a full copy when MapFull is set, else the entries changed since the node's version.
 	Map        AssignmentUpdates
 	MapFull    bool
 	MapVersion uint64
-	// Peers is set when the node's PeersVersion differs from the current one. Versions are
-	// comparable only under one term.
+	// Peers is the full list of nodes when PeersFull is set, else those that are new or differ from
+	// the list of version PeersBase, which the node holds; PeersGone have left that list. Versions
+	// are comparable only under one term.
 	Peers        []Peer
+	PeersGone    []SessionID
+	PeersBase    uint64
 	PeersVersion uint64
-	PeersChanged bool
+	PeersFull    bool
 	// Tokens holds the organisations for which the session has an account at the leader.
 	Tokens map[OrganisationID]TokenReply
 	// Issues says that the leader issues tokens; a new one may have to wait.
@@ -180,3 +187,25 @@
 	// Received says that the request of the attempt has reached the node.
 	Received bool
 }
+
+// MergePeers returns the list of nodes after the reply, sorted by session. The held list is not
+// modified; it is returned when nothing differs.
+func MergePeers(held []Peer, r *HeartbeatReply) []Peer {
+	if r.PeersFull {
+		return r.Peers
+	}
+	if len(r.Peers) == 0 && len(r.PeersGone) == 0 {
+		return held
+	}
+	replaced := make(map[SessionID]bool, len(r.Peers)+len(r.PeersGone))
+	for i := range r.Peers {
+		replaced[r.Peers[i].Session] = true
+	}
+	for _, id := range r.PeersGone {
+		replaced[id] = true
+	}
+	next := slices.DeleteFunc(slices.Clone(held), func(p Peer) bool { return replaced[p.Session] })
+	next = append(next, r.Peers...)
+	slices.SortFunc(next, func(x, y Peer) int { return cmp.Compare(x.Session, y.Session) })
+	return next
+}
--- a/capacity/memory.go
+++ b/capacity/memory.go
@@ -114,14 +114,15 @@
 	builds := []struct {
 		x     string
 		sizes []int
-		reply func(n int) *api.HeartbeatReply
+		reply func(n int) (*api.HeartbeatReply, error)
 	}{
-		{"partitions", z.Partitions, func(n int) *api.HeartbeatReply {
-			return &api.HeartbeatReply{Map: sampleUpdates(n)}
+		{"partitions", z.Partitions, func(n int) (*api.HeartbeatReply, error) {
+			return &api.HeartbeatReply{Map: sampleUpdates(n)}, nil
 		}},
-		{"nodes", z.Peers, func(n int) *api.HeartbeatReply { return &api.HeartbeatReply{Peers: samplePeers(n)} }},
-		{"organisation keys", z.Entries, func(n int) *api.HeartbeatReply {
-			return &api.HeartbeatReply{Configuration: &api.Configuration{Keys: sampleKeys(n)}}
+		{"nodes", z.Peers, func(n int) (*api.HeartbeatReply, error) { return peersReply(n), nil }},
+		{"organisation keys", z.Entries, func(n int) (*api.HeartbeatReply, error) {
+			packed, err := api.PackConfiguration(api.Configuration{Keys: sampleKeys(n)})
+			return &api.HeartbeatReply{Configuration: packed}, err
 		}},
 	}
 	var list []Slope
@@ -129,7 +130,11 @@
 		memory := Slope{Name: "view of a node", X: b.x, Y: "KB", Method: MethodHeap}
 		rebuild := Slope{Name: "rebuild of the view's index", X: b.x, Y: "us", Method: MethodLoop}
 		for _, n := range b.sizes {
-			view, bytes, err := decodedView(b.reply(n))
+			reply, err := b.reply(n)
+			if err != nil {
+				return nil, err
+			}
+			view, bytes, err := decodedView(reply)
 			if err != nil {
 				return nil, err
 			}
--- a/capacity/messages.go
+++ b/capacity/messages.go
@@ -103,7 +103,7 @@
 }
 
 func peersReply(n int) *api.HeartbeatReply {
-	return &api.HeartbeatReply{Peers: samplePeers(n), PeersChanged: true}
+	return &api.HeartbeatReply{Peers: samplePeers(n), PeersFull: true}
 }
 
 // keptByEncoder returns the bytes that an encoder holds after it has sent a reply; gob
@@ -120,16 +120,44 @@
 }
 
 func configurationSize(_ context.Context, z Sizes) ([]Slope, error) {
-	list, err := replySlopes(z, "configuration by organisations", "organisations", z.Entries,
-		func(n int) *api.HeartbeatReply {
-			return &api.HeartbeatReply{Configuration: &api.Configuration{Organisations: sampleOrganisations(n)}}
-		})
+	list, err := configurationSlopes(z, "organisations", func(n int) api.Configuration {
+		return api.Configuration{Organisations: sampleOrganisations(n)}
+	})
 	if err != nil {
 		return nil, err
 	}
-	byKeys, err := replySlopes(z, "configuration by organisation keys", "organisation keys", z.Entries,
-		func(n int) *api.HeartbeatReply {
-			return &api.HeartbeatReply{Configuration: &api.Configuration{Keys: sampleKeys(n)}}
-		})
+	byKeys, err := configurationSlopes(z, "organisation keys", func(n int) api.Configuration {
+		return api.Configuration{Keys: sampleKeys(n)}
+	})
 	return append(list, byKeys...), err
 }
+
+// configurationSlopes measures a packed configuration of growing size: its bytes, the packing, which the
+// leader does once for a version, and the unpacking, which each node does.
+func configurationSlopes(z Sizes, x string, build func(n int) api.Configuration) ([]Slope, error) {
+	name := "configuration by " + x
+	list := []Slope{
+		{Name: name, X: x, Y: "bytes", Method: MethodSize},
+		{Name: name + ", packing", X: x, Y: "us", Method: MethodLoop},
+		{Name: name + ", unpacking", X: x, Y: "us", Method: MethodLoop},
+	}
+	for _, n := range z.Entries {
+		c := build(n)
+		packed, err := api.PackConfiguration(c)
+		if err != nil {
+			return nil, err
+		}
+		packing, err := repeat(z.Loop, func() error { _, err := api.PackConfiguration(c); return err })
+		if err != nil {
+			return nil, err
+		}
+		unpacking, err := repeat(z.Loop, func() error { _, err := packed.Unpack(); return err })
+		if err != nil {
+			return nil, err
+		}
+		for i, y := range []float64{float64(len(packed)), packing.microseconds, unpacking.microseconds} {
+			list[i].add(n, y)
+		}
+	}
+	return list, nil
+}
--- a/capacity/view.go
+++ b/capacity/view.go
@@ -16,7 +16,11 @@
 	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&r); err != nil {
 		return nil, errors.Trace(err)
 	}
-	v := &api.View{Configuration: r.Configuration, Peers: r.Peers, Assignments: api.Assignments{}}
+	configuration, err := r.Configuration.Unpack()
+	if err != nil {
+		return nil, err
+	}
+	v := &api.View{Configuration: configuration, Peers: r.Peers, Assignments: api.Assignments{}}
 	for _, u := range r.Map {
 		v.Assignments[u.Service] = append(v.Assignments[u.Service], u.Assignment)
 	}
--- a/control/fake_test.go
+++ b/control/fake_test.go
@@ -275,12 +275,12 @@
 	n.leaseEnd = sent.Add(r.Lease)
 	n.term = r.Term
 	n.issued = max(n.issued, r.Tokens["org"].Issued)
-	if r.Configuration != nil {
-		n.config = r.Configuration
-	}
-	if r.PeersChanged {
-		n.peers, n.peersV = r.Peers, r.PeersVersion
+	if c, err := r.Configuration.Unpack(); err != nil {
+		n.err = err
+	} else if c != nil {
+		n.config = c
 	}
+	n.peers, n.peersV = api.MergePeers(n.peers, r), r.PeersVersion
 	n.mapV = r.MapVersion
 	if r.MapFull {
 		clear(n.serves)
--- a/control/leader.go
+++ b/control/leader.go
@@ -36,9 +36,12 @@
 	authority     *tokens.Authority
 	configVersion uint64
 
-	peers        []api.Peer
-	peersVersion uint64
-	peersDirty   bool
+	peers      *peerList
+	peersDirty bool
+
+	// packedConfiguration is the configuration of packedVersion as heartbeats carry it.
+	packedConfiguration api.PackedConfiguration
+	packedVersion       uint64
 
 	// released holds the releases that nodes have reported.
 	released map[api.PartitionRef]api.Released
@@ -71,8 +74,7 @@
 		evacuating: make(map[string]time.Time),
 		holds:      make(map[api.PartitionRef]time.Time),
 		fresh:      make(map[api.PartitionRef]*freshSplit),
-		// Versions of the list of peers must differ between terms.
-		peersVersion: term << 32,
+		peers:      newPeerList(term),
 	}
 }
 
--- a/control/reply.go
+++ b/control/reply.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"reflect"
 	"slices"
 	"time"
 
@@ -22,9 +21,7 @@
 		r.Lease = l.o.Lease
 	}
 	if s.last.ConfigVersion != view.Configuration.Version {
-		configuration := view.Configuration
-		configuration.Document = nil
-		r.Configuration = &configuration
+		r.Configuration = l.packed(view)
 	}
 	l.fillMap(r, view, s.last.MapVersion)
 	l.fillPeers(r, view, s.last.PeersVersion, now)
@@ -67,21 +64,33 @@
 	return updates
 }
 
-// fillPeers sends the list of nodes when it differs. A new leader knows only the nodes
+// fillPeers sends what differs in the list of nodes. A new leader knows only the nodes
 // that it has heard from, so during its wait it sends its list only to nodes without one.
 func (l *leader) fillPeers(r *api.HeartbeatReply, view *api.ControlState, known uint64, now time.Time) {
 	if l.peersDirty {
 		l.refreshPeers(view)
 	}
 	if l.waiting(now) && known != 0 && known>>32 != l.term {
-		r.PeersVersion = known
+		r.PeersBase, r.PeersVersion = known, known
 		return
 	}
-	r.PeersVersion = l.peersVersion
-	if known != l.peersVersion {
-		r.PeersChanged = true
-		r.Peers = l.peers
+	l.peers.fill(r, known)
+}
+
+// packed returns the configuration for nodes; all of one version get the same bytes. It is empty, so
+// that nodes refuse the reply, when the configuration cannot be packed.
+func (l *leader) packed(view *api.ControlState) api.PackedConfiguration {
+	c := view.Configuration
+	if l.packedVersion == c.Version && l.packedConfiguration != nil {
+		return l.packedConfiguration
+	}
+	packed, err := api.PackConfiguration(c)
+	if err != nil {
+		l.log.WithError(err).WithField("configuration", c.Version).Error("Configuration cannot be packed. Nodes keep the former one.")
+		return nil
 	}
+	l.packedVersion, l.packedConfiguration = c.Version, packed
+	return packed
 }
 
 // refreshPeers rebuilds the list of nodes; published lists are not modified.
@@ -100,11 +109,7 @@
 		peers = append(peers, p)
 	}
 	slices.SortFunc(peers, func(x, y api.Peer) int { return cmp.Compare(x.Session, y.Session) })
-	if l.peersVersion != l.term<<32 && reflect.DeepEqual(peers, l.peers) {
-		return
-	}
-	l.peers = peers
-	l.peersVersion++
+	l.peers.update(peers)
 }
 
 // isOut says whether operators took the target, its zone or the zone of its node out.
--- a/session/beat.go
+++ b/session/beat.go
@@ -155,11 +155,15 @@
 // accept checks the reply and publishes it. A refused reply changes nothing.
 func (s *Session) accept(req *api.HeartbeatRequest, reply *api.HeartbeatReply, sent time.Time, sentBoot time.Duration) error {
 	old := s.view.Load()
-	if err := check(old, reply); err != nil {
+	configuration, err := reply.Configuration.Unpack()
+	if err == nil {
+		err = check(old, reply, configuration)
+	}
+	if err != nil {
 		telemetry.CountEvent("heartbeat_reply_refused", 1)
 		return err
 	}
-	next := merge(old, reply)
+	next := merge(old, reply, configuration)
 	next.RenewedAt = sent
 	next.LeaseUntil = sent.Add(reply.Lease)
 	next.LeaseEnd = sentBoot + reply.Lease
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -75,7 +75,10 @@
 		reply.Term, reply.Lease = term, 400*time.Millisecond
 		reply.ConfigVersion, reply.MapVersion = version, req.MapVersion
 		if req.ConfigVersion != version {
-			reply.Configuration = &api.Configuration{Version: version}
+			var err error
+			if reply.Configuration, err = api.PackConfiguration(api.Configuration{Version: version}); err != nil {
+				return err
+			}
 		}
 		return nil
 	}
@@ -205,8 +208,8 @@
 	}
 	v := emptyView("z", false)
 	full := merge(v, &api.HeartbeatReply{MapFull: true, MapVersion: 1,
-		Map: []api.AssignmentUpdate{update(0, 1), update(2, 1)}})
-	part := merge(full, &api.HeartbeatReply{MapVersion: 2, Map: []api.AssignmentUpdate{update(2, 2)}})
+		Map: []api.AssignmentUpdate{update(0, 1), update(2, 1)}}, nil)
+	part := merge(full, &api.HeartbeatReply{MapVersion: 2, Map: []api.AssignmentUpdate{update(2, 2)}}, nil)
 	is.Equal(full.Owner(api.PartitionRef{Service: "q", Partition: 2}).Epoch, api.Epoch(1)) // unchanged snapshot
 	is.Equal(part.Owner(api.PartitionRef{Service: "q", Partition: 2}).Epoch, api.Epoch(2))
 	is.Equal(part.Owner(api.PartitionRef{Service: "q", Partition: 0}).Epoch, api.Epoch(1))
@@ -216,11 +219,17 @@
 // Guards against a node on a busy link that never gets a long reply: each try ends before the reply is
 // whole, and the next one begins anew.
 func TestLongReplyOverSlowLink(t *testing.T) {
+	noise := make([]byte, 4000) // takes 400 ms
+	rand.NewChaCha8([32]byte{}).Read(noise)
+	packed, err := api.PackConfiguration(api.Configuration{Version: 1, ZonesOut: []string{string(noise)}})
+	if err != nil {
+		t.Fatal(err)
+	}
 	c := startControl(t)
 	c.set(func(req *api.HeartbeatRequest, reply *api.HeartbeatReply) error {
 		err := lead(1, 1)(req, reply)
 		if reply.Configuration != nil {
-			reply.Configuration.ZonesOut = []string{strings.Repeat("z", 4000)} // takes 400 ms
+			reply.Configuration = packed
 		}
 		reply.Lease = 5 * time.Second
 		return err
--- a/session/view.go
+++ b/session/view.go
@@ -25,21 +25,23 @@
 	return v.Configuration.Version
 }
 
-// check refuses a reply that would take the node back, or renew the lease of a node that
+// check refuses a reply, with the configuration c or nil in it, that would take the node back, or renew the lease of a node that
 // stays behind the configuration named in the reply.
-func check(v *api.View, r *api.HeartbeatReply) error {
+func check(v *api.View, r *api.HeartbeatReply, c *api.Configuration) error {
 	if r.Term < v.Term {
 		return errkind.New(errkind.NotLeader, "reply of term %d after term %d", r.Term, v.Term)
 	}
 	if r.ConfigVersion < configVersion(v) || r.MapVersion < v.MapVersion {
 		return errkind.New(errkind.Invalid, "reply with lower versions than the node holds")
 	}
-	if r.ConfigVersion > configVersion(v) && r.Configuration == nil {
+	if r.ConfigVersion > configVersion(v) && c == nil {
 		return errkind.New(errkind.Invalid, "reply without configuration %d", r.ConfigVersion)
 	}
-	if r.Configuration != nil && r.Configuration.Version != r.ConfigVersion {
-		return errkind.New(errkind.Invalid, "configuration %d in a reply that states %d",
-			r.Configuration.Version, r.ConfigVersion)
+	if c != nil && c.Version != r.ConfigVersion {
+		return errkind.New(errkind.Invalid, "configuration %d in a reply that states %d", c.Version, r.ConfigVersion)
+	}
+	if !r.PeersFull && r.PeersBase != v.PeersVersion {
+		return errkind.New(errkind.Invalid, "nodes since version %d in a reply, version %d is held", r.PeersBase, v.PeersVersion)
 	}
 	if r.Lease <= 0 {
 		return errkind.New(errkind.Invalid, "reply without a lease")
@@ -53,16 +55,16 @@
 }
 
 // merge returns the view after the reply. Parts that did not change are shared with the old view.
-func merge(old *api.View, r *api.HeartbeatReply) *api.View {
+func merge(old *api.View, r *api.HeartbeatReply, c *api.Configuration) *api.View {
 	next := *old
 	next.Term = r.Term
 	reindex := false
-	if r.Configuration != nil && r.ConfigVersion > configVersion(old) {
-		next.Configuration = r.Configuration
+	if c != nil && r.ConfigVersion > configVersion(old) {
+		next.Configuration = c
 		reindex = true
 	}
-	if r.PeersChanged {
-		next.Peers = r.Peers
+	if r.PeersFull || len(r.Peers) > 0 || len(r.PeersGone) > 0 {
+		next.Peers = api.MergePeers(old.Peers, r)
 		reindex = true
 	}
 	next.PeersVersion = r.PeersVersion
