gateway: a target that refuses with free slots is not overloaded

Cause: each refusal by a target cut the limit of its gate by 0.3. The limit fell, and the gate refused requests that would have been served. Ruled out: sending such a request to the same owner again at once. Its calls would count against the retry budget of the service that it calls, which is a sixth as large.

--- a/gate/claim.go
+++ b/gate/claim.go
@@ -44,13 +44,15 @@
 	turns := time.Duration(g.queue.Ahead(c) + 1)
 	wait := mean * turns / time.Duration(g.limiter.limit())
 	if latest := c.LatestStart(now, mean); !latest.IsZero() && now.Add(wait).After(latest) {
-		return errkind.New(errkind.Overloaded, "queue needs %v, of use for %v", wait, latest.Sub(now))
+		return errkind.New(errkind.Overloaded, "queue needs %v, of use for %v; %d of %d slots in use",
+			wait, latest.Sub(now), g.running, g.limiter.limit())
 	}
 	need := wait + mean
 	if deadline.Sub(now) >= need {
 		return nil
 	}
-	return errkind.New(errkind.DeadlineExceeded, "queue needs %v, deadline is in %v", need, deadline.Sub(now))
+	return errkind.New(errkind.DeadlineExceeded, "queue needs %v, deadline is in %v; %d of %d slots in use",
+		need, deadline.Sub(now), g.running, g.limiter.limit())
 }
 
 // withLatestStart ends the wait when the mean service time no longer fits before the deadline:
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -63,8 +63,16 @@
 	Crossed bool
 	// ColdFor is how much longer the target is in a cold start; negative when it does not say.
 	ColdFor time.Duration
+	// Load is what the target says of its load; the zero value when it does not.
+	Load TargetLoad
 }
 
+// TargetLoad is the load of a target in its own words.
+type TargetLoad struct{ Running, Waiting, Slots int }
+
+// HasRoom says that the target states free slots.
+func (l TargetLoad) HasRoom() bool { return l.Running < l.Slots && l.Waiting == 0 }
+
 // ownDialect is the product's own interface.
 type ownDialect struct{}
 
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -255,7 +255,8 @@
 		r.target.StateCold(verdict.ColdFor)
 	}
 	if verdict.Refusal != nil {
-		r.outcome.Shed, r.outcome.Cold = verdict.Shed, verdict.Cold
+		// A target that refuses with free slots is not overloaded: a lower limit would only refuse more.
+		r.outcome.Shed, r.outcome.Cold = verdict.Shed && !verdict.Load.HasRoom(), verdict.Cold
 		verdict.Refusal.Sent = true
 		return verdict.Refusal
 	}
