gateway: a target in another zone is not taken for fast because nothing was sent to it

Cause: the observed latency of a target halves with each second without use, so that a slow one is tried again. What was observed now counts as the usual time of the service at least. Test: TestUnusedTargetIsNotTakenForFast (failed before). Ruled out: packing answers between nodes; a trial with deflate made them longer (3,082 bytes to 3,092, they are random).

--- a/gateway/choice.go
+++ b/gateway/choice.go
@@ -24,6 +24,8 @@
 	zone string
 	// large says that the request has a large body.
 	large bool
+	// usual is the mean latency of the service at this node; zero when none is known.
+	usual time.Duration
 }
 
 // Len returns the number of candidates.
@@ -42,6 +44,7 @@
 		Latency:     l.current(c.now),
 		Stated:      s.expected,
 		BodyWait:    s.bodyWait,
+		Usual:       c.usual,
 		Near:        c.targets[i].Peer.Zone == c.zone,
 	}
 }
@@ -59,6 +62,8 @@
 	// BodyWait is the time that the body waits for the link of the target's node, as that stated it
 	// within statementLife; zero for a small body.
 	BodyWait time.Duration
+	// Usual is the mean latency of the service at this node; zero when none is known.
+	Usual time.Duration
 	// Near says that the target is in the availability zone of this node.
 	Near bool
 }
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -104,6 +104,7 @@
 const (
 	timesWindow = 256 // latencies behind one percentile
 	timesStep   = 32  // latencies between two computations of it
+	meanWindow  = 32  // latencies behind the mean
 	// timesLeast is the number of latencies below which no percentile is known.
 	timesLeast = 32
 	// tailFactor bounds the 95th percentile by the median. When more than 1 request in 20
@@ -123,9 +124,10 @@
 	return p.(*percentile)
 }
 
-// percentile follows the 95th percentile of the last latencies.
+// percentile follows the 95th percentile of the last latencies, and their decaying mean.
 type percentile struct {
-	p95 atomic.Int64
+	p95  atomic.Int64
+	mean atomic.Int64
 
 	mu     sync.Mutex
 	values [timesWindow]time.Duration
@@ -137,6 +139,8 @@
 	defer p.mu.Unlock()
 	p.values[p.count%timesWindow] = d
 	p.count++
+	mean := time.Duration(p.mean.Load())
+	p.mean.Store(int64(mean + (d-mean)/time.Duration(min(p.count, meanWindow))))
 	if p.count < timesLeast || p.count%timesStep != 0 {
 		return
 	}
@@ -149,3 +153,6 @@
 // get returns the 95th percentile, at most tailFactor medians; zero while there are too few
 // latencies.
 func (p *percentile) get() time.Duration { return time.Duration(p.p95.Load()) }
+
+// usual returns the mean; zero before the first latency.
+func (p *percentile) usual() time.Duration { return time.Duration(p.mean.Load()) }
--- a/gateway/loads_test.go
+++ b/gateway/loads_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/zinniapier/zinniapier/api"
 )
 
 // Guards against hedges that wait as long as the straggling that they are meant to cut off.
@@ -20,3 +22,24 @@
 	}
 	is.Equal(p.get(), tailFactor*5*time.Millisecond)
 }
+
+// Guards against traffic between zones to targets that look fast because nothing was sent to them of late.
+func TestUnusedTargetIsNotTakenForFast(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	at := func(id, zone string) api.TargetAt {
+		return api.TargetAt{Target: api.PeerTarget{ID: api.TargetID(id), Slots: 10}, Peer: &api.Peer{Zone: zone}}
+	}
+	loads := &loadTable{}
+	loads.get("near").observe(100*time.Millisecond, now)
+	loads.get("far").observe(100*time.Millisecond, now.Add(-5*time.Second))
+	loads.get("slow").observe(2*time.Second, now.Add(-5*time.Second))
+	choose := func(near, far string) string {
+		c := Candidates{targets: []api.TargetAt{at(near, "a"), at(far, "b")}, loads: loads, now: now, zone: "a", usual: 100 * time.Millisecond}
+		return string(c.targets[nearChoice{}.Choose(c)].Target.ID)
+	}
+	is.Equal(choose("near", "far"), "near")
+	is.Equal(choose("slow", "far"), "slow") // it was slow long ago
+	loads.get("slow").observe(2*time.Second, now)
+	is.Equal(choose("slow", "far"), "far")
+}
--- a/gateway/near.go
+++ b/gateway/near.go
@@ -47,7 +47,9 @@
 func nearTime(c Candidate, bias float64) float64 {
 	base := c.Stated
 	if base == 0 {
-		base = c.Latency
+		// What was observed loses its worth with time, so that a slow target is tried again; below the
+		// usual time it would say that unused targets are fast.
+		base = max(c.Latency, c.Usual)
 	}
 	if base == 0 {
 		base = unknownTime
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -179,7 +179,10 @@
 	if fresh := untried(targets, tried); len(fresh) > 0 {
 		targets = fresh
 	}
-	i := policy.Choose(Candidates{targets: targets, loads: &g.loads, now: time.Now(), zone: v.Zone, large: c.body.large()})
+	i := policy.Choose(Candidates{
+		targets: targets, loads: &g.loads, now: time.Now(), zone: v.Zone,
+		large: c.body.large(), usual: g.times.get(c.service.Name).usual(),
+	})
 	p := placeAt(v, targets[i])
 	p.left = c.left
 	return p, nil
