control: targets own keys in proportion to their speed

Cause: partitions were spread by slots alone, but the targets of a service differ in speed. Nodes now report the mean service time over some hundred requests. The capacity of a target is its slots by its speed relative to the median, between 0.5 and 2, and a speed is followed when it differs by a fifth from the one in use. Tests: TestSlowTargetsOwnLess (failed before), TestEqualSpeedsMoveNothing (failed on the first form, without the fifth).

--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -27,6 +27,8 @@
 	Cold bool `json:"cold"`
 	// Load is the moving average of requests in progress at the gate.
 	Load float64 `json:"load"`
+	// ServiceMs is the mean service time in milliseconds; 0 when it is not known.
+	ServiceMs int64 `json:"service_ms,omitempty"`
 	// Place names the address on a host where only one target can run at a time: another target
 	// that is reported for it proves that this one has ended. Empty when there is no such proof.
 	Place string `json:"place,omitempty"`
--- a/control/leader.go
+++ b/control/leader.go
@@ -52,7 +52,9 @@
 	// holds says from when on an override may leave its first owner.
 	holds map[api.PartitionRef]time.Time
 	// fresh holds the splits whose parts have not been measured, by the partition that was divided.
-	fresh       map[api.PartitionRef]*freshSplit
+	fresh map[api.PartitionRef]*freshSplit
+	// speeds holds the speeds of targets that differ from the usual one of their service.
+	speeds      map[api.TargetID]float64
 	nextBalance time.Time
 }
 
@@ -74,6 +76,7 @@
 		evacuating: make(map[string]time.Time),
 		holds:      make(map[api.PartitionRef]time.Time),
 		fresh:      make(map[api.PartitionRef]*freshSplit),
+		speeds:     make(map[api.TargetID]float64),
 		peers:      newPeerList(term),
 	}
 }
--- a/control/plan.go
+++ b/control/plan.go
@@ -26,6 +26,7 @@
 	batch := &state.Batch{Term: l.term}
 	targets := l.targets(&view.Configuration)
 	places := keepLatest(targets)
+	l.forgetSpeeds(targets)
 	balance := !now.Before(l.nextBalance)
 	if balance {
 		l.nextBalance = now.Add(l.o.BalanceInterval)
@@ -301,6 +302,7 @@
 		}
 	}
 	slices.SortFunc(list, func(x, y placement.Target) int { return compareIDs(x.ID, y.ID) })
+	p.weighBySpeed(list)
 	return list
 }
 
--- /dev/null
+++ b/control/speed_test.go
@@ -0,0 +1,49 @@
+package control
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/zinniapier/zinniapier/api"
+)
+
+// Guards against a slow target that is full, and refuses, while others have free slots: all had the same
+// load, whatever their speed.
+func TestSlowTargetsOwnLess(t *testing.T) {
+	is := is.New(t)
+	w := newSplitWorld(t, 4)
+	speeds := map[string]int64{"t0": 250, "t1": 250, "t2": 500, "t3": 5000}
+	for name, ms := range speeds {
+		w.sessions[api.SessionID(name)].last.Targets[0].ServiceMs = ms
+	}
+	everything := api.KeyRange{First: 0, Last: 65535}
+	for range 200 {
+		w.load(2, 0, everything)
+		w.step(t)
+	}
+	w.load(2, 0, everything)
+	load := func(name string) (sum float64) {
+		for _, l := range w.loads[name] {
+			sum += l
+		}
+		return sum
+	}
+	is.True(load("t2") < 0.8*load("t0"))
+	is.True(load("t3") < 0.8*load("t0"))
+	is.True(load("t3") > 0.2*load("t0")) // a measured time alone does not empty a target
+}
+
+// Guards against moves that follow chance: nearly equal service times change nothing.
+func TestEqualSpeedsMoveNothing(t *testing.T) {
+	is := is.New(t)
+	w := newSplitWorld(t, 4)
+	everything := api.KeyRange{First: 0, Last: 65535}
+	w.load(2, 0, everything)
+	for i := range 100 {
+		for j, name := range []string{"t0", "t1", "t2", "t3"} {
+			w.sessions[api.SessionID(name)].last.Targets[0].ServiceMs = 250 + int64((i+j)%4)*10
+		}
+		is.Equal(len(w.step(t).Revokes), 0)
+	}
+}
--- a/gate/latency.go
+++ b/gate/latency.go
@@ -23,6 +23,12 @@
 	jumpFloor = 2 * time.Millisecond
 	// meanShift sets the decay of the mean service time: each sample weighs 1/16.
 	meanShift = 16
+	// steadyWindow is the number of latencies behind the steady mean. Placement follows it, and each move
+	// interrupts a key, so slow moments of a target must not show in it.
+	steadyWindow = 256
+	// steadyLeast is the number of latencies below which no steady mean is told: by chance, it is within
+	// 15 % of the true one then.
+	steadyLeast = 64
 )
 
 // latencies follows the service times of one target.
@@ -34,6 +40,7 @@
 	medians [baselineWindows]time.Duration
 	windows int
 	mean    time.Duration
+	steady  time.Duration
 }
 
 // add records a service time.
@@ -41,6 +48,7 @@
 	l.recent[l.count%recentSize] = d
 	l.count++
 	l.updateMean(d)
+	l.steady += (d - l.steady) / time.Duration(min(l.count, steadyWindow))
 	l.window[l.filled] = d
 	l.filled++
 	if l.filled < windowSize {
--- a/gate/load.go
+++ b/gate/load.go
@@ -38,6 +38,17 @@
 	return mean + mean*time.Duration(over)/time.Duration(limit)
 }
 
+// ServiceTime returns the mean service time of the target over some hundred requests; 0 when there were
+// too few.
+func (g *Gate) ServiceTime() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.limiter.times.count < steadyLeast {
+		return 0
+	}
+	return g.limiter.times.steady
+}
+
 // Load returns the moving average of requests in progress, and whether the target is still
 // in its cold-start ramp.
 func (g *Gate) Load() (load float64, cold bool) {
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -26,6 +26,8 @@
 
 func (fakeGate) Load() (float64, bool) { return 0, false }
 
+func (fakeGate) ServiceTime() time.Duration { return 0 }
+
 func (fakeGate) SetCold(time.Duration, float64) {}
 
 // fakeControl stands in for session and leader: it renews the lease and publishes assignments.
--- a/host/registry.go
+++ b/host/registry.go
@@ -34,6 +34,8 @@
 	// Load returns the moving average of requests in progress, and whether the target is still
 	// in its cold-start ramp.
 	Load() (load float64, cold bool)
+	// ServiceTime returns the mean service time; 0 when it is not known.
+	ServiceTime() time.Duration
 	// SetCold says for how much longer the target bears only rate requests per second; a
 	// duration of 0 ends that, and a rate of 0 means no bound.
 	SetCold(d time.Duration, rate float64)
--- a/host/target.go
+++ b/host/target.go
@@ -105,6 +105,7 @@
 		State:         t.state(),
 		Cold:          cold,
 		Load:          rounded(load),
+		ServiceMs:     t.gate.ServiceTime().Milliseconds(),
 		PartitionLoad: partitions,
 		HotKeys:       hot,
 		Place:         t.place(),
