internal/cluster: Freeze returns when all threads of the process stand still

Freeze now looks at the state of every thread in /proc. Ruled out: a heal of the link or a second connection; the request went over the connection opened before. Only the harness of tests changes.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -135,6 +135,7 @@
 	id := open(t, a, b.Settings.InternalAdvertise)
 	is.Equal(ping(t, a, id), "echo")
 	b.Freeze()
+	is.True(allStopped(b.PID())) // a thread that still ran would answer once
 	is.Equal(ping(t, a, id), "silent")
 	is.Equal(ping(t, a, open(t, a, b.Settings.InternalAdvertise)), "silent")
 	b.Thaw()
--- a/internal/cluster/process.go
+++ b/internal/cluster/process.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -173,10 +174,43 @@
 	p.end(syscall.SIGTERM, limit)
 }
 
-// Freeze stops the process with SIGSTOP until Thaw.
+// freezeLimit bounds the time until a stopped process stands still; on a busy machine its threads have to
+// be scheduled first.
+const freezeLimit = 5 * time.Second
+
+// freezePoll is the pause between two looks at the threads; tests measure times from the return of Freeze.
+const freezePoll = time.Millisecond
+
+// Freeze stops the process with SIGSTOP until Thaw. It returns when all threads stand still: kill(2)
+// returns earlier, and a thread that runs meanwhile still answers.
 func (p *Process) Freeze() {
 	p.cluster.t.Helper()
 	p.mustSignal(syscall.SIGSTOP)
+	for end := time.Now().Add(freezeLimit); !allStopped(p.PID()); time.Sleep(freezePoll) {
+		if time.Now().After(end) {
+			p.cluster.t.Fatalf("cluster: %s has not stopped after %v", p.Name, freezeLimit)
+		}
+	}
+}
+
+// allStopped says whether every thread of the process is stopped.
+func allStopped(pid int) bool {
+	stats, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil || len(stats) == 0 {
+		return false
+	}
+	for _, path := range stats {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return false
+		}
+		// The state follows the name, which stands in parentheses and may hold any character.
+		_, after, found := strings.Cut(string(text[bytes.LastIndexByte(text, ')')+1:]), " ")
+		if !found || !strings.HasPrefix(after, "T") {
+			return false
+		}
+	}
+	return true
 }
 
 // Thaw continues a frozen process.
