integration: the test of a resent change waits until the follower knows its leader

The test took 0.42 s from its start; a leader is found, and its changes commit, as soon as one other member follows. A trial on a scratch copy, with a member that has just started, shows the same answer for 5 to 20 ms, until its first message from the leader; callers send such a call again, and nothing is made twice. The test asks the follower's status until it answers, and then checks the resend as before.

--- a/integration/control_test.go
+++ b/integration/control_test.go
@@ -185,7 +185,12 @@
 	later := changeAt(t, c, lead, api.Change{Kind: api.ZoneOut, Name: "b"})
 	is.True(later > first.Version)
 
-	again := post(t, others(c, lead)[0], change)
+	follower := others(c, lead)[0]
+	cluster.Eventually(t, readyLimit, func() error {
+		_, err := c.Operator(follower).Status(t.Context()) // it forwards once it has heard from the leader
+		return err
+	})
+	again := post(t, follower, change)
 	is.True(again.Error == nil)
 	is.Equal(again.Version, first.Version) // the first answer, although the base is old by now
 	lead.Kill()
