One copy of repeated steps, found in a review of the whole change; behaviour stays

- control: onLoop returns the result of the function; three callers made a channel each.
- gateway: link.roundTrip serves hop and dispatch, which both ended reads of the body by hand; the objective of a hop is read and written with the functions for milliseconds in headers; one call notes a session.
- api: HeartbeatReply.PeersDiffer is asked by MergePeers and the session, which had the same condition.
- tokens: the outbox drops from its held reports what was sent without a reply, in place of merging two maps; the inbox has one way to take reports in.
- control/split.go: a check for removed services that forgetStale makes before.
- host: a switch with one case is an if; internal/cluster: the state of a thread is read by its prefix.
Left: planSplits adds up loads beside targetLoads, which leaves out the expected loads of fresh parts; one sum would change which partitions are divided.

--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -199,13 +199,18 @@
 	Received bool
 }
 
+// PeersDiffer says whether the reply changes the list of nodes.
+func (r *HeartbeatReply) PeersDiffer() bool {
+	return r.PeersFull || len(r.Peers) > 0 || len(r.PeersGone) > 0
+}
+
 // MergePeers returns the list of nodes after the reply, sorted by session. The held list is not
 // modified; it is returned when nothing differs.
 func MergePeers(held []Peer, r *HeartbeatReply) []Peer {
 	if r.PeersFull {
 		return r.Peers
 	}
-	if len(r.Peers) == 0 && len(r.PeersGone) == 0 {
+	if !r.PeersDiffer() {
 		return held
 	}
 	replaced := make(map[SessionID]bool, len(r.Peers)+len(r.PeersGone))
--- a/control/ackwait.go
+++ b/control/ackwait.go
@@ -22,12 +22,8 @@
 	ctx, cancel := context.WithTimeout(ctx, c.o.AckWait)
 	defer cancel()
 	for {
-		counted := make(chan []string, 1)
-		if !c.onLoop(ctx, func() { counted <- c.nodesBehind(version, time.Now()) }) {
-			return
-		}
-		behind := <-counted
-		if len(behind) == 0 {
+		behind, ran := onLoop(ctx, c, func() []string { return c.nodesBehind(version, time.Now()) })
+		if !ran || len(behind) == 0 {
 			return
 		}
 		select {
--- a/control/control.go
+++ b/control/control.go
@@ -159,13 +159,15 @@
 	}
 }
 
-// onLoop has the loop run a function, and says whether it does; it does not when ctx ends first.
-func (c *Control) onLoop(ctx context.Context, f func()) bool {
+// onLoop has the loop of c run a function and returns its result. It returns false when ctx ends before the
+// loop takes the function up.
+func onLoop[T any](ctx context.Context, c *Control, f func() T) (result T, ran bool) {
+	answer := make(chan T, 1)
 	select {
-	case c.queries <- f:
-		return true
+	case c.queries <- func() { answer <- f() }:
+		return <-answer, true
 	case <-ctx.Done():
-		return false
+		return result, false
 	}
 }
 
--- a/control/operator.go
+++ b/control/operator.go
@@ -119,11 +119,11 @@
 func (c *Control) getStatus(ctx context.Context, _ []byte) (any, *errkind.Error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	answer := make(chan *api.Status, 1)
-	if !c.onLoop(ctx, func() { answer <- c.status() }) {
+	status, ran := onLoop(ctx, c, c.status)
+	if !ran {
 		return c.localStatus(), nil
 	}
-	return <-answer, nil
+	return status, nil
 }
 
 func (c *Control) getConfiguration(context.Context, []byte) (any, *errkind.Error) {
--- a/control/ranges.go
+++ b/control/ranges.go
@@ -51,20 +51,16 @@
 // hostsByService counts the nodes in contact by the service of their target. It returns nothing when
 // this member does not lead or ctx ends first.
 func (c *Control) hostsByService(ctx context.Context) map[string]int {
-	counted := make(chan map[string]int, 1)
-	ask := func() {
-		hosts := make(map[string]int)
+	hosts, _ := onLoop(ctx, c, func() map[string]int {
+		counts := make(map[string]int)
 		if c.leader != nil {
 			for _, s := range c.leader.sessions {
 				if !s.lost {
-					hosts[s.last.Hosts]++
+					counts[s.last.Hosts]++
 				}
 			}
 		}
-		counted <- hosts
-	}
-	if !c.onLoop(ctx, ask) {
-		return nil
-	}
-	return <-counted
+		return counts
+	})
+	return hosts
 }
--- a/control/speed.go
+++ b/control/speed.go
@@ -9,9 +9,9 @@
 	"github.com/zinniapier/zinniapier/placement"
 )
 
-// mostSpeed and leastSpeed bound the speed of a target relative to the median of its service, so that a
-// wrong measurement cannot pile the partitions up on one target or take them all off it.
 const (
+	// mostSpeed and leastSpeed bound the speed of a target relative to the median of its service, so that a
+	// wrong measurement cannot pile the partitions up on one target or take them all off it.
 	mostSpeed  = 2.0
 	leastSpeed = 0.5
 	// speedChange is the change of a speed, relative to the one in use, that is followed. The mean of some
--- a/control/split.go
+++ b/control/split.go
@@ -109,7 +109,7 @@
 		if ref.Service != p.name {
 			continue
 		}
-		if !p.now.Before(f.until) || service == nil {
+		if !p.now.Before(f.until) {
 			delete(p.fresh, ref)
 			continue
 		}
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -63,7 +63,7 @@
 	Crossed bool
 	// ColdFor is how much longer the target is in a cold start; negative when it does not say.
 	ColdFor time.Duration
-	// Load is what the target says of its load; the zero value when it does not.
+	// Load is what a target that sheds says of its load; the zero value when it does not.
 	Load TargetLoad
 }
 
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -94,9 +94,7 @@
 	link := r.gateway.targetLinks.get(string(info.ID)+"@"+info.Address, info.MaxConnections)
 	req := r.request(ctx, info.Address)
 	timer := r.watchSilence(link)
-	leave := context.AfterFunc(ctx, r.call.body.interrupt)
-	resp, err := link.transport.RoundTrip(req)
-	leave()
+	resp, err := link.roundTrip(req, r.call.body)
 	timer.Stop()
 	if err != nil {
 		e := r.failure(ctx, err)
--- a/gateway/fate.go
+++ b/gateway/fate.go
@@ -40,9 +40,7 @@
 // noteSession remembers the sessions of this process. Attempts are kept over a change of session, but
 // not over a restart.
 func (g *Gateway) noteSession(id api.SessionID) {
-	if _, known := g.sessions.Load(id); !known {
-		g.sessions.Store(id, struct{}{})
-	}
+	g.sessions.LoadOrStore(id, struct{}{})
 }
 
 // fateClients are the connections over which other nodes are asked.
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -55,9 +55,7 @@
 	req := outgoing(httptrace.WithClientTrace(ctx, h.shot.trace()), h.call, h.scheme(), h.place.peer.InternalAddr, h.header())
 	h.watch(ctx)
 	began := time.Now()
-	leave := context.AfterFunc(ctx, h.call.body.interrupt)
-	resp, err := h.link.transport.RoundTrip(req)
-	leave()
+	resp, err := h.link.roundTrip(req, h.call.body)
 	h.timer.Stop()
 	telemetry.Observe("hop", h.call.ref.Service, time.Since(began))
 	if err != nil {
@@ -96,7 +94,7 @@
 	}
 	setOnce(out, api.HeaderPriority, strconv.Itoa(c.priority))
 	if !c.objective.IsZero() {
-		setOnce(out, api.HeaderObjectiveMs, strconv.FormatInt(max(time.Until(c.objective).Milliseconds(), 0), 10))
+		setOnce(out, api.HeaderObjectiveMs, milliseconds(max(time.Until(c.objective), 0)))
 	}
 	setOnce(out, api.HeaderAttempt, h.id)
 	setOnce(out, api.HeaderService, c.ref.Service)
--- a/gateway/internal.go
+++ b/gateway/internal.go
@@ -133,8 +133,8 @@
 		deadline:   time.Now().Add(time.Duration(ms) * time.Millisecond),
 	}
 	c.track.began = time.Now()
-	if left, err := strconv.ParseInt(h.Get(api.HeaderObjectiveMs), 10, 64); err == nil {
-		c.objective = c.track.began.Add(time.Duration(left) * time.Millisecond)
+	if left, ok := readMilliseconds(h, api.HeaderObjectiveMs); ok {
+		c.objective = c.track.began.Add(left)
 	}
 	if s := v.Configuration.Services.Find(c.ref.Service); s != nil && s.Ranged() && partition >= 0 {
 		// The first node may not know yet, or know before this one, that the partition was divided.
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -30,6 +30,14 @@
 	dropped   atomic.Int64 // time of the last dropIdle, unix nanoseconds
 }
 
+// roundTrip sends the request of an attempt with the body b. A read of the body that waits for its sender
+// ends with the context of the request.
+func (l *link) roundTrip(req *http.Request, b *body) (*http.Response, error) {
+	stop := context.AfterFunc(req.Context(), b.interrupt)
+	defer stop()
+	return l.transport.RoundTrip(req)
+}
+
 // dropIdle closes the idle connections, which may be as silent as one that gives no answer. It
 // does so at most once per silence, since slow work looks the same and a new connection costs 1 ms.
 func (l *link) dropIdle(now time.Time) {
--- a/host/pulllimits.go
+++ b/host/pulllimits.go
@@ -50,9 +50,7 @@
 // still get some. The caller holds t.mu.
 func (t *Target) mayWork(now time.Time) error {
 	p := &t.pulled
-	switch limit := t.r.o.AdmitDraining; {
-	case !t.draining || limit <= 0 || now.Sub(p.drainingSince) < limit:
-	default:
+	if limit := t.r.o.AdmitDraining; limit > 0 && t.draining && now.Sub(p.drainingSince) >= limit {
 		return errkind.New(errkind.WrongOwner, "target %s has been leaving for %v", t.info.ID, now.Sub(p.drainingSince))
 	}
 	if limit := t.r.o.AdmitOut; limit > 0 && !p.outSince.IsZero() && now.Sub(p.outSince) >= limit {
--- a/internal/cluster/process.go
+++ b/internal/cluster/process.go
@@ -7,7 +7,6 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -205,8 +204,7 @@
 			return false
 		}
 		// The state follows the name, which stands in parentheses and may hold any character.
-		_, after, found := strings.Cut(string(text[bytes.LastIndexByte(text, ')')+1:]), " ")
-		if !found || !strings.HasPrefix(after, "T") {
+		if !bytes.HasPrefix(text[bytes.LastIndexByte(text, ')')+1:], []byte(" T")) {
 			return false
 		}
 	}
--- a/session/view.go
+++ b/session/view.go
@@ -25,8 +25,8 @@
 	return v.Configuration.Version
 }
 
-// check refuses a reply, with the configuration c or nil in it, that would take the node back, or renew the lease of a node that
-// stays behind the configuration named in the reply.
+// check refuses a reply that would take the node back, or renew the lease of a node that stays behind
+// the configuration named in the reply. c is the configuration in it, nil when there is none.
 func check(v *api.View, r *api.HeartbeatReply, c *api.Configuration) error {
 	if r.Term < v.Term {
 		return errkind.New(errkind.NotLeader, "reply of term %d after term %d", r.Term, v.Term)
@@ -63,7 +63,7 @@
 		next.Configuration = c
 		reindex = true
 	}
-	if r.PeersFull || len(r.Peers) > 0 || len(r.PeersGone) > 0 {
+	if r.PeersDiffer() {
 		next.Peers = api.MergePeers(old.Peers, r)
 		reindex = true
 	}
--- a/tokens/inbox.go
+++ b/tokens/inbox.go
@@ -19,13 +19,10 @@
 // Take returns all reports of the session. It returns false when earlier ones are not known here; the
 // node has to send all of them again.
 func (i *Inbox) Take(req *api.HeartbeatRequest) (map[api.OrganisationID]api.TokenReport, bool) {
-	switch {
-	case req.TokensFull:
-		i.known, i.reports = true, maps.Clone(req.Tokens)
-	case i.known:
-		if i.reports == nil {
-			i.reports = make(map[api.OrganisationID]api.TokenReport)
-		}
+	if req.TokensFull {
+		i.known, i.reports = true, make(map[api.OrganisationID]api.TokenReport, len(req.Tokens))
+	}
+	if i.known {
 		maps.Copy(i.reports, req.Tokens)
 	}
 	return i.reports, i.known
--- a/tokens/outbox.go
+++ b/tokens/outbox.go
@@ -13,12 +13,14 @@
 }
 
 // Outbox reduces the token reports of heartbeats to what the leader does not know, and completes
-// its answers. Most organisations have no request at a node between two heartbeats. It is not safe for concurrent use.
+// its answers. Most organisations have no request at a node between two heartbeats. It is not safe for
+// concurrent use.
 type Outbox struct {
 	account Reporter
 	// held holds the reports that the leader has answered.
 	held map[api.OrganisationID]api.TokenReport
-	// unsure are the reports that were sent and not answered: the leader may have taken them in or not.
+	// unsure are the reports of the last heartbeat without a reply: the leader may have taken them in or
+	// not. Later heartbeats repeat them, so it covers all that are not answered.
 	unsure map[api.OrganisationID]api.TokenReport
 	// full says that the leader has answered a full report of this session.
 	full bool
@@ -36,25 +38,22 @@
 // Report puts the changed reports into a heartbeat. What was sent in one without a reply is sent again.
 func (o *Outbox) Report(req *api.HeartbeatRequest) {
 	reports := o.account.Report()
-	changed, gone := api.Changed(o.held, reports)
+	unsureGone := false
 	for id := range o.unsure {
-		report, found := reports[id]
-		if !found {
-			gone = true
-		} else if changed == nil {
-			changed = map[api.OrganisationID]api.TokenReport{id: report}
-		} else {
-			changed[id] = report
+		delete(o.held, id) // what the leader may not have counts as changed
+		if _, found := reports[id]; !found {
+			unsureGone = true
 		}
 	}
-	if o.full && !gone {
+	changed, heldGone := api.Changed(o.held, reports)
+	if o.full && !heldGone && !unsureGone {
 		req.Tokens = changed
 	} else {
 		o.full, o.held = false, nil
 		req.Tokens, req.TokensFull = reports, true
 	}
 	req.Answered = o.answered
-	o.unsure = maps.Clone(req.Tokens)
+	o.unsure = req.Tokens
 }
 
 // Apply takes in the reply to the last heartbeat.
