host, platform: grants of ranges by calls of the node

A service says how its targets get grants (api.Service.GrantsByCall); the decision stays with control and host, platform translates the calls. host/calls.go decides which calls are due, without I/O: - a hold ends within the lease also if the call arrives as late as its timeout; - a retry does not extend the hold, so a target that answers nothing loses its ranges; - a range with an unanswered grant is not reported as released before that grant must have ended, even after an answered release, and its owner serves it meanwhile; - 409 releases the range, which the log then grants again under a higher epoch; - a new connection needs a heartbeat since the last one ended, so no grant reaches the next instance.

Ruled out: carrying it on the loop of whole-set orders (host/orders.go); a range call has no sequence, so its uncertainty is per range. A release answered counting as proof: the model test then finds two holders at once (range taken under 18 after 20).

--- a/api/services.go
+++ b/api/services.go
@@ -27,6 +27,9 @@
 	Placement string `json:"placement,omitempty"`
 	// ColdRate is the number of requests per second that a cold target bears; 0 means no such bound.
 	ColdRate float64 `json:"cold_rate,omitempty"`
+	// GrantsByCall says that targets that heartbeat to their node get their grants by calls of the node,
+	// not in the replies to their heartbeats.
+	GrantsByCall bool `json:"grants_by_call,omitempty"`
 }
 
 // KeySource says where the owned key stands in a request. Exactly one field is set.
--- a/host/grants.go
+++ b/host/grants.go
@@ -51,6 +51,8 @@
 	held bool
 	// receivedHandover is the handover token of the previous owner, handover that of this release.
 	receivedHandover, handover string
+	// call is the state of a grant that is delivered by calls.
+	call callState
 }
 
 func (g *grant) cancelAttempts() {
@@ -112,6 +114,7 @@
 		for i := range split.Parts {
 			part := *g
 			part.partition = split.First + i
+			part.call = splitCallState(g)
 			if i > 0 {
 				part.attempts = make(map[*attempt]struct{})
 			}
@@ -156,13 +159,18 @@
 		partition: partition, epoch: epoch, reportEnd: true, receivedHandover: a.Handover,
 		attempts: make(map[*attempt]struct{}),
 	}
-	if t.info.Pulls {
+	switch {
+	case t.deliversByCall(configured(t.r.o.View(), t.info.Service)):
+		g.expiry = t.r.previousCallsEnd()
+		g.call.uncertainUntil = g.expiry
+	case t.info.Pulls:
 		// A previous process of this node may have granted the range for up to MaxHold.
 		g.expiry = now.Add(t.r.o.MaxHold)
 	}
 	if old := t.grants[partition]; old != nil {
 		old.cancelAttempts()
-		g.expiry = old.expiry
+		g.expiry = later(g.expiry, old.expiry)
+		g.call.uncertainUntil = later(g.call.uncertainUntil, old.call.uncertainUntil)
 	}
 	t.grants[partition] = g
 	t.orders.version++
@@ -197,7 +205,11 @@
 	if t.info.Pulls && !t.lost && t.unresponsive(now) {
 		t.markLost(now, "no announcement")
 	}
+	byCall := t.deliversByCall(configured(t.r.o.View(), t.info.Service))
 	for _, g := range t.grants {
+		if byCall {
+			t.advanceCalls(g, now)
+		}
 		if g.phase == draining && !t.info.Pulls && (len(g.attempts) == 0 || !now.Before(g.drainUntil)) {
 			t.revoke(g, now)
 		}
@@ -217,7 +229,7 @@
 		return len(g.attempts) == 0
 	}
 	if t.info.Pulls {
-		return now.After(g.expiry.Add(t.r.o.DriftMargin))
+		return !t.mayHoldByCall(g, now)
 	}
 	if now.After(g.expiry.Add(t.r.o.DriftMargin)) {
 		return true
@@ -246,6 +258,11 @@
 			limit = earlier(limit, g.drainUntil)
 		case g.phase == revoking && t.info.ChecksGrants:
 			limit = earlier(limit, g.expiry.Add(t.r.o.DriftMargin+time.Millisecond))
+			if g.call.released {
+				limit = earlier(limit, g.call.uncertainUntil)
+			}
+		case g.phase == draining && t.info.Pulls && g.call.uncertainUntil.After(time.Now()):
+			limit = earlier(limit, g.call.uncertainUntil)
 		}
 	}
 	return limit
--- a/host/orders.go
+++ b/host/orders.go
@@ -52,31 +52,38 @@
 // serve runs the loop of the target. It ends with ctx or when the target is removed.
 func (t *Target) serve(ctx context.Context) {
 	defer t.client.CloseIdleConnections()
+	ctx, cancel := context.WithCancel(ctx)
+	defer t.calls.Wait()
+	defer cancel()
 	for {
 		started := time.Now()
-		t.runOnce(ctx)
+		next := t.runOnce(ctx, started)
 		if t.canForget(time.Now()) {
 			t.r.remove(t)
 		}
-		if !t.waitForNext(ctx, started) {
+		if !t.waitForNext(ctx, next) {
 			return
 		}
 	}
 }
 
-// runOnce applies the view, sends one order or probe and advances the grants.
-func (t *Target) runOnce(ctx context.Context) {
+// runOnce applies the view, sends one order or probe, or starts the calls that are due, and advances the
+// grants. It returns when it has to run again.
+func (t *Target) runOnce(ctx context.Context, started time.Time) (next time.Time) {
 	t.applyView(t.r.o.View(), time.Now())
 	t.advance(time.Now())
 	switch {
-	case t.isReplaced(), t.info.Pulls:
-		return
+	case t.isReplaced():
+		return t.nextDeadline(t.nextOrderTime(started))
+	case t.info.Pulls:
+		return t.nextDeadline(t.startCalls(ctx))
 	case t.info.ChecksGrants:
 		t.sendOrder(ctx)
 	default:
 		t.probe(ctx)
 	}
 	t.advance(time.Now())
+	return t.nextDeadline(t.nextOrderTime(started))
 }
 
 func (t *Target) isReplaced() bool {
@@ -86,8 +93,8 @@
 }
 
 // waitForNext waits for the next run and reports whether the loop goes on.
-func (t *Target) waitForNext(ctx context.Context, started time.Time) bool {
-	timer := time.NewTimer(time.Until(t.nextDeadline(t.nextOrderTime(started))))
+func (t *Target) waitForNext(ctx context.Context, next time.Time) bool {
+	timer := time.NewTimer(time.Until(next))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/host/pull.go
+++ b/host/pull.go
@@ -132,6 +132,10 @@
 		return api.PullReply{}, nil, nil
 	}
 	t.applyViewLocked(v, now)
+	if t.deliversByCall(service) {
+		t.confirmCalls()
+		return api.PullReply{}, nil, nil
+	}
 	t.endReleasedGrants(service, p)
 	reply := t.buildPullReply(v, service, p, now)
 	return reply, t.nextChange(p, reply), nil
--- a/host/pullreply.go
+++ b/host/pullreply.go
@@ -128,6 +128,9 @@
 		return api.PullReply{}, nil
 	}
 	t.applyViewLocked(v, now)
+	if t.deliversByCall(service) {
+		return api.PullReply{}, nil
+	}
 	reply := t.buildPullReply(v, service, p, now)
 	return reply, t.nextChange(p, reply)
 }
--- a/host/registry.go
+++ b/host/registry.go
@@ -74,6 +74,13 @@
 	// unless control was slow. 0 means as long as it owns them.
 	DrainAdmitLimit time.Duration
 	OutAdmitLimit   time.Duration
+	// Calls translates the grants of services whose targets get them by calls; nil if there are none.
+	Calls RangeCalls
+	// HeartbeatInterval is the usual time between two announcements of a pulling target. Default
+	// api.DefaultHeartbeat.
+	HeartbeatInterval time.Duration
+	// Lease is the longest session lease of a node; 0 means that MaxHold bounds it.
+	Lease time.Duration
 	// MaxGrantWait bounds how long a request waits for a grant that the target has not yet
 	// acknowledged. Default defaultMaxGrantWait.
 	MaxGrantWait time.Duration
@@ -86,6 +93,7 @@
 	setDuration(&o.LostAfter, DefaultLostAfter)
 	setDuration(&o.GrantTTL, DefaultGrantTTL)
 	setDuration(&o.MaxHold, api.DefaultLease)
+	setDuration(&o.HeartbeatInterval, api.DefaultHeartbeat)
 	setDuration(&o.MaxGrantWait, defaultMaxGrantWait)
 	if o.Wake == nil {
 		o.Wake = func() {}
@@ -101,6 +109,8 @@
 // Registry holds the targets of a node. It is safe for concurrent use.
 type Registry struct {
 	o Options
+	// started is when this process began to manage targets.
+	started time.Time
 
 	mu      sync.RWMutex
 	ctx     context.Context // of Serve; nil before
@@ -125,6 +135,7 @@
 	o.setDefaults()
 	return &Registry{
 		o:        o,
+		started:  time.Now(),
 		targets:  make(map[api.TargetID]*Target),
 		released: make(map[api.PartitionRef]api.Released),
 		epochs:   make(map[api.PartitionRef]api.Epoch),
--- a/host/target.go
+++ b/host/target.go
@@ -38,6 +38,12 @@
 	grants       map[int]*grant
 	orders       orderState
 	pulled       pullState
+	// connectionEnded is when a connection for calls last ended.
+	connectionEnded time.Time
+	// grantCalls and releaseCalls count the calls in flight, callCount those ever sent.
+	grantCalls, releaseCalls int
+	callCount                uint64
+	calls                    sync.WaitGroup
 	// grantsUsable is closed and replaced when an order has been acknowledged.
 	grantsUsable chan struct{}
 	appliedMap   mapVersion
@@ -51,7 +57,7 @@
 }
 
 func newTarget(r *Registry, a api.Announcement, arrived time.Time) *Target {
-	return &Target{
+	t := &Target{
 		r:            r,
 		info:         a,
 		gate:         r.o.NewGate(a),
@@ -66,6 +72,10 @@
 		meter:        newMeter(arrived),
 		pulled:       pullState{changed: make(chan struct{})},
 	}
+	if a.Pulls {
+		t.client = t.callClient()
+	}
+	return t
 }
 
 // Info returns the first announcement of the target, with defaults filled in.
--- a/node/node.go
+++ b/node/node.go
@@ -135,6 +135,10 @@
 		OutAdmitLimit:   n.profile.AdmitOut,
 
 		LostAfter: silentPulls * n.profile.PullInterval,
+
+		Calls:             n.profile.Calls,
+		HeartbeatInterval: n.profile.PullInterval,
+		Lease:             milliseconds(timing.LeaseMs),
 	})
 	n.account = tokens.NewAccount(tokens.AccountOptions{
 		Organisation: func(id api.OrganisationID) *api.Organisation { return view().Index.Organisations[id] },
--- a/node/profile.go
+++ b/node/profile.go
@@ -40,6 +40,8 @@
 	Reseed func() []string
 	// PullInterval is the usual time between two announcements of such a target.
 	PullInterval time.Duration
+	// Calls is that of host.Options.
+	Calls host.RangeCalls
 	// AdmitDraining and AdmitOut are those of host.Options.
 	AdmitDraining time.Duration
 	AdmitOut      time.Duration
