tokens, control: a new leader issues for waiting requests at once

Cause: a new leader issued nothing until every open session had reported, or a whole lease (5.25 s) where one was silent.

Now tokens are issued for waiting requests from the start of the term, from a level of at most 100 ms of the rate, less the part reserved for silent nodes. What an earlier leader has issued is at most the burst, so each window stays at burst + rate x t plus that level, which the tolerance covers. Ruled out: estimating what silent sessions hold (no bound but the burst), a token for each node without a leader (295 at once).

--- a/control/leader.go
+++ b/control/leader.go
@@ -31,7 +31,8 @@
 	opening map[api.SessionID]struct{}
 	// notYetReported maps an open session without a heartbeat to the time at which it is closed.
 	notYetReported map[api.SessionID]time.Time
-	// tokensWithheld is set while nodes that have not reported may hold tokens of an earlier leader.
+	// tokensWithheld is set while nodes that have not reported may hold tokens of an earlier leader; the
+	// authority then issues for waiting requests only.
 	tokensWithheld bool
 	authority      *tokens.Authority
 	configVersion  uint64
--- a/control/reply.go
+++ b/control/reply.go
@@ -15,7 +15,7 @@
 		Term:          l.term,
 		ConfigVersion: view.Configuration.Version,
 		MapVersion:    view.MapVersion,
-		Issues:        !l.tokensWithheld && s.tokens.Synced(),
+		Issues:        s.tokens.Synced(),
 	}
 	if !s.final {
 		r.Lease = l.o.Lease
--- a/tokens/authority.go
+++ b/tokens/authority.go
@@ -19,8 +19,10 @@
 	// tokenLifetime is the session lease plus the drift margin. Tokens of a session that has sent
 	// no report for this time can no longer be spent.
 	tokenLifetime time.Duration
-	issueFrom     time.Time // a new leader issues nothing before this time
-	buckets       map[api.OrganisationID]*bucket
+	// issueFrom is when a new leader starts to issue for expected requests; from startedAt on it issues
+	// for waiting ones only, see earlyLevel.
+	startedAt, issueFrom time.Time
+	buckets              map[api.OrganisationID]*bucket
 	// active holds the buckets with an arrival within activeDuration.
 	active   map[api.OrganisationID]*bucket
 	sessions map[api.SessionID]*holder
@@ -45,6 +47,7 @@
 	rate, burst     float64 // tokens per second, tokens
 	reserved        float64 // fraction of the rate that is not issued
 	level           float64
+	early           earlyLevel
 	outstanding     int64 // sum over all sessions
 	last            time.Time
 	removed         bool
@@ -78,10 +81,12 @@
 
 // NewAuthority returns the authority of a leader that took over at now. tokenLifetime is the session
 // lease plus the drift margin. Until it has passed, tokens of an earlier leader that no node has
-// reported may be outstanding, so nothing is issued; each bucket then starts from level 0.
+// reported may be outstanding, so tokens are issued for waiting requests only; each bucket then starts
+// from level 0.
 func NewAuthority(now time.Time, tokenLifetime time.Duration, tolerance Tolerance) *Authority {
 	return &Authority{
 		tokenLifetime: tokenLifetime,
+		startedAt:     now,
 		issueFrom:     now.Add(tokenLifetime),
 		buckets:       make(map[api.OrganisationID]*bucket),
 		active:        make(map[api.OrganisationID]*bucket),
@@ -119,7 +124,7 @@
 		}
 		b := a.buckets[o.ID]
 		if b == nil {
-			b = &bucket{last: a.issueFrom, reserved: a.reserved}
+			b = &bucket{last: a.issueFrom, reserved: a.reserved, early: earlyLevel{last: later(now, a.startedAt)}}
 			a.buckets[o.ID] = b
 		}
 		b.rate, b.burst, b.removed = o.Rate*(1+a.tolerance.Share), o.Burst*(1+a.tolerance.Share)+a.tolerance.Slack, false
@@ -154,7 +159,9 @@
 	replies := make(map[api.OrganisationID]api.TokenReply, len(h.accounts))
 	for id, acc := range h.accounts {
 		b := a.buckets[id]
-		if !now.Before(a.issueFrom) {
+		if now.Before(a.issueFrom) {
+			b.issueEarly(now, acc)
+		} else {
 			b.issue(acc)
 		}
 		reply := api.TokenReply{Issued: acc.issued, Floor: acc.floor, Scarce: b.scarce(), Exhausted: b.referenceBucket.empty}
