gateway: response heads of 64 KB at most; refused bodies free the link

Cause: the head of a response could take 1 MB on each of a target's 100 connections of a host with 184 MB; and dispatch kept the booking of the link when the target refused an attempt that already had a slot, or was never asked for the body. Endless chunks, lengths, trailers and 1xx were bounded already.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -66,6 +66,9 @@
 	}
 }
 
+// asked reports whether any of the stream has been read, so that its sender was asked for it.
+func (b *body) asked() bool { return b.streamRead.Load() }
+
 // partlyRead reports whether the stream has been started but not read to its end.
 func (b *body) partlyRead() bool { return b.streamRead.Load() && !b.streamEnded.Load() }
 
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -40,9 +40,12 @@
 	ctx, endAttempt, err := t.Begin(ctx, c.ref, p.epoch, c.key)
 	if err != nil {
 		slot.Release(gate.Outcome{})
+		releaseBody()
 		return nil, errkind.From(err)
 	}
-	r := &localAttempt{gateway: g, call: c, dest: p, target: t, id: id, fromHop: fromHop, slot: slot, endAttempt: endAttempt}
+	r := &localAttempt{
+		gateway: g, call: c, dest: p, target: t, id: id, fromHop: fromHop, slot: slot, endAttempt: endAttempt, releaseBody: releaseBody,
+	}
 	return r.do(ctx)
 }
 
@@ -79,6 +82,8 @@
 	fromHop    bool
 	slot       *gate.Slot
 	endAttempt func()
+	// releaseBody cancels the booking of the link if the body was not asked for.
+	releaseBody func()
 
 	once     sendOnce
 	sentInfo AttemptInfo // what the target is sent about the attempt
@@ -147,6 +152,9 @@
 func (r *localAttempt) end() {
 	r.cancel()
 	r.endAttempt()
+	if !r.call.body.asked() {
+		r.releaseBody()
+	}
 	r.slot.Release(r.outcome)
 }
 
--- a/gateway/transports.go
+++ b/gateway/transports.go
@@ -19,6 +19,9 @@
 	idleConnTimeout = 10 * time.Second
 	// unusedTransportTimeout is the time after which the transport of an unused peer is dropped.
 	unusedTransportTimeout = 30 * time.Second
+	// maxResponseHead limits the head of a response in bytes. A target in trouble may send a head
+	// without end on each of its connections.
+	maxResponseHead = 64 << 10
 	// maxIdleConns limits the idle connections to one peer or target.
 	maxIdleConns = 100
 )
@@ -122,9 +125,8 @@
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 		// The deadline of the request ends the wait for "100 Continue".
-		ExpectContinueTimeout: maxDeadline,
-		// The response headers are small; the default of 10 MB is a risk to memory.
-		MaxResponseHeaderBytes: 1 << 20,
+		ExpectContinueTimeout:  maxDeadline,
+		MaxResponseHeaderBytes: maxResponseHead,
 	}
 	if config != nil {
 		t.DialTLSContext = guardedDialer(config)
