wal: a member waits for space on a full disk

Now the append takes back what was cut short and repeats every 100 ms, as if the disk were stalled: a leader's lease ends and others lead. Ruled out: going on without the log (acknowledged state could be lost).

--- a/replica/replica.go
+++ b/replica/replica.go
@@ -118,6 +118,7 @@
 	}
 	defer close(r.stopped)
 	defer r.store.Close()
+	defer context.AfterFunc(ctx, r.store.Interrupt)()
 	err := r.serve(ctx)
 	if ctx.Err() != nil {
 		return ctx.Err()
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -7,9 +7,12 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
+	"sync"
 	"syscall"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -45,6 +48,11 @@
 	reappeared   []string  // removed segments that reappeared after a power loss
 	hs           raft.HardState
 	writeErr     error
+	// write writes and syncs; tests replace it.
+	write func(*os.File, []byte) error
+	// interrupt ends the wait for space on a full disk.
+	interrupt     chan struct{}
+	interruptOnce sync.Once
 }
 
 // Open locks the directory, which it creates if it does not exist, and reads the stored state.
@@ -58,7 +66,7 @@
 	if err != nil {
 		return nil, RecoveredState{}, err
 	}
-	l := &Log{dir: dir, lock: lock, segmentBytes: segmentBytes}
+	l := &Log{dir: dir, lock: lock, segmentBytes: segmentBytes, write: writeAndSync, interrupt: make(chan struct{})}
 	recovered, err := l.recover()
 	if err != nil {
 		l.Close()
@@ -214,14 +222,29 @@
 	return syncDir(l.dir)
 }
 
-// append writes and syncs one record. After an error the contents of the file are unknown, so
-// every later call returns the same error.
+// fullDiskRetry is the time between two writes to a full disk.
+const fullDiskRetry = 100 * time.Millisecond
+
+// Interrupt ends the wait for space on a full disk; the write then fails. It is safe to call from
+// another goroutine.
+func (l *Log) Interrupt() { l.interruptOnce.Do(func() { close(l.interrupt) }) }
+
+// append writes and syncs one record. On a full disk it waits for space: a member that ended instead
+// could not start again either. After another error the contents of the file are unknown, so every
+// later call returns the same error.
 func (l *Log) append(typ recordType, payload []byte) error {
 	if l.writeErr != nil {
 		return l.writeErr
 	}
 	b := appendRecord(nil, typ, payload)
-	if err := writeAndSync(l.file, b); err != nil {
+	err := l.write(l.file, b)
+	for errors.Is(err, syscall.ENOSPC) && l.awaitSpace() {
+		// A part of the record may have been written.
+		if err = l.rewind(); err == nil {
+			err = l.write(l.file, b)
+		}
+	}
+	if err != nil {
 		l.writeErr = errors.Annotatef(err, "write %s", l.currentSegment().path)
 		return l.writeErr
 	}
@@ -229,6 +252,25 @@
 	return nil
 }
 
+// awaitSpace waits before the next write to a full disk. It returns false if the log was interrupted.
+func (l *Log) awaitSpace() bool {
+	select {
+	case <-time.After(fullDiskRetry):
+		return true
+	case <-l.interrupt:
+		return false
+	}
+}
+
+// rewind cuts off what was written after the last complete record.
+func (l *Log) rewind() error {
+	if err := l.file.Truncate(l.size); err != nil {
+		return errors.Trace(err)
+	}
+	_, err := l.file.Seek(l.size, io.SeekStart)
+	return errors.Trace(err)
+}
+
 // Save stores and syncs the hard state and entries. The entries replace all stored entries at
 // and after the index of the first one. More than maxBatchBytes are split over several syncs.
 func (l *Log) Save(hs raft.HardState, entries []raft.Entry) error {
@@ -273,7 +315,11 @@
 
 // InstallSnapshot stores a snapshot from the leader and replaces the whole log with it.
 func (l *Log) InstallSnapshot(s raft.Snapshot) error {
-	if err := l.WriteSnapshot(s); err != nil {
+	err := l.WriteSnapshot(s)
+	for errors.Is(err, syscall.ENOSPC) && l.awaitSpace() {
+		err = l.WriteSnapshot(s)
+	}
+	if err != nil {
 		return err
 	}
 	if err := l.append(resetRecord, encodeReset(s.Index, s.Term)); err != nil {
