control, session: configurations without organisations and keys for nodes that hold them

Cause: each change of the configuration, and each split of a busy range, sent the whole packed configuration to every node: 23 KB x 295. Organisations and their keys are most of it and rarely change. A node names the hash of those that it holds, and gets the rest; its indices of unchanged parts are shared. Ruled out: deltas by change (they need history on each leader), compression (hashes do not compress). Old and new processes do not read each other's configurations (as before, one version).

--- a/api/gob_test.go
+++ b/api/gob_test.go
@@ -18,13 +18,13 @@
 	}}}}
 	packed, err := PackConfiguration(in)
 	is.NoErr(err)
-	out, err := packed.Unpack()
+	out, _, err := packed.Unpack(nil, 0)
 	is.NoErr(err)
 	in.Document = nil
 	is.Equal(*out, in)
-	none, err := PackedConfiguration(nil).Unpack()
+	none, _, err := PackedConfiguration(nil).Unpack(nil, 0)
 	is.NoErr(err)
 	is.Equal(none, nil)
-	_, err = packed[:len(packed)/2].Unpack()
+	_, _, err = packed[:len(packed)/2].Unpack(nil, 0)
 	is.True(err != nil)
 }
--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -102,6 +102,8 @@
 	Hosts         string
 	ConfigVersion uint64
 	MapVersion    uint64
+	// AccessHash is that of the configuration that the node holds; 0 without one.
+	AccessHash uint64
 	// PeersVersion is the version of the list of nodes that the node holds.
 	PeersVersion uint64
 	Targets      []TargetReport
@@ -146,7 +148,8 @@
 	Term uint64
 	// Lease is counted by the node from the moment it sent the heartbeat.
 	Lease time.Duration
-	// Configuration is set when the node's version differs from the current one.
+	// Configuration is set when the node's version differs from the current one. It leaves out the
+	// organisations and organisation keys if the node holds them.
 	Configuration PackedConfiguration
 	ConfigVersion uint64
 	// Map is a full copy when MapFull is set, else the entries changed since the node's version.
--- a/api/view.go
+++ b/api/view.go
@@ -18,10 +18,12 @@
 	WithoutLease  bool
 	Term          uint64
 	Configuration *Configuration
-	MapVersion    uint64
-	Assignments   Assignments
-	Peers         []Peer
-	PeersVersion  uint64
+	// AccessHash is that of Configuration.
+	AccessHash   uint64
+	MapVersion   uint64
+	Assignments  Assignments
+	Peers        []Peer
+	PeersVersion uint64
 	// Index holds look-ups derived from the fields above.
 	Index *ViewIndex
 }
@@ -50,29 +52,48 @@
 
 // NewViewIndex derives the look-ups of v.
 func NewViewIndex(v *View) *ViewIndex {
-	x := &ViewIndex{
-		Organisations:    make(map[OrganisationID]*Organisation),
-		KeysByDigest:     make(map[KeyDigest]*OrganisationKey),
-		Peers:            make(map[SessionID]*Peer),
-		Overrides:        make(map[string]map[string]int),
-		TargetsByService: make(map[string][]TargetAt),
+	x := new(ViewIndex)
+	x.indexAccess(v.Configuration)
+	x.indexOverrides(v.Configuration)
+	x.indexPeers(v.Peers)
+	return x
+}
+
+// Reindexed returns the index of v, whose parts that did not change are shared with x, the index of an
+// older view.
+func (x *ViewIndex) Reindexed(v *View, accessChanged, configurationChanged, peersChanged bool) *ViewIndex {
+	next := *x
+	if accessChanged {
+		next.indexAccess(v.Configuration)
 	}
-	if v.Configuration != nil {
-		x.addConfiguration(v.Configuration)
+	if configurationChanged {
+		next.indexOverrides(v.Configuration)
 	}
-	for i := range v.Peers {
-		x.addPeer(&v.Peers[i])
+	if peersChanged {
+		next.indexPeers(v.Peers)
 	}
-	return x
+	return &next
 }
 
-func (x *ViewIndex) addConfiguration(c *Configuration) {
+func (x *ViewIndex) indexAccess(c *Configuration) {
+	x.Organisations = make(map[OrganisationID]*Organisation)
+	x.KeysByDigest = make(map[KeyDigest]*OrganisationKey)
+	if c == nil {
+		return
+	}
 	for i := range c.Organisations {
 		x.Organisations[c.Organisations[i].ID] = &c.Organisations[i]
 	}
 	for i := range c.Keys {
 		x.KeysByDigest[c.Keys[i].Digest] = &c.Keys[i]
 	}
+}
+
+func (x *ViewIndex) indexOverrides(c *Configuration) {
+	x.Overrides = make(map[string]map[string]int)
+	if c == nil {
+		return
+	}
 	for _, o := range c.Overrides {
 		if x.Overrides[o.Service] == nil {
 			x.Overrides[o.Service] = make(map[string]int)
@@ -81,6 +102,14 @@
 	}
 }
 
+func (x *ViewIndex) indexPeers(peers []Peer) {
+	x.Peers = make(map[SessionID]*Peer, len(peers))
+	x.TargetsByService = make(map[string][]TargetAt)
+	for i := range peers {
+		x.addPeer(&peers[i])
+	}
+}
+
 func (x *ViewIndex) addPeer(p *Peer) {
 	x.Peers[p.Session] = p
 	for _, t := range p.Targets {
--- a/capacity/messages.go
+++ b/capacity/messages.go
@@ -151,7 +151,7 @@
 		if err != nil {
 			return nil, err
 		}
-		unpacking, err := repeat(z.Loop, func() error { _, err := packed.Unpack(); return err })
+		unpacking, err := repeat(z.Loop, func() error { _, _, err := packed.Unpack(nil, 0); return err })
 		if err != nil {
 			return nil, err
 		}
--- a/capacity/view.go
+++ b/capacity/view.go
@@ -16,7 +16,7 @@
 	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&r); err != nil {
 		return nil, errors.Trace(err)
 	}
-	configuration, err := r.Configuration.Unpack()
+	configuration, _, err := r.Configuration.Unpack(nil, 0)
 	if err != nil {
 		return nil, err
 	}
--- a/control/fake_test.go
+++ b/control/fake_test.go
@@ -275,7 +275,7 @@
 	n.leaseEnd = sent.Add(r.Lease)
 	n.term = r.Term
 	n.issued = max(n.issued, r.Tokens["org"].Issued)
-	if c, err := r.Configuration.Unpack(); err != nil {
+	if c, _, err := r.Configuration.Unpack(nil, 0); err != nil {
 		n.err = err
 	} else if c != nil {
 		n.config = c
--- a/control/leader.go
+++ b/control/leader.go
@@ -40,9 +40,8 @@
 	peers      *peerList
 	peersDirty bool
 
-	// packedConfiguration caches the configuration of packedVersion as encoded for heartbeat replies.
-	packedConfiguration api.PackedConfiguration
-	packedVersion       uint64
+	// packed caches a configuration as encoded for heartbeat replies.
+	packed packedCache
 
 	// released holds the released grants that nodes reported.
 	released map[api.PartitionRef]api.Released
--- a/control/reply.go
+++ b/control/reply.go
@@ -26,7 +26,7 @@
 		r.TokensAgain = true
 	}
 	if s.last.ConfigVersion != view.Configuration.Version {
-		r.Configuration = l.packed(view)
+		r.Configuration = l.packedFor(view, s.last.AccessHash)
 	}
 	l.fillMap(r, view, s.last.MapVersion)
 	l.fillPeers(r, view, s.last.PeersVersion, now)
@@ -83,20 +83,47 @@
 	l.peers.fill(r, known)
 }
 
-// packed returns the encoded configuration, from a cache when the version is the same. It returns nil
-// when the configuration cannot be encoded; nodes then reject the reply.
-func (l *leader) packed(view *api.ControlState) api.PackedConfiguration {
+// packedCache holds a configuration as encoded for heartbeat replies: whole, and without the
+// organisations and their keys for nodes that hold those with the hash.
+type packedCache struct {
+	version       uint64
+	accessHash    uint64
+	whole         api.PackedConfiguration
+	withoutAccess api.PackedConfiguration
+}
+
+// packedFor returns the encoded configuration for a node that holds organisations and keys with the
+// hash. It returns nil when the configuration cannot be encoded; nodes then reject the reply.
+//
+// Load pattern: the configuration changes several times a second, by operators or because busy
+// partitions are split, in a fleet of hundreds of nodes on slow links. Few of these changes concern
+// organisations, whose keys are most of its bytes.
+func (l *leader) packedFor(view *api.ControlState, heldHash uint64) api.PackedConfiguration {
 	c := view.Configuration
-	if l.packedVersion == c.Version && l.packedConfiguration != nil {
-		return l.packedConfiguration
+	if l.packed.version != c.Version || l.packed.whole == nil {
+		next, err := packConfiguration(c)
+		if err != nil {
+			l.log.WithError(err).WithField("configuration", c.Version).Error("Cannot encode the configuration. Nodes keep the previous one.")
+			return nil
+		}
+		l.packed = next
+	}
+	if heldHash == l.packed.accessHash {
+		return l.packed.withoutAccess
+	}
+	return l.packed.whole
+}
+
+func packConfiguration(c api.Configuration) (p packedCache, err error) {
+	p.version = c.Version
+	if p.accessHash, err = api.AccessHash(&c); err != nil {
+		return p, err
 	}
-	packed, err := api.PackConfiguration(c)
-	if err != nil {
-		l.log.WithError(err).WithField("configuration", c.Version).Error("Cannot encode the configuration. Nodes keep the previous one.")
-		return nil
+	if p.withoutAccess, err = api.PackWithoutAccess(c, p.accessHash); err != nil {
+		return p, err
 	}
-	l.packedVersion, l.packedConfiguration = c.Version, packed
-	return packed
+	p.whole, err = api.PackConfiguration(c)
+	return p, err
 }
 
 // refreshPeers rebuilds the list of nodes from the live sessions.
--- a/session/heartbeat.go
+++ b/session/heartbeat.go
@@ -34,6 +34,7 @@
 		Hosts:         s.o.Hosts,
 		ConfigVersion: configVersion(v),
 		MapVersion:    v.MapVersion,
+		AccessHash:    v.AccessHash,
 		PeersVersion:  v.PeersVersion,
 		Targets:       s.o.TargetSource.Targets(),
 		Released:      s.o.TargetSource.Released(),
@@ -159,7 +160,7 @@
 // acceptReply validates the reply and publishes the resulting view. A rejected reply changes nothing.
 func (s *Session) acceptReply(req *api.HeartbeatRequest, reply *api.HeartbeatReply, sent time.Time, sentBoot time.Duration) error {
 	old := s.view.Load()
-	configuration, err := reply.Configuration.Unpack()
+	configuration, accessHash, err := reply.Configuration.Unpack(old.Configuration, old.AccessHash)
 	if err == nil {
 		err = checkReply(old, reply, configuration)
 	}
@@ -167,7 +168,7 @@
 		telemetry.CountEvent("heartbeat_reply_refused", 1)
 		return err
 	}
-	next := mergeReply(old, reply, configuration)
+	next := mergeReply(old, reply, configuration, accessHash)
 	next.RenewedAt = sent
 	next.LeaseUntil = sent.Add(reply.Lease)
 	next.LeaseEnd = sentBoot + reply.Lease
--- a/session/view.go
+++ b/session/view.go
@@ -57,23 +57,21 @@
 }
 
 // mergeReply returns the view after the reply. Unchanged parts are shared with the old view.
-func mergeReply(old *api.View, r *api.HeartbeatReply, c *api.Configuration) *api.View {
+func mergeReply(old *api.View, r *api.HeartbeatReply, c *api.Configuration, accessHash uint64) *api.View {
 	next := *old
 	next.Term = r.Term
-	reindex := false
-	if c != nil && r.ConfigVersion > configVersion(old) {
-		next.Configuration = c
-		reindex = true
+	configurationChanged := c != nil && r.ConfigVersion > configVersion(old)
+	if configurationChanged {
+		next.Configuration, next.AccessHash = c, accessHash
 	}
 	if r.PeersDiffer() {
 		next.Peers = api.MergePeers(old.Peers, r)
-		reindex = true
 	}
 	next.PeersVersion = r.PeersVersion
 	next.MapVersion = r.MapVersion
 	next.Assignments = mergeAssignments(old.Assignments, r)
-	if reindex {
-		next.Index = api.NewViewIndex(&next)
+	if configurationChanged || r.PeersDiffer() {
+		next.Index = old.Index.Reindexed(&next, next.AccessHash != old.AccessHash, configurationChanged, r.PeersDiffer())
 	}
 	return &next
 }
