gateway: the near choice compares targets of its own zone first

Cause: the choice sampled 8 targets of the whole service. With 66 targets in 6 zones, 23 of 100 samples had none in the zone, so bodies of 60 KB and calls crossed zones while targets beside them were free; those that were in the zone were not compared with others. The index now lists the targets of the zone first, and up to 8 of them and 8 others are compared.

--- a/api/view.go
+++ b/api/view.go
@@ -35,7 +35,7 @@
 	Peers         map[SessionID]*Peer
 	// Overrides maps service and key to the partition of a single hot key.
 	Overrides map[string]map[string]int
-	// TargetsByService lists the targets that may receive requests.
+	// TargetsByService lists the targets that may receive requests, those in the zone of the node first.
 	TargetsByService map[string][]TargetAt
 }
 
@@ -55,7 +55,7 @@
 	x := new(ViewIndex)
 	x.indexAccess(v.Configuration)
 	x.indexOverrides(v.Configuration)
-	x.indexPeers(v.Peers)
+	x.indexPeers(v)
 	return x
 }
 
@@ -70,7 +70,7 @@
 		next.indexOverrides(v.Configuration)
 	}
 	if peersChanged {
-		next.indexPeers(v.Peers)
+		next.indexPeers(v)
 	}
 	return &next
 }
@@ -102,11 +102,15 @@
 	}
 }
 
-func (x *ViewIndex) indexPeers(peers []Peer) {
-	x.Peers = make(map[SessionID]*Peer, len(peers))
+func (x *ViewIndex) indexPeers(v *View) {
+	x.Peers = make(map[SessionID]*Peer, len(v.Peers))
 	x.TargetsByService = make(map[string][]TargetAt)
-	for i := range peers {
-		x.addPeer(&peers[i])
+	for _, sameZone := range []bool{true, false} {
+		for i := range v.Peers {
+			if p := &v.Peers[i]; (p.Zone == v.Zone) == sameZone {
+				x.addPeer(p)
+			}
+		}
 	}
 }
 
--- a/gateway/choice.go
+++ b/gateway/choice.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sort"
 	"time"
 
 	"github.com/zinniapier/zinniapier/api"
@@ -31,6 +32,11 @@
 // Len returns the number of candidates.
 func (c Candidates) Len() int { return len(c.targets) }
 
+// SameZone returns the number of candidates in the zone of this node. They come first.
+func (c Candidates) SameZone() int {
+	return sort.Search(len(c.targets), func(i int) bool { return c.targets[i].Peer.Zone != c.zone })
+}
+
 // At returns a candidate with its load.
 func (c Candidates) At(i int) Candidate {
 	l := c.loads.get(c.targets[i].Target.ID)
--- a/gateway/near.go
+++ b/gateway/near.go
@@ -10,7 +10,7 @@
 const NearChoice = "near"
 
 const (
-	// nearSampleSize is the number of candidates of a large service that are compared.
+	// nearSampleSize is the number of candidates in the zone that are compared, and of those in other zones.
 	nearSampleSize = 8
 	// otherZonePenalty is the factor by which a target in another zone must be faster.
 	otherZonePenalty = 3.0
@@ -22,22 +22,31 @@
 )
 
 // nearChoice selects the target with the least expected latency, with a penalty for other zones.
+//
+// Load pattern: a service with many targets in several zones. A sample over all of them often has none in
+// the zone, and large bodies then cross zones although targets beside them are free.
 type nearChoice struct{}
 
 // Choose implements TargetChoice.
 func (nearChoice) Choose(candidates Candidates) int {
-	n := candidates.Len()
 	penalty := otherZonePenalty
 	if candidates.large {
 		penalty = otherZoneLargeBodyPenalty
 	}
-	best, bestTime := 0, 0.0
-	start := rand.IntN(n)
-	for k := range min(n, nearSampleSize) {
-		i := (start + k) % n
-		t := zoneWeightedTime(candidates.At(i), penalty)
-		if k == 0 || t < bestTime {
-			best, bestTime = i, t
+	near := candidates.SameZone()
+	best, bestTime := -1, 0.0
+	for _, part := range [][2]int{{0, near}, {near, candidates.Len()}} {
+		first, n := part[0], part[1]-part[0]
+		if n == 0 {
+			continue
+		}
+		start := rand.IntN(n)
+		for k := range min(n, nearSampleSize) {
+			i := first + (start+k)%n
+			t := zoneWeightedTime(candidates.At(i), penalty)
+			if best < 0 || t < bestTime {
+				best, bestTime = i, t
+			}
 		}
 	}
 	return best
