--- a/config/config_test.go
+++ b/config/config_test.go
@@ -144,6 +144,7 @@
 		{"splits", "services.json", `"partitions": 64`, `"partitions": 64, "splits": [{"base": 0, "first": 64, "parts": 2}]`, "services[1].splits: "},
 		{"partitions without key", "services.json", `"key": {"path_segment": 1},`, ``, "services[1].partitions: "},
 		{"deadline", "services.json", `5000`, `-5`, "services[1].deadline_ms: "},
+		{"grants by call without ranges", "services.json", `"name": "stock",`, `"name": "stock", "grants_by_call": true,`, "services[0].grants_by_call: "},
 		{"placement plug-in", "services.json", `"deadline_ms": 5000`, `"placement": "a b"`, "services[1].placement: "},
 		{"placement without key", "services.json", `"name": "stock",`, `"name": "stock", "placement": "balanced",`, "services[0].placement: "},
 		{"target choice plug-in", "services.json", `"name": "stock",`, `"name": "stock", "target_choice": "-",`, "services[0].target_choice: "},
--- a/config/services.go
+++ b/config/services.go
@@ -63,6 +63,9 @@
 	} else {
 		p.undivided(path, s)
 	}
+	if s.GrantsByCall && !s.Ranged() {
+		p.add(path+".grants_by_call", "only a service whose key has a span grants ranges")
+	}
 	if len(s.Routes) == 0 {
 		p.add(path+".routes", "missing")
 	}
