placement: limits for chance differences that grow with the number of targets

Cause: a plan started when any target exceeded the mean by 3 deviations of its measured load: with 229 targets that happens by chance in every fourth plan, and moves then went on down to a tenth of the mean, which is 0.4 of a deviation at 12 requests a second. The limit now grows with the number of targets, and moves end once neither the busiest nor the least busy target differs by more than 1.5 deviations.

--- a/placement/balanced.go
+++ b/placement/balanced.go
@@ -20,9 +20,13 @@
 	// requests of a key.
 	moveTolerance = 0.1
 	// noiseSigmas is the excess over the mean, in standard deviations of the measured load, up to
-	// which no moves start. Once started, they continue down to moveTolerance. With 7 equally
-	// loaded targets, one exceeds it in 1 of 100 plans.
-	noiseSigmas = 3.0
+	// which no moves start with noiseTargets targets. Of so many equally loaded ones, one exceeds it in
+	// 1 of 100 plans; it grows with the number of targets, or chance alone would start moves.
+	noiseSigmas  = 3.0
+	noiseTargets = 7
+	// levelSigmas is the difference from the mean, in standard deviations, down to which moves continue
+	// once started.
+	levelSigmas = 1.5
 	// loadWindowSeconds is the time over which a load is measured; random arrivals in this window
 	// determine its variance.
 	loadWindowSeconds = 1.5
@@ -231,12 +235,12 @@
 func (pl *planner) levelOnce() bool {
 	byUtilisation := func(x, y *targetLoad) int { return compareWithEpsilon(x.utilisation(), y.utilisation()) }
 	from := slices.MaxFunc(pl.eligible, byUtilisation)
-	if !pl.uniform && from.utilisation() <= pl.mean()*(1+moveTolerance) {
-		return false
-	}
 	to := slices.MinFunc(pl.eligible, func(x, y *targetLoad) int {
 		return cmp.Or(byUtilisation(x, y), compareWithEpsilon(pl.zones[x.Zone].utilisation(), pl.zones[y.Zone].utilisation()))
 	})
+	if !pl.uniform && pl.isLevel(from) && pl.isLevel(to) {
+		return false
+	}
 	i := bestMove(from, to)
 	if i < 0 {
 		return false
@@ -249,14 +253,32 @@
 	return true
 }
 
+// isLevel reports whether the load of the target differs too little from the mean to pay for a move.
+//
+// Load pattern: hundreds of targets with a dozen requests a second each. Loads measured for a second then
+// differ from the mean by a quarter by chance alone, and levelling that moves keys back and forth.
+func (pl *planner) isLevel(t *targetLoad) bool {
+	expected := pl.mean() * t.Capacity
+	return math.Abs(t.weight-expected) <= max(moveTolerance*expected, levelSigmas*loadDeviation(expected))
+}
+
+// loadDeviation is the standard deviation of a measured load, in requests per second.
+func loadDeviation(expected float64) float64 { return math.Sqrt(expected / loadWindowSeconds) }
+
+// noiseLimit returns the excess, in standard deviations, that one of n equally loaded targets exceeds
+// about as rarely as one of noiseTargets exceeds noiseSigmas.
+func noiseLimit(n int) float64 {
+	return math.Sqrt(noiseSigmas*noiseSigmas + 2*math.Log(max(float64(n)/noiseTargets, 1)))
+}
+
 // withinNoise reports whether no target exceeds the mean by more than chance explains, and none
 // is below half of it. With its even share of the partitions a target has at least about half of
 // the mean because of minMeanShare, so a lower weight means too few partitions, as on a new target.
 func (pl *planner) withinNoise() bool {
-	mean := pl.mean()
+	mean, limit := pl.mean(), noiseLimit(len(pl.eligible))
 	for _, x := range pl.eligible {
 		expected := mean * x.Capacity
-		if x.weight-expected > noiseSigmas*math.Sqrt(expected/loadWindowSeconds) {
+		if x.weight-expected > limit*loadDeviation(expected) {
 			return false
 		}
 		if x.weight < minMeanShare*expected {
