--- a/api/target.go
+++ b/api/target.go
@@ -60,7 +60,8 @@
 	Instance string `json:"instance,omitempty"`
 	// StartedMs orders the instances at one address: the Unix time in milliseconds of their start.
 	StartedMs int64 `json:"started_ms,omitempty"`
-	// Pulls says that the target takes its grants from the replies to its announcements.
+	// Pulls says that the target takes its grants from the replies to its announcements, or by calls of
+	// the node if its service has GrantsByCall.
 	Pulls bool `json:"pulls,omitempty"`
 }
 
--- a/host/callclient.go
+++ b/host/callclient.go
@@ -41,7 +41,7 @@
 	}
 }
 
-// dialForCalls opens a connection if the instance is known to run. A grant that reached the next
+// dialForCalls opens a connection if the instance is known to run. A grant that reached a later
 // instance at the address would give it keys under an epoch that its predecessor had.
 func (t *Target) dialForCalls(ctx context.Context, network, address string) (net.Conn, error) {
 	t.mu.Lock()
