daemon: draining is timed by the monotonic clock; host: the expiry of replaced grants of pulling targets as before

Found on reading the change: a step of the time of day during a stop would have lengthened the drain by the step; and a grant that replaces another one of a pulling target waited for the longest hold instead of the former one's expiry. earlyShare is earlyFillTime: it is a time.

--- a/daemon/http.go
+++ b/daemon/http.go
@@ -32,8 +32,9 @@
 	name     string
 	listener net.Listener
 	server   *http.Server
-	// drainSince is when draining began, in Unix nanoseconds; 0 before.
-	drainSince atomic.Int64
+	// drainSince is when draining began; nil before. Its monotonic reading counts, as the time of day
+	// may jump.
+	drainSince atomic.Pointer[time.Time]
 
 	mu sync.Mutex
 	// unused holds the connections without a request so far; nil for callers' listeners.
@@ -50,7 +51,7 @@
 // closeWhileDraining makes each response end its connection once draining has begun.
 func (s *HTTPService) closeWhileDraining(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.drainSince.Load() != 0 {
+		if s.drainSince.Load() != nil {
 			w.Header().Set("Connection", "close")
 		}
 		handler.ServeHTTP(w, r)
@@ -59,12 +60,15 @@
 
 // Drain makes callers turn to other listeners: each response from now on ends its connection. It is
 // meant for a process that will stop, some time before the context of Serve ends.
-func (s *HTTPService) Drain() { s.drainSince.CompareAndSwap(0, time.Now().UnixNano()) }
+func (s *HTTPService) Drain() {
+	now := time.Now()
+	s.drainSince.CompareAndSwap(nil, &now)
+}
 
 // awaitDrain returns once draining has lasted for drainTime.
 func (s *HTTPService) awaitDrain() {
 	s.Drain()
-	time.Sleep(time.Until(time.Unix(0, s.drainSince.Load()).Add(drainTime)))
+	time.Sleep(time.Until(s.drainSince.Load().Add(drainTime)))
 }
 
 // NewInternalHTTPService is NewHTTPService for a listener that only processes of the system
--- a/host/grants.go
+++ b/host/grants.go
@@ -159,8 +159,9 @@
 		partition: partition, epoch: epoch, reportEnd: true, receivedHandover: a.Handover,
 		attempts: make(map[*attempt]struct{}),
 	}
+	byCall := t.deliversByCall(configured(t.r.o.View(), t.info.Service))
 	switch {
-	case t.deliversByCall(configured(t.r.o.View(), t.info.Service)):
+	case byCall:
 		g.expiry = t.r.previousCallsEnd()
 		g.call.uncertainUntil = g.expiry
 	case t.info.Pulls:
@@ -169,8 +170,12 @@
 	}
 	if old := t.grants[partition]; old != nil {
 		old.cancelAttempts()
-		g.expiry = later(g.expiry, old.expiry)
-		g.call.uncertainUntil = later(g.call.uncertainUntil, old.call.uncertainUntil)
+		if byCall {
+			g.expiry = later(g.expiry, old.expiry)
+			g.call.uncertainUntil = later(g.call.uncertainUntil, old.call.uncertainUntil)
+		} else {
+			g.expiry = old.expiry
+		}
 	}
 	t.grants[partition] = g
 	t.orders.version++
--- a/tokens/early_test.go
+++ b/tokens/early_test.go
@@ -31,7 +31,7 @@
 	for ms := 2000; ms < 5000; ms += 10 {
 		now := start.Add(time.Duration(ms) * time.Millisecond)
 		report(now, api.SessionID([]string{"s1", "s2"}[ms/10%2]), 40, 40) // the nodes take turns
-		is.True(float64(count) <= rate*float64(ms-2000)/1000+rate*earlyShare.Seconds()+1)
+		is.True(float64(count) <= rate*float64(ms-2000)/1000+rate*earlyFillTime.Seconds()+1)
 	}
 	is.True(float64(count) >= 0.9*rate*3)
 	is.True(issued["s1"] > 20 && issued["s2"] > 20) // both get their part
