host, tokens, control: what the change wrote twice or did too early

- withDrift and withoutDrift stand beside clockDrift, and the replies to pulling targets use them too; they had the same two expressions of their own.
- The early level of a bucket starts when the bucket is made; startedAt and a second later() are gone.
No behaviour changes meant.

--- a/control/reply.go
+++ b/control/reply.go
@@ -99,31 +99,33 @@
 // partitions are split, in a fleet of hundreds of nodes on slow links. Few of these changes concern
 // organisations, whose keys are most of its bytes.
 func (l *leader) packedFor(view *api.ControlState, heldHash uint64) api.PackedConfiguration {
-	c := view.Configuration
-	if l.packed.version != c.Version || l.packed.whole == nil {
-		next, err := packConfiguration(c)
-		if err != nil {
-			l.log.WithError(err).WithField("configuration", c.Version).Error("Cannot encode the configuration. Nodes keep the previous one.")
-			return nil
-		}
-		l.packed = next
+	packed, err := l.packed.forNode(view.Configuration, heldHash)
+	if err != nil {
+		l.log.WithError(err).WithField("configuration", view.Configuration.Version).Error("Cannot encode the configuration. Nodes keep the previous one.")
+		return nil
 	}
-	if heldHash == l.packed.accessHash {
-		return l.packed.withoutAccess
-	}
-	return l.packed.whole
+	return packed
 }
 
-func packConfiguration(c api.Configuration) (p packedCache, err error) {
-	p.version = c.Version
-	if p.accessHash, err = api.AccessHash(&c); err != nil {
-		return p, err
+// forNode encodes each form of a version when the first node needs it.
+func (p *packedCache) forNode(c api.Configuration, heldHash uint64) (_ api.PackedConfiguration, err error) {
+	if p.accessHash == 0 || p.version != c.Version {
+		hash, err := api.AccessHash(&c)
+		if err != nil {
+			return nil, err
+		}
+		*p = packedCache{version: c.Version, accessHash: hash}
+	}
+	if heldHash == p.accessHash {
+		if p.withoutAccess == nil {
+			p.withoutAccess, err = api.PackWithoutAccess(c, p.accessHash)
+		}
+		return p.withoutAccess, err
 	}
-	if p.withoutAccess, err = api.PackWithoutAccess(c, p.accessHash); err != nil {
-		return p, err
+	if p.whole == nil {
+		p.whole, err = api.PackConfiguration(c)
 	}
-	p.whole, err = api.PackConfiguration(c)
-	return p, err
+	return p.whole, err
 }
 
 // refreshPeers rebuilds the list of nodes from the live sessions.
--- a/host/calls.go
+++ b/host/calls.go
@@ -98,14 +98,6 @@
 	return r.started.Add(callTimeout + withDrift(r.maxCallHold()))
 }
 
-// withDrift returns the longest real time that a target with a slow clock measures as d.
-func withDrift(d time.Duration) time.Duration { return time.Duration(float64(d) * (1 + clockDrift)) }
-
-// withoutDrift returns the longest hold that ends within d on a slow clock.
-func withoutDrift(d time.Duration) time.Duration {
-	return time.Duration(float64(d)/(1+clockDrift)) - holdMargin
-}
-
 // callHold returns the hold of a grant call sent now. It ends within the lease of the node even if the
 // call arrives as late as its timeout allows.
 //
--- a/host/pull.go
+++ b/host/pull.go
@@ -22,6 +22,14 @@
 	MaxReplyRanges = 140
 )
 
+// withDrift returns the longest real time that a target with a slow clock measures as d.
+func withDrift(d time.Duration) time.Duration { return time.Duration(float64(d) * (1 + clockDrift)) }
+
+// withoutDrift returns the longest hold that ends within d on a slow clock.
+func withoutDrift(d time.Duration) time.Duration {
+	return time.Duration(float64(d)/(1+clockDrift)) - holdMargin
+}
+
 // pullState is the state of a target that pulls: it gets its grants in the replies to its announcements.
 type pullState struct {
 	// sequence is the sequence of the latest announcement.
--- a/host/pullreply.go
+++ b/host/pullreply.go
@@ -19,11 +19,11 @@
 // now on: the target serves it until it reads the reply. The caller holds t.mu.
 func (t *Target) buildPullReply(v *api.View, s *api.Service, p api.Pull, now time.Time) api.PullReply {
 	left := v.LeaseEnd - boottime.Now()
-	hold := min(time.Duration(float64(left)/(1+clockDrift))-holdMargin, t.r.o.MaxHold)
+	hold := min(withoutDrift(left), t.r.o.MaxHold)
 	if hold <= 0 {
 		return api.PullReply{}
 	}
-	expiry := now.Add(time.Duration(float64(hold) * (1 + clockDrift)))
+	expiry := now.Add(withDrift(hold))
 	reply := api.PullReply{Renews: true, Hold: hold}
 	var plain []api.RangeGrant
 	s.InKeyOrder(func(partition int) {
--- a/tokens/authority.go
+++ b/tokens/authority.go
@@ -19,10 +19,10 @@
 	// tokenLifetime is the session lease plus the drift margin. Tokens of a session that has sent
 	// no report for this time can no longer be spent.
 	tokenLifetime time.Duration
-	// issueFrom is when a new leader starts to issue for expected requests; from startedAt on it issues
-	// for waiting ones only, see earlyLevel.
-	startedAt, issueFrom time.Time
-	buckets              map[api.OrganisationID]*bucket
+	// issueFrom is when a new leader starts to issue for expected requests; before, it issues for
+	// waiting ones only, see earlyLevel.
+	issueFrom time.Time
+	buckets   map[api.OrganisationID]*bucket
 	// active holds the buckets with an arrival within activeDuration.
 	active   map[api.OrganisationID]*bucket
 	sessions map[api.SessionID]*holder
@@ -86,7 +86,6 @@
 func NewAuthority(now time.Time, tokenLifetime time.Duration, tolerance Tolerance) *Authority {
 	return &Authority{
 		tokenLifetime: tokenLifetime,
-		startedAt:     now,
 		issueFrom:     now.Add(tokenLifetime),
 		buckets:       make(map[api.OrganisationID]*bucket),
 		active:        make(map[api.OrganisationID]*bucket),
@@ -124,7 +123,7 @@
 		}
 		b := a.buckets[o.ID]
 		if b == nil {
-			b = &bucket{last: a.issueFrom, reserved: a.reserved, early: earlyLevel{last: later(now, a.startedAt)}}
+			b = &bucket{last: a.issueFrom, reserved: a.reserved, early: earlyLevel{last: now}}
 			a.buckets[o.ID] = b
 		}
 		b.rate, b.burst, b.removed = o.Rate*(1+a.tolerance.Share), o.Burst*(1+a.tolerance.Share)+a.tolerance.Slack, false
--- a/tokens/early.go
+++ b/tokens/early.go
@@ -35,10 +35,3 @@
 	b.outstanding += n
 	b.early.level -= float64(n)
 }
-
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
