daemon: a planned stop answers requests on connections that it has just accepted

The drain of 300 ms before did not help: connections arrive until the listener closes. Now the listener is closed first, then all connections that were accepted are served to their end; those without a request are closed after 5 s (200 ms on internal listeners), as before.

--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -64,3 +64,59 @@
 	t.Logf("%d served, %d cut off", served.Load(), cut.Load())
 	is.Equal(cut.Load(), int64(0))
 }
+
+// countingListener counts the connections that it has accepted.
+type countingListener struct {
+	net.Listener
+	accepted atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted.Add(1)
+	}
+	return conn, err
+}
+
+// Guards against requests that a planned stop under load cuts off on connections that it has just accepted:
+// net/http drops a request that it has read, if a shutdown began while it was read.
+func TestStopUnderLoadAnswersNewConnections(t *testing.T) {
+	is := is.New(t)
+	var accepted, served int64
+	for range 20 {
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		l := &countingListener{Listener: inner}
+		ctx, stop := context.WithCancel(t.Context())
+		s := NewHTTPService("test", l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }))
+		ended := make(chan error, 1)
+		go func() { ended <- s.Serve(ctx) }()
+		var callers sync.WaitGroup
+		var answered atomic.Int64
+		for range 32 {
+			callers.Go(func() {
+				// Without kept connections each request has one of its own.
+				transport := &http.Transport{DisableKeepAlives: true}
+				for {
+					req, _ := http.NewRequestWithContext(t.Context(), "POST", "http://"+l.Addr().String(), io.NopCloser(strings.NewReader("x")))
+					resp, err := transport.RoundTrip(req)
+					if err != nil {
+						return
+					}
+					answered.Add(1)
+					_, _ = io.Copy(io.Discard, resp.Body)
+					_ = resp.Body.Close()
+				}
+			})
+		}
+		time.Sleep(20 * time.Millisecond)
+		stop()
+		<-ended
+		callers.Wait()
+		accepted += l.accepted.Load()
+		served += answered.Load()
+	}
+	t.Logf("%d requests served, %d cut off", served, accepted-served)
+	is.Equal(served, accepted)
+}
--- a/daemon/http.go
+++ b/daemon/http.go
@@ -19,12 +19,14 @@
 	// shutdownTimeout bounds how long a listener waits for running requests.
 	shutdownTimeout = 12 * time.Second
 	// drainTime is how long a listener goes on serving at shutdown while each response asks its caller
-	// to close the connection. net/http closes idle connections at once, and with them requests that
+	// to close the connection. Connections that are idle after it are closed, and with them requests that
 	// have arrived and are not read yet.
 	drainTime = 300 * time.Millisecond
-	// unusedGrace is how long a listener for the system's own processes waits at shutdown for
-	// the first request on a connection. net/http waits 5 s, which callers get in full.
-	unusedGrace = 200 * time.Millisecond
+	// unusedGrace is how long a listener for callers waits at shutdown for the first request on a connection.
+	unusedGrace = 5 * time.Second
+	// internalUnusedGrace is unusedGrace for listeners that only processes of the system use: they dial
+	// connections ahead of need and may leave one unused.
+	internalUnusedGrace = 200 * time.Millisecond
 )
 
 // HTTPService serves a handler on a listener as a suture service.
@@ -36,15 +38,39 @@
 	// may jump.
 	drainSince atomic.Pointer[time.Time]
 
+	unusedGrace time.Duration
+
 	mu sync.Mutex
-	// unused holds the connections without a request so far; nil for callers' listeners.
+	// open is the number of connections.
+	open int
+	// unused holds the connections without a request so far.
 	unused map[net.Conn]struct{}
+	// closed wakes the wait for the end of all connections.
+	closed chan struct{}
 }
 
 // NewHTTPService returns a service that owns the listener.
 func NewHTTPService(name string, listener net.Listener, handler http.Handler) *HTTPService {
-	s := &HTTPService{name: name, listener: listener}
-	s.server = &http.Server{Handler: s.closeWhileDraining(handler), ReadHeaderTimeout: readHeaderTimeout}
+	s := &HTTPService{
+		name:        name,
+		listener:    listener,
+		unusedGrace: unusedGrace,
+		unused:      make(map[net.Conn]struct{}),
+		closed:      make(chan struct{}, 1),
+	}
+	s.server = &http.Server{
+		Handler:           s.closeWhileDraining(handler),
+		ReadHeaderTimeout: readHeaderTimeout,
+		ConnState:         s.trackConnection,
+	}
+	return s
+}
+
+// NewInternalHTTPService is NewHTTPService for a listener that only processes of the system use; its
+// shutdown does not wait long for connections that they leave unused.
+func NewInternalHTTPService(name string, listener net.Listener, handler http.Handler) *HTTPService {
+	s := NewHTTPService(name, listener, handler)
+	s.unusedGrace = internalUnusedGrace
 	return s
 }
 
@@ -71,22 +97,20 @@
 	time.Sleep(time.Until(s.drainSince.Load().Add(drainTime)))
 }
 
-// NewInternalHTTPService is NewHTTPService for a listener that only processes of the system
-// use. They dial connections ahead of need and may leave one unused, so a shutdown closes
-// such connections instead of waiting 5 s for a request that will not come.
-func NewInternalHTTPService(name string, listener net.Listener, handler http.Handler) *HTTPService {
-	s := NewHTTPService(name, listener, handler)
-	s.unused = make(map[net.Conn]struct{})
-	s.server.ConnState = s.trackUnused
-	return s
-}
-
-func (s *HTTPService) trackUnused(conn net.Conn, state http.ConnState) {
+func (s *HTTPService) trackConnection(conn net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if state == http.StateNew {
+	switch state {
+	case http.StateNew:
+		s.open++
 		s.unused[conn] = struct{}{}
 		return
+	case http.StateClosed, http.StateHijacked:
+		s.open--
+		select {
+		case s.closed <- struct{}{}:
+		default:
+		}
 	}
 	delete(s.unused, conn)
 }
@@ -99,6 +123,23 @@
 	}
 }
 
+// awaitClosed waits until no connection is open, or returns the error of ctx.
+func (s *HTTPService) awaitClosed(ctx context.Context) error {
+	for {
+		s.mu.Lock()
+		open := s.open
+		s.mu.Unlock()
+		if open == 0 {
+			return nil
+		}
+		select {
+		case <-s.closed:
+		case <-ctx.Done():
+			return errors.Annotatef(ctx.Err(), "%d connections open", open)
+		}
+	}
+}
+
 // String names the service in the supervisor's log.
 func (s *HTTPService) String() string { return s.name }
 
@@ -113,13 +154,18 @@
 	case <-ctx.Done():
 	}
 	s.awaitDrain()
-	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
-	defer cancel()
-	timer := time.AfterFunc(unusedGrace, s.closeUnused)
+	// http.Server.Shutdown drops requests that are read after its start, so accepting ends here, and each
+	// connection that was accepted ends with a response.
+	_ = s.listener.Close()
+	<-done
+	s.server.SetKeepAlivesEnabled(false)
+	timer := time.AfterFunc(s.unusedGrace, s.closeUnused)
 	defer timer.Stop()
-	if err := s.server.Shutdown(drain); err != nil {
+	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	defer cancel()
+	if err := s.awaitClosed(limit); err != nil {
 		telemetry.Logger(s.name).WithError(err).Warning("Closing with requests still running.")
-		_ = s.server.Close()
 	}
+	_ = s.server.Close()
 	return ctx.Err()
 }
