control: the first plan waits for hosted targets; very busy ranges are split to single keys

Change: while nothing of a service has ever been assigned, the plan waits up to 2 s for nodes that host its target. Cause 2: a range of 32 keys was split into 8 parts of 4 keys at most; of neighbouring busy keys four are more than a target can serve. Change: up to 32 parts, as many as bring a part to a quarter of a target's mean load.

--- a/control/leader.go
+++ b/control/leader.go
@@ -57,6 +57,8 @@
 	// speedsInUse holds the relative speeds of targets; a target without an entry has speed 1.
 	speedsInUse map[api.TargetID]float64
 	nextBalance time.Time
+	// firstTargetAt holds, by service without any assignment, when its first target was eligible.
+	firstTargetAt map[string]time.Time
 }
 
 func newLeader(o *Options, log *logrus.Entry, term uint64, now time.Time) *leader {
@@ -78,6 +80,7 @@
 		overridesHeldUntil: make(map[api.PartitionRef]time.Time),
 		recentSplits:       make(map[api.PartitionRef]*recentSplit),
 		speedsInUse:        make(map[api.TargetID]float64),
+		firstTargetAt:      make(map[string]time.Time),
 		peers:              newPeerList(term),
 	}
 }
--- a/control/plan.go
+++ b/control/plan.go
@@ -148,6 +148,9 @@
 		p.revokeAll()
 		return
 	}
+	if p.awaitsTargets() {
+		return
+	}
 	moveLimits := p.moveLimits(eligible)
 	moves := p.policy(service).Plan(p.name, p.partitions, eligible, moveLimits.maxMoves(p.balance, len(p.toEvacuate)))
 	for _, m := range moves {
--- a/control/speed_test.go
+++ b/control/speed_test.go
@@ -12,7 +12,7 @@
 // had the same load whatever their speed.
 func TestSlowTargetsOwnLess(t *testing.T) {
 	is := is.New(t)
-	w := newSplitCluster(t, 4)
+	w := newSplitCluster(t, 4, 128)
 	speeds := map[string]int64{"t0": 250, "t1": 250, "t2": 500, "t3": 5000}
 	for name, ms := range speeds {
 		w.sessions[api.SessionID(name)].last.Targets[0].ServiceMs = ms
@@ -37,7 +37,7 @@
 // Guards against moves caused by nearly equal service times that vary by chance.
 func TestEqualSpeedsMoveNothing(t *testing.T) {
 	is := is.New(t)
-	w := newSplitCluster(t, 4)
+	w := newSplitCluster(t, 4, 128)
 	everything := api.KeyRange{First: 0, Last: 65535}
 	w.load(2, 0, everything)
 	for i := range 100 {
--- a/control/split.go
+++ b/control/split.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"math"
 	"time"
 
 	"github.com/zinniapier/zinniapier/api"
@@ -18,10 +19,15 @@
 	// minSplitLoad is the minimum load of a partition to split in requests per second. Below it, measured
 	// load is mostly noise.
 	minSplitLoad = 10.0
-	// maxParts is the greatest number of parts of one partition, minPartKeys the least mean number of
-	// keys in a part.
-	maxParts    = 16
-	minPartKeys = 4
+	// usualParts is the number of parts of a partition with enough keys, usualPartKeys the least mean number
+	// of keys in one of them.
+	usualParts    = 16
+	usualPartKeys = 4
+	// maxParts is the greatest number of parts of one partition.
+	maxParts = 32
+	// maxPartShare is the load of an average part, as a share of the mean load of a target, above which
+	// there are more parts than usual.
+	maxPartShare = 0.25
 	// maxPartsPerTarget times the targets bounds the parts of a service. One reply then has room for all
 	// ranges of a target when half of the targets are away. Parts are never merged.
 	maxPartsPerTarget = 32
@@ -57,7 +63,7 @@
 	threshold := max(minSplitShare*mean, minSplitLoad)
 	partsLeft := maxPartsPerTarget*len(eligible) - (service.Count() - service.Partitions)
 	for _, partition := range p.partitions {
-		parts := min(maxParts, service.Range(partition.Index).Len()/minPartKeys)
+		parts := partCount(partition.Load, mean, service.Range(partition.Index).Len())
 		if partition.Load < threshold || partition.Index >= service.Partitions || parts < 2 || loads[partition.Owner] < minOwnerExcess*mean {
 			continue
 		}
@@ -69,6 +75,16 @@
 	}
 }
 
+// partCount returns the number of parts for a busy partition with the given load and number of keys. mean is
+// the mean load of a target in the same unit.
+//
+// Load pattern: in a fleet of hundreds of targets, a few hundred neighbouring keys get a third of the
+// requests. A few of these keys are then more than one target can serve, so a part has to be a single key.
+func partCount(load, mean float64, keys int) int {
+	needed := int(math.Ceil(load / (maxPartShare * mean)))
+	return max(min(usualParts, keys/usualPartKeys), min(needed, maxParts, keys))
+}
+
 // addSplit adds the split of a granted partition to the batch.
 func (p *servicePlan) addSplit(partition placement.Partition, parts int) {
 	ref := p.ref(partition.Index)
--- a/control/split_test.go
+++ b/control/split_test.go
@@ -21,7 +21,17 @@
 	loads   map[string]map[int]float64 // by target
 }
 
-func newSplitCluster(t *testing.T, targets int) *splitCluster {
+func newSplitCluster(t *testing.T, targets, partitions int) *splitCluster {
+	t.Helper()
+	w := newUnplannedCluster(t, targets, partitions)
+	for range 1 + partitions/maxBatchSteps {
+		w.step(t)
+	}
+	return w
+}
+
+// newUnplannedCluster returns a splitCluster in which nothing is assigned yet.
+func newUnplannedCluster(t *testing.T, targets, partitions int) *splitCluster {
 	t.Helper()
 	w := &splitCluster{machine: state.New(), now: time.Now(), loads: map[string]map[int]float64{}}
 	o := Options{Log: newFakeLog(), Machine: w.machine}
@@ -31,7 +41,7 @@
 	w.leader = newLeader(&o, logrus.NewEntry(logrus.New()), 1, w.now)
 	w.apply(t, func() ([]byte, error) {
 		return state.EncodeChange(&api.Change{ID: "first", Kind: api.Replace, Replacement: &api.Replacement{Label: 1, Services: api.Services{
-			Services: []api.Service{{Name: "quotes", Key: &api.KeySource{Header: "K", Span: 65536}, Partitions: 128}}}}})
+			Services: []api.Service{{Name: "quotes", Key: &api.KeySource{Header: "K", Span: 65536}, Partitions: partitions}}}}})
 	})
 	for i := range targets {
 		name := fmt.Sprint("t", i)
@@ -40,7 +50,6 @@
 			ID: api.TargetID(name), Service: "quotes", Slots: 18, State: api.TargetServing, Place: "host-" + name, PartitionLoad: w.loads[name],
 		}}}}
 	}
-	w.step(t)
 	return w
 }
 
@@ -107,7 +116,7 @@
 // Guards against busy neighbouring keys that stay on one target while others have spare capacity.
 func TestBusyPartitionIsSplitAndSpread(t *testing.T) {
 	is := is.New(t)
-	w := newSplitCluster(t, 7)
+	w := newSplitCluster(t, 7, 128)
 	hot := api.KeyRange{First: 1030, Last: 1230} // within one partition
 	before := w.load(1, 100, hot)
 	is.True(before > 100)
@@ -125,10 +134,27 @@
 	is.Equal(len(w.service().Splits), 1) // parts are not split again
 }
 
+// Guards against parts that are more than one target can serve: in a large fleet, two hundred neighbouring
+// keys get a third of the requests, and four of them exceed the share of a target.
+func TestBusyKeysAreSplitToSingleKeys(t *testing.T) {
+	is := is.New(t)
+	w := newSplitCluster(t, 230, 2048)
+	const perPartition, hot = 14.0, 1000.0 // of 512 keys; 1,792 requests per second beside the hot ones
+	keys := api.KeyRange{First: 20000, Last: 20199}
+	before := w.load(perPartition, hot, keys)
+	is.True(before > 150)
+	for range 20 { // two seconds
+		w.step(t)
+		w.load(perPartition, hot, keys)
+	}
+	mean := (perPartition*128 + hot) / 230
+	is.True(w.load(perPartition, hot, keys) < 1.6*mean)
+}
+
 // Guards against splits for chance variation of load, and against an unbounded number of parts.
 func TestSplitsAreBounded(t *testing.T) {
 	is := is.New(t)
-	w := newSplitCluster(t, 3)
+	w := newSplitCluster(t, 3, 128)
 	for range 50 {
 		w.load(10, 0, api.KeyRange{First: 0, Last: 0})
 		w.step(t)
