placement: little-used partitions count less, so that their owners take over load

Cause: a partition counted for at least 1 request a second and half of the mean; a target with many little-used partitions looked busy and kept free slots while others refused. Now 0.1 and a quarter of the mean; a target with less than half of its share of the partitions and three quarters of its share of the load is filled as a new one. Test: TestLittleUsedPartitionsLeaveRoom, failing before.

--- a/placement/balanced.go
+++ b/placement/balanced.go
@@ -9,12 +9,17 @@
 )
 
 const (
-	// minWeight is the minimum weight of a partition in requests per second. Below it,
-	// measured load is mostly noise, and partitions are spread by count.
-	minWeight = 1.0
+	// minWeight is the minimum weight of a partition in requests per second. Partitions with less load are
+	// spread by count.
+	minWeight = 0.1
 	// minMeanShare is the minimum weight of a partition as a share of the mean load, so that
-	// partitions that are idle now do not accumulate on one target.
-	minMeanShare = 0.5
+	// partitions that are idle now do not accumulate on one target. With a greater share, targets with
+	// many little-used partitions appear busy, and keep free slots while others refuse requests.
+	minMeanShare = 0.25
+	// A target with less than minEvenCount of its even share of the partitions and less than minEvenLoad
+	// of its share of the load has too few partitions, as a new one.
+	minEvenCount = 0.5
+	minEvenLoad  = 0.75
 	// moveTolerance is the relative excess over the mean utilisation up to which no partition
 	// is moved when loads differ: measured loads fluctuate, and each move interrupts the
 	// requests of a key.
@@ -56,8 +61,9 @@
 // targetLoad is a target, or a whole zone, with its load while a plan is made.
 type targetLoad struct {
 	Target
-	weight  float64
-	movable []weightedPartition
+	weight     float64
+	partitions int
+	movable    []weightedPartition
 }
 
 // weightedPartition is a partition with its weight in requests per second.
@@ -150,11 +156,20 @@
 	return weights
 }
 
+// add gives a partition of the weight to the target.
 func (pl *planner) add(x *targetLoad, weight float64) {
 	x.weight += weight
+	x.partitions++
 	pl.zones[x.Zone].weight += weight
 }
 
+// remove takes a partition of the weight from the target.
+func (pl *planner) remove(x *targetLoad, weight float64) {
+	x.weight -= weight
+	x.partitions--
+	pl.zones[x.Zone].weight -= weight
+}
+
 // placeUnowned places the partitions without an owner, heaviest first.
 func (pl *planner) placeUnowned() {
 	sortByWeight(pl.unowned)
@@ -238,7 +253,7 @@
 	to := slices.MinFunc(pl.eligible, func(x, y *targetLoad) int {
 		return cmp.Or(byUtilisation(x, y), compareWithEpsilon(pl.zones[x.Zone].utilisation(), pl.zones[y.Zone].utilisation()))
 	})
-	if !pl.uniform && pl.isLevel(from) && pl.isLevel(to) {
+	if !pl.uniform && pl.isLevel(from) && pl.isLevel(to) && !pl.hasTooFew(to) {
 		return false
 	}
 	i := bestMove(from, to)
@@ -247,7 +262,7 @@
 	}
 	it := from.movable[i]
 	from.movable = slices.Delete(from.movable, i, i+1)
-	pl.add(from, -it.weight)
+	pl.remove(from, it.weight)
 	pl.add(to, it.weight)
 	pl.moves = append(pl.moves, Move{Partition: it.index, From: from.ID, To: to.ID})
 	return true
@@ -271,23 +286,35 @@
 	return math.Sqrt(noiseSigmas*noiseSigmas + 2*math.Log(max(float64(n)/noiseTargets, 1)))
 }
 
-// withinNoise reports whether no target exceeds the mean by more than chance explains, and none
-// is below half of it. With its even share of the partitions a target has at least about half of
-// the mean because of minMeanShare, so a lower weight means too few partitions, as on a new target.
+// withinNoise reports whether no target differs from the mean by more than chance explains, and none has
+// too few partitions.
 func (pl *planner) withinNoise() bool {
 	mean, limit := pl.mean(), noiseLimit(len(pl.eligible))
 	for _, x := range pl.eligible {
 		expected := mean * x.Capacity
-		if x.weight-expected > limit*loadDeviation(expected) {
+		if math.Abs(x.weight-expected) > limit*loadDeviation(expected) {
 			return false
 		}
-		if x.weight < minMeanShare*expected {
+		if pl.hasTooFew(x) {
 			return false
 		}
 	}
 	return true
 }
 
+// hasTooFew reports whether the target has too few partitions.
+func (pl *planner) hasTooFew(x *targetLoad) bool {
+	if x.weight >= minEvenLoad*pl.mean()*x.Capacity {
+		return false
+	}
+	partitions, capacity := 0, 0.0
+	for _, t := range pl.eligible {
+		partitions += t.partitions
+		capacity += t.Capacity
+	}
+	return float64(x.partitions) < minEvenCount*float64(partitions)*x.Capacity/capacity
+}
+
 // bestMove returns the index in from.movable of the partition whose move gives the lowest maximum
 // utilisation of the two targets, or -1 when no move lowers it.
 func bestMove(from, to *targetLoad) int {
--- a/placement/level_test.go
+++ b/placement/level_test.go
@@ -58,3 +58,27 @@
 	}
 	is.True(away >= 4)
 }
+
+// Guards against a target with many little-used partitions that keeps free slots while another refuses
+// requests: on a day with few targets left, one had 4 of 16 requests per second that it could serve, in
+// 37 partitions, and another 36 in 24.
+func TestLittleUsedPartitionsLeaveRoom(t *testing.T) {
+	is := is.New(t)
+	ts := makeTargets(3)
+	var ps []Partition
+	load := func(owner, count int, each float64) {
+		for range count {
+			ps = append(ps, Partition{Index: len(ps), Owner: ts[owner].ID, Load: each})
+		}
+	}
+	load(0, 37, 0.1)
+	load(1, 24, 1.5)
+	load(2, 20, 0.8)
+	applyMoves(ps, Balanced{}.Plan("s", ps, ts, 100))
+	sums := make(map[api.TargetID]float64)
+	for _, p := range ps {
+		sums[p.Owner] += p.Load
+	}
+	is.True(sums[ts[0].ID] > 13) // of a mean of 18.6
+	is.True(sums[ts[1].ID] < 25)
+}
