gateway: the time that callers have waited is known after a change of the configuration

Callers that came back were queued for an objective that had passed. Test: TestElapsedTimeOutlivesConfigurations, failing before.

--- a/gateway/failover_test.go
+++ b/gateway/failover_test.go
@@ -129,6 +129,24 @@
 	is.Equal(r.elapsed(1500), time.Duration(0))
 }
 
+// Guards against callers that come back and count as new after a change of the configuration, such as a split:
+// they would be queued for an objective that has passed.
+func TestElapsedTimeOutlivesConfigurations(t *testing.T) {
+	is := is.New(t)
+	var cache routeCache
+	configuration := func(prefix string) *api.Configuration {
+		return &api.Configuration{Services: api.Services{Services: []api.Service{
+			{Name: "quotes", Routes: []api.Route{{Prefix: "/a/"}, {Prefix: prefix}}},
+		}}}
+	}
+	match := func(c *api.Configuration, path string) *route { return cache.get(c).match("GET", "h", path) }
+	first, second := configuration("/b/"), configuration("/c/")
+	is.Equal(match(first, "/a/x").elapsed(1200), time.Duration(0))
+	is.Equal(match(first, "/b/x").elapsed(1200), time.Duration(0))
+	is.Equal(match(second, "/a/x").elapsed(800), 400*time.Millisecond)
+	is.Equal(match(second, "/c/x").elapsed(800), time.Duration(0)) // a new route
+}
+
 // Guards against a call that is refused because the node of its owner is restarting: nothing has
 // reached the target, so waiting costs no attempt and no retry.
 func TestCallWaitsForARestartingNode(t *testing.T) {
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -99,10 +99,33 @@
 		return t
 	}
 	t := newRouteTable(configuration)
+	t.keepDeadlines(c.table.Load())
 	c.table.Store(t)
 	return t
 }
 
+// keepDeadlines takes over the longest deadlines of the routes that the previous table, which may be nil, has
+// too. Without them, the elapsed time of callers that retry is unknown after each change.
+func (t *routeTable) keepDeadlines(previous *routeTable) {
+	if previous == nil {
+		return
+	}
+	longest := make(map[string]int64)
+	for _, r := range previous.routes {
+		if ms := r.longestDeadlineMs.Load(); ms > 0 {
+			longest[r.pattern()] = ms
+		}
+	}
+	for _, r := range t.routes {
+		r.longestDeadlineMs.Store(longest[r.pattern()])
+	}
+}
+
+// pattern identifies the requests that the route matches.
+func (r *route) pattern() string {
+	return r.host + " " + strings.Join(r.methods, ",") + " " + strings.Join(r.segments, "/")
+}
+
 func newRouteTable(configuration *api.Configuration) *routeTable {
 	t := &routeTable{configuration: configuration}
 	for i := range configuration.Services.Services {
