--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -152,6 +152,10 @@
 	// organisations and organisation keys if the node holds them.
 	Configuration PackedConfiguration
 	ConfigVersion uint64
+	// Splits replace Configuration when SplitsBase is set: ConfigVersion differs from SplitsBase, which
+	// the node has, by these splits only.
+	Splits     []ServiceSplit
+	SplitsBase uint64
 	// Map is a full copy when MapFull is set, else the entries changed since the node's version.
 	Map        AssignmentUpdates
 	MapFull    bool
--- a/api/splits.go
+++ b/api/splits.go
@@ -85,6 +85,26 @@
 	}
 }
 
+// ServiceSplit is a split of a partition of a service.
+type ServiceSplit struct {
+	Service string
+	RangeSplit
+}
+
+// WithSplits returns the configuration with more splits, under their version. Splits that it has already
+// are ignored, and so are those of unknown services.
+func (c *Configuration) WithSplits(version uint64, splits []ServiceSplit) *Configuration {
+	next := *c
+	next.Version = version
+	next.Services.Services = slices.Clone(c.Services.Services)
+	for _, split := range splits {
+		if s := next.Services.Find(split.Service); s != nil && !s.IsSplit(split.Base) {
+			s.Splits = s.WithSplit(split.RangeSplit)
+		}
+	}
+	return &next
+}
+
 // WithSplit returns the splits with another one in its place.
 func (s *Service) WithSplit(r RangeSplit) []RangeSplit {
 	i, _ := s.findSplit(r.Base)
--- a/control/leader.go
+++ b/control/leader.go
@@ -42,6 +42,7 @@
 
 	// packed caches a configuration as encoded for heartbeat replies.
 	packed packedCache
+	splits splitLog
 
 	// released holds the released grants that nodes reported.
 	released map[api.PartitionRef]api.Released
@@ -135,6 +136,7 @@
 		return
 	}
 	l.configVersion = view.Configuration.Version
+	l.splits.observe(&view.Configuration)
 	l.authority.SetOrganisations(now, view.Configuration.Organisations)
 	l.peersDirty = true
 }
--- a/control/reply.go
+++ b/control/reply.go
@@ -26,7 +26,7 @@
 		r.TokensAgain = true
 	}
 	if s.last.ConfigVersion != view.Configuration.Version {
-		r.Configuration = l.packedFor(view, s.last.AccessHash)
+		l.fillConfiguration(r, view, s)
 	}
 	l.fillMap(r, view, s.last.MapVersion)
 	l.fillPeers(r, view, s.last.PeersVersion, now)
@@ -92,12 +92,21 @@
 	withoutAccess api.PackedConfiguration
 }
 
+// fillConfiguration adds the splits that the configuration of the node lacks, or the whole configuration if
+// there are other differences.
+func (l *leader) fillConfiguration(r *api.HeartbeatReply, view *api.ControlState, s *session) {
+	if splits, ok := l.splits.since(s.last.ConfigVersion); ok {
+		r.Splits, r.SplitsBase = splits, s.last.ConfigVersion
+		return
+	}
+	r.Configuration = l.packedFor(view, s.last.AccessHash)
+}
+
 // packedFor returns the encoded configuration for a node that holds organisations and keys with the
 // hash. It returns nil when the configuration cannot be encoded; nodes then reject the reply.
 //
-// Load pattern: the configuration changes several times a second, by operators or because busy
-// partitions are split, in a fleet of hundreds of nodes on slow links. Few of these changes concern
-// organisations, whose keys are most of its bytes.
+// Load pattern: operators change the configuration several times a second, in a fleet of hundreds of nodes
+// on slow links. Few of these changes concern organisations, whose keys are most of its bytes.
 func (l *leader) packedFor(view *api.ControlState, heldHash uint64) api.PackedConfiguration {
 	packed, err := l.packed.forNode(view.Configuration, heldHash)
 	if err != nil {
--- a/session/heartbeat.go
+++ b/session/heartbeat.go
@@ -160,7 +160,7 @@
 // acceptReply validates the reply and publishes the resulting view. A rejected reply changes nothing.
 func (s *Session) acceptReply(req *api.HeartbeatRequest, reply *api.HeartbeatReply, sent time.Time, sentBoot time.Duration) error {
 	old := s.view.Load()
-	configuration, accessHash, err := reply.Configuration.Unpack(old.Configuration, old.AccessHash)
+	configuration, accessHash, err := replyConfiguration(old, reply)
 	if err == nil {
 		err = checkReply(old, reply, configuration)
 	}
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -199,6 +199,30 @@
 	eventually(t, "end of the lease", func() bool { return !s.valid() })
 }
 
+// Guards against a node that applies splits to another configuration than the leader did.
+func TestSplitsExtendTheHeldConfiguration(t *testing.T) {
+	is := is.New(t)
+	held := &api.Configuration{Version: 7, Label: 3, Services: api.Services{Services: []api.Service{
+		{Name: "quotes", Key: &api.KeySource{Header: "K", Span: 4096}, Partitions: 4}, {Name: "orders"},
+	}}}
+	v := &api.View{Configuration: held, AccessHash: 9}
+	splits := []api.ServiceSplit{{Service: "quotes", RangeSplit: api.RangeSplit{Base: 2, First: 4, Parts: 3}}}
+	for range 2 { // the second time, the view holds the split
+		c, hash, err := replyConfiguration(v, &api.HeartbeatReply{ConfigVersion: 8, SplitsBase: v.Configuration.Version, Splits: splits})
+		is.NoErr(err)
+		is.Equal(hash, uint64(9))
+		is.Equal(c.Version, uint64(8))
+		is.Equal(c.Label, uint64(3))
+		is.Equal(c.Services.Find("quotes").Splits, []api.RangeSplit{splits[0].RangeSplit})
+		v = &api.View{Configuration: c, AccessHash: hash}
+	}
+	is.Equal(len(held.Services.Find("quotes").Splits), 0) // published configurations are not modified
+	_, _, err := replyConfiguration(v, &api.HeartbeatReply{ConfigVersion: 9, SplitsBase: 6, Splits: splits})
+	is.Equal(errkind.Of(err), errkind.Invalid)
+	_, _, err = replyConfiguration(&api.View{}, &api.HeartbeatReply{ConfigVersion: 9, SplitsBase: 6})
+	is.Equal(errkind.Of(err), errkind.Invalid)
+}
+
 // Guards against assignments that partial maps lose or assign to the wrong partition.
 func TestPartialMapUpdates(t *testing.T) {
 	is := is.New(t)
--- a/session/view.go
+++ b/session/view.go
@@ -27,6 +27,18 @@
 	return v.Configuration.Version
 }
 
+// replyConfiguration returns the configuration that the reply brings and its AccessHash, or nil when it
+// brings none. Errors: Invalid if the reply is based on another configuration than the node has.
+func replyConfiguration(v *api.View, r *api.HeartbeatReply) (*api.Configuration, uint64, error) {
+	if r.SplitsBase == 0 {
+		return r.Configuration.Unpack(v.Configuration, v.AccessHash)
+	}
+	if r.SplitsBase != configVersion(v) {
+		return nil, 0, errkind.New(errkind.Invalid, "reply with splits since configuration %d, but the node has %d", r.SplitsBase, configVersion(v))
+	}
+	return v.Configuration.WithSplits(r.ConfigVersion, r.Splits), v.AccessHash, nil
+}
+
 // checkReply rejects a malformed reply, one that is older than the view, and one that would renew the
 // lease without bringing the configuration that it names. c is the configuration in the reply, or nil.
 func checkReply(v *api.View, r *api.HeartbeatReply, c *api.Configuration) error {
