control: a target that drains or has left stays so when its node restarts

One of the reports of other operators: after a restart of one of the system's processes, a server that had left was in use again. Cause here: a node that restarts has forgotten the order of its target's announcements and takes a delayed, older one for the state of the target; the leader believed the new session, listed the target as serving and gave it keys, till the next announcement (870 ms) or, after a DELETE, for ever. Reports now carry the sequence of the announcement, and the leader remembers for ten minutes with which one a target began to drain. Ruled out: ignoring announcements for a while after a start (costs every restart its time). Left: leader and node that restart at the same time. Tests, failing before: TestDrainingTargetStaysSoAfterRestartOfItsNode, TestTargetThatHasLeftStaysSoAfterRestartOfItsNode, TestReportsCarryTheLatestAnnouncement.

--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -16,6 +17,9 @@
 	TargetLost     TargetState = "lost"     // process gone, or not answering orders
 )
 
+// FinalAnnouncement is above the sequence of any announcement.
+const FinalAnnouncement = math.MaxUint64
+
 // TargetReport describes a target in a heartbeat.
 type TargetReport struct {
 	ID      TargetID    `json:"id"`
@@ -32,6 +36,9 @@
 	// Place names the address on a host where only one target can run at a time: another target
 	// that is reported for it proves that this one has ended. Empty when there is no such proof.
 	Place string `json:"place,omitempty"`
+	// Announced is the sequence of the latest announcement of a pulling target, and FinalAnnouncement once
+	// it has said that it stops for ever.
+	Announced uint64 `json:"announced,omitempty"`
 	// StartedMs orders the targets that were reported for one place: Unix milliseconds of the start.
 	StartedMs int64 `json:"started_ms,omitempty"`
 	// PartitionLoad is the recent requests per second by partition; idle partitions are left out.
--- a/control/leader.go
+++ b/control/leader.go
@@ -58,6 +58,7 @@
 	// speedsInUse holds the relative speeds of targets; a target without an entry has speed 1.
 	speedsInUse map[api.TargetID]float64
 	nextBalance time.Time
+	drained     map[api.TargetID]drainedTarget
 	// firstTargetAt holds, by service without any assignment, when its first target was eligible.
 	firstTargetAt map[string]time.Time
 }
@@ -81,6 +82,7 @@
 		overridesHeldUntil: make(map[api.PartitionRef]time.Time),
 		recentSplits:       make(map[api.PartitionRef]*recentSplit),
 		speedsInUse:        make(map[api.TargetID]float64),
+		drained:            make(map[api.TargetID]drainedTarget),
 		firstTargetAt:      make(map[string]time.Time),
 		peers:              newPeerList(term),
 	}
@@ -96,6 +98,7 @@
 	l.updateConfiguration(view, now)
 	l.authority.Advance(now)
 	l.expireSessions(view, now)
+	l.pruneDrained(now)
 	l.endTokenWithholding(view, now)
 	l.reserveForUnresponsive(view, now)
 	batch := &state.Batch{Term: l.term}
--- a/control/restart_test.go
+++ b/control/restart_test.go
@@ -55,13 +55,19 @@
 		reply, _, err := w.heartbeat(req, w.now, w.now)
 		issuing = issuing && err == nil && reply.Issues
 	}
-	data, err := state.EncodeBatch(w.tick(w.now))
+	w.commit(w.tick(w.now))
+	return issuing
+}
+
+// commit applies a batch of the leader.
+func (w *restartCluster) commit(batch *state.Batch) {
+	w.t.Helper()
+	data, err := state.EncodeBatch(batch)
 	if err != nil {
 		w.t.Fatal(err)
 	}
 	w.index++
 	w.machine.Apply(w.index, data)
-	return issuing
 }
 
 // Guards against refusing organisations within their rates for a whole lease after a restart of all
--- a/host/target.go
+++ b/host/target.go
@@ -120,9 +120,19 @@
 		HotKeys:       hot,
 		Place:         t.exclusiveAddress(),
 		StartedMs:     t.info.StartedMs,
+		Announced:     t.lastAnnouncement(),
 	}
 }
 
+// lastAnnouncement returns the sequence of the latest announcement, or api.FinalAnnouncement. The caller
+// holds t.mu.
+func (t *Target) lastAnnouncement() uint64 {
+	if t.pulled.leaving {
+		return api.FinalAnnouncement
+	}
+	return t.pulled.sequence
+}
+
 // exclusiveAddress returns host and address of a pulling target, where only one instance runs at a
 // time; empty for others.
 func (t *Target) exclusiveAddress() string {
