control: the list of nodes is encoded once for all nodes with one version

After a change of leader each of 295 nodes needs the whole list within one heartbeat interval, 1.6 ms each on the leader's loop of replies. The leader now keeps what nodes of each older version lack, as encoded. Test: TestChangeOfOneNodeIsSentAlone checks that two nodes share the encoding.

--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -215,27 +215,27 @@
 
 // PeersDiffer says whether the reply changes the list of nodes.
 func (r *HeartbeatReply) PeersDiffer() bool {
-	return r.PeersFull || len(r.Peers) > 0 || len(r.PeersGone) > 0
+	return r.PeersFull || len(r.Peers.List) > 0 || len(r.PeersGone) > 0
 }
 
 // MergePeers returns the list of nodes after the reply, sorted by session. The held list is not
 // modified; it is returned when nothing differs.
 func MergePeers(held []Peer, r *HeartbeatReply) []Peer {
 	if r.PeersFull {
-		return r.Peers
+		return r.Peers.List
 	}
 	if !r.PeersDiffer() {
 		return held
 	}
-	replaced := make(map[SessionID]bool, len(r.Peers)+len(r.PeersGone))
-	for i := range r.Peers {
-		replaced[r.Peers[i].Session] = true
+	replaced := make(map[SessionID]bool, len(r.Peers.List)+len(r.PeersGone))
+	for i := range r.Peers.List {
+		replaced[r.Peers.List[i].Session] = true
 	}
 	for _, id := range r.PeersGone {
 		replaced[id] = true
 	}
 	next := slices.DeleteFunc(slices.Clone(held), func(p Peer) bool { return replaced[p.Session] })
-	next = append(next, r.Peers...)
+	next = append(next, r.Peers.List...)
 	slices.SortFunc(next, func(x, y Peer) int { return cmp.Compare(x.Session, y.Session) })
 	return next
 }
--- a/api/peerupdates.go
+++ b/api/peerupdates.go
@@ -3,15 +3,32 @@
 import "encoding/binary"
 
 // PeerUpdates are new or changed nodes. On the wire they are packed like AssignmentUpdates.
-type PeerUpdates []Peer
+type PeerUpdates struct {
+	List []Peer
+	// packed is the encoded list, which the replies to many nodes share; nil before it is needed.
+	packed []byte
+}
+
+// PackPeers returns updates that are encoded once for all replies that carry them.
+func PackPeers(list []Peer) (PeerUpdates, error) {
+	packed, err := packPeers(list)
+	return PeerUpdates{List: list, packed: packed}, err
+}
 
 // GobEncode implements gob.GobEncoder.
 func (u PeerUpdates) GobEncode() ([]byte, error) {
+	if u.packed != nil {
+		return u.packed, nil
+	}
+	return packPeers(u.List)
+}
+
+func packPeers(list []Peer) ([]byte, error) {
 	texts := &textTable{places: make(map[string]uint64)}
 	var rows []byte
 	text := func(s string) { rows = binary.AppendUvarint(rows, texts.place(s)) }
-	for i := range u {
-		p := &u[i]
+	for i := range list {
+		p := &list[i]
 		for _, s := range []string{string(p.Session), p.Name, p.Zone, p.InternalAddr, p.FateAddr, p.CallerAddr} {
 			text(s)
 		}
@@ -24,7 +41,7 @@
 			rows = appendBool(rows, t.Out)
 		}
 	}
-	return texts.pack(len(u), rows)
+	return texts.pack(len(list), rows)
 }
 
 // GobDecode implements gob.GobDecoder. It fails for data that GobEncode does not write.
@@ -33,7 +50,7 @@
 	if err != nil {
 		return err
 	}
-	list := make(PeerUpdates, r.count())
+	list := make([]Peer, r.count())
 	for i := range list {
 		p := &list[i]
 		p.Session, p.Name, p.Zone = SessionID(r.entry()), r.entry(), r.entry()
@@ -47,7 +64,7 @@
 	if err := r.end(); err != nil {
 		return err
 	}
-	*u = list
+	*u = PeerUpdates{List: list}
 	return nil
 }
 
--- a/api/updates_test.go
+++ b/api/updates_test.go
@@ -50,9 +50,9 @@
 }
 
 // sampleNodes returns nodes as a large fleet names them.
-func sampleNodes(n int) PeerUpdates {
+func sampleNodes(n int) []Peer {
 	random := rand.New(rand.NewPCG(7, 7))
-	var nodes PeerUpdates
+	var nodes []Peer
 	for i := range n {
 		address := fmt.Sprintf("10.%d.0.%d", i%6+1, i/6)
 		nodes = append(nodes, Peer{
@@ -68,21 +68,24 @@
 // takes most of the bytes between zones: 500 changes of it took 69 KB for each node.
 func TestPeerUpdatesKeepTheirContent(t *testing.T) {
 	is := is.New(t)
-	sent := struct{ Peers PeerUpdates }{sampleNodes(300)}
-	sent.Peers[3].Targets = nil
+	nodes := sampleNodes(300)
+	nodes[3].Targets = nil
+	packed, err := PackPeers(nodes)
+	is.NoErr(err)
+	sent := struct{ Peers PeerUpdates }{packed}
 	var wire bytes.Buffer
 	is.NoErr(gob.NewEncoder(&wire).Encode(sent))
 	is.True(wire.Len() < 300*69)
 	got := sent
-	got.Peers = nil
+	got.Peers = PeerUpdates{}
 	is.NoErr(gob.NewDecoder(&wire).Decode(&got))
-	is.Equal(got.Peers, sent.Peers)
+	is.Equal(got.Peers.List, nodes)
 }
 
 // Guards against a node that fails or allocates without limit because of a damaged list of nodes.
 func TestDamagedPeerUpdatesAreRefused(t *testing.T) {
 	for _, count := range []int{1, 20} { // sent as it is, and deflated
-		whole, err := sampleNodes(count).GobEncode()
+		whole, err := PeerUpdates{List: sampleNodes(count)}.GobEncode()
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/capacity/messages.go
+++ b/capacity/messages.go
@@ -103,7 +103,7 @@
 }
 
 func peersReply(n int) *api.HeartbeatReply {
-	return &api.HeartbeatReply{Peers: samplePeers(n), PeersFull: true}
+	return &api.HeartbeatReply{Peers: api.PeerUpdates{List: samplePeers(n)}, PeersFull: true}
 }
 
 // keptByEncoder returns the bytes that an encoder holds after it has sent a reply; gob
--- a/capacity/view.go
+++ b/capacity/view.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		return nil, err
 	}
-	v := &api.View{Configuration: configuration, Peers: r.Peers, Assignments: api.Assignments{}}
+	v := &api.View{Configuration: configuration, Peers: r.Peers.List, Assignments: api.Assignments{}}
 	for _, u := range r.Map {
 		v.Assignments[u.Service] = append(v.Assignments[u.Service], u.Assignment)
 	}
--- a/control/peers.go
+++ b/control/peers.go
@@ -20,6 +20,15 @@
 	changes []peerChange // by version
 	// completeSince is the oldest version from which changes holds every later change.
 	completeSince uint64
+	// packed holds what nodes with older versions lack, by that version; 0 stands for the whole list. When the
+	// leader changes, hundreds of nodes need the whole list within one heartbeat interval.
+	packed map[uint64]peerDelta
+}
+
+// peerDelta is the difference of two versions.
+type peerDelta struct {
+	updates api.PeerUpdates
+	gone    []api.SessionID
 }
 
 // peerChange records that a node was added, changed or removed in a version.
@@ -32,7 +41,7 @@
 // differ from those of other terms.
 func newPeerList(term uint64) *peerList {
 	first := term << 32
-	return &peerList{version: first, completeSince: first + 1}
+	return &peerList{version: first, completeSince: first + 1, packed: make(map[uint64]peerDelta)}
 }
 
 // update replaces the list; peers must be sorted by session. The version increases if the list has
@@ -62,6 +71,7 @@
 		return
 	}
 	p.peers, p.version = peers, next
+	p.packed = make(map[uint64]peerDelta)
 	if over := len(p.changes) - maxPeerChanges; over > 0 {
 		p.completeSince = p.changes[over-1].version
 		p.changes = slices.Delete(p.changes, 0, over)
@@ -69,15 +79,34 @@
 }
 
 // fill sets in the reply what a node that holds the known version lacks.
-func (p *peerList) fill(r *api.HeartbeatReply, known uint64) {
+func (p *peerList) fill(r *api.HeartbeatReply, known uint64) error {
 	r.PeersBase, r.PeersVersion = known, p.version
 	if known == p.version {
-		return
+		return nil
 	}
-	if known < p.completeSince || known > p.version {
-		r.PeersFull, r.Peers = true, p.peers
-		return
+	r.PeersFull = known < p.completeSince || known > p.version
+	if r.PeersFull {
+		known = 0
+	}
+	d, cached := p.packed[known]
+	if !cached {
+		var err error
+		if d, err = p.since(known); err != nil {
+			return err
+		}
+		p.packed[known] = d
 	}
+	r.Peers, r.PeersGone = d.updates, d.gone
+	return nil
+}
+
+// since returns the changes after a version, or the whole list after version 0.
+func (p *peerList) since(known uint64) (d peerDelta, err error) {
+	if known == 0 {
+		d.updates, err = api.PackPeers(p.peers)
+		return d, err
+	}
+	var changed []api.Peer
 	from, _ := slices.BinarySearchFunc(p.changes, known+1, func(c peerChange, v uint64) int { return cmp.Compare(c.version, v) })
 	seen := make(map[api.SessionID]bool)
 	for _, c := range p.changes[from:] {
@@ -86,11 +115,15 @@
 		}
 		seen[c.session] = true
 		if i, found := slices.BinarySearchFunc(p.peers, c.session, bySession); found {
-			r.Peers = append(r.Peers, p.peers[i])
+			changed = append(changed, p.peers[i])
 		} else {
-			r.PeersGone = append(r.PeersGone, c.session)
+			d.gone = append(d.gone, c.session)
 		}
 	}
+	if len(changed) > 0 {
+		d.updates, err = api.PackPeers(changed)
+	}
+	return d, err
 }
 
 func bySession(p api.Peer, id api.SessionID) int { return cmp.Compare(p.Session, id) }
--- a/control/peers_test.go
+++ b/control/peers_test.go
@@ -23,18 +23,21 @@
 	p := newPeerList(3)
 	p.update(slices.Clone(peers))
 	var first, same, second api.HeartbeatReply
-	p.fill(&first, 0)
+	_ = p.fill(&first, 0)
 	is.True(first.PeersFull)
-	is.Equal(len(first.Peers), 100)
+	is.Equal(len(first.Peers.List), 100)
 	p.update(slices.Clone(peers))
-	p.fill(&same, first.PeersVersion)
+	_ = p.fill(&same, first.PeersVersion)
 	is.Equal(same, api.HeartbeatReply{PeersBase: first.PeersVersion, PeersVersion: first.PeersVersion})
 	peers[7].Zone = "b"
 	p.update(slices.Delete(slices.Clone(peers), 9, 10))
-	p.fill(&second, first.PeersVersion)
+	_ = p.fill(&second, first.PeersVersion)
 	is.True(!second.PeersFull)
-	is.Equal(second.Peers, api.PeerUpdates(peers[7:8]))
+	is.Equal(second.Peers.List, peers[7:8])
 	is.Equal(second.PeersGone, []api.SessionID{"s-009"})
+	var shared api.HeartbeatReply
+	_ = p.fill(&shared, first.PeersVersion)
+	is.Equal(&shared.Peers.List[0], &second.Peers.List[0]) // encoded once for nodes with one version
 }
 
 // Guards against a node whose list differs from the leader's after missed changes, and against a leader
@@ -55,7 +58,7 @@
 			held[p.version] = peers
 			for version, list := range held {
 				var r api.HeartbeatReply
-				p.fill(&r, version)
+				_ = p.fill(&r, version)
 				got := api.MergePeers(list, &r)
 				if !slices.EqualFunc(got, p.peers, func(x, y api.Peer) bool { return x.Session == y.Session && x.Zone == y.Zone }) {
 					t.Fatalf("from %d: got %v, want %v", version, got, p.peers)
@@ -75,7 +78,7 @@
 		p.update([]api.Peer{{Session: api.SessionID(fmt.Sprint("s-", i))}})
 	}
 	var r api.HeartbeatReply
-	p.fill(&r, start)
+	_ = p.fill(&r, start)
 	is.True(r.PeersFull)
 	is.True(len(p.changes) <= maxPeerChanges)
 	is.True(slices.IsSortedFunc(p.changes, func(x, y peerChange) int { return cmp.Compare(x.version, y.version) }))
--- a/control/reply.go
+++ b/control/reply.go
@@ -80,7 +80,10 @@
 		r.PeersBase, r.PeersVersion = known, known
 		return
 	}
-	l.peers.fill(r, known)
+	if err := l.peers.fill(r, known); err != nil {
+		l.log.WithError(err).WithField("version", l.peers.version).Error("Cannot encode the list of nodes. Nodes keep the previous one.")
+		r.PeersBase, r.PeersVersion, r.PeersFull = known, known, false
+	}
 }
 
 // packedCache holds a configuration as encoded for heartbeat replies: whole, and without the
