--- /dev/null
+++ b/api/hop.go
@@ -0,0 +1,106 @@
+package api
+
+import (
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/juju/errors"
+)
+
+// Hop is what the first node tells the owner's node about an attempt, beside the request itself. It is the value
+// of one header: most hops cross availability zones, and separate headers take twice the bytes.
+type Hop struct {
+	Service      string
+	Partition    int // -1 for a service that is not partitioned
+	Epoch        Epoch
+	Target       TargetID
+	Key          string
+	Organisation OrganisationID
+	Origin       string // service on the host where the request entered
+	Priority     int
+	Idempotent   bool
+	DeadlineMs   int64 // time left
+	// ObjectiveMs is the time left to the latency objective, 0 when it has passed and -1 without one.
+	ObjectiveMs int64
+}
+
+const (
+	hopSeparator = ";"
+	hopFields    = 11
+)
+
+// String returns the value of HeaderHop.
+func (h Hop) String() string {
+	return strings.Join([]string{
+		url.QueryEscape(h.Service),
+		strconv.Itoa(h.Partition),
+		strconv.FormatUint(uint64(h.Epoch), 10),
+		url.QueryEscape(string(h.Target)),
+		url.QueryEscape(h.Key),
+		url.QueryEscape(string(h.Organisation)),
+		url.QueryEscape(h.Origin),
+		strconv.Itoa(h.Priority),
+		strconv.FormatBool(h.Idempotent),
+		strconv.FormatInt(h.DeadlineMs, 10),
+		strconv.FormatInt(h.ObjectiveMs, 10),
+	}, hopSeparator)
+}
+
+// ParseHop parses the value of HeaderHop. It fails for a value that String does not return.
+func ParseHop(value string) (Hop, error) {
+	r := hopReader{fields: strings.Split(value, hopSeparator)}
+	if len(r.fields) != hopFields {
+		return Hop{}, errors.Errorf("%d fields in the description of a hop, want %d", len(r.fields), hopFields)
+	}
+	h := Hop{
+		Service:      r.text(),
+		Partition:    int(r.number()),
+		Epoch:        Epoch(r.unsigned()),
+		Target:       TargetID(r.text()),
+		Key:          r.text(),
+		Organisation: OrganisationID(r.text()),
+		Origin:       r.text(),
+		Priority:     int(r.number()),
+		Idempotent:   r.next() == "true",
+		DeadlineMs:   r.number(),
+		ObjectiveMs:  r.number(),
+	}
+	return h, errors.Annotate(r.err, "malformed description of a hop")
+}
+
+// hopReader reads fields in turn and keeps the first error.
+type hopReader struct {
+	fields []string
+	err    error
+}
+
+func (r *hopReader) next() string {
+	field := r.fields[0]
+	r.fields = r.fields[1:]
+	return field
+}
+
+func (r *hopReader) text() string {
+	text, err := url.QueryUnescape(r.next())
+	r.keep(err)
+	return text
+}
+
+func (r *hopReader) number() int64 {
+	n, err := strconv.ParseInt(r.next(), 10, 64)
+	r.keep(err)
+	return n
+}
+
+func (r *hopReader) unsigned() uint64 {
+	n, err := strconv.ParseUint(r.next(), 10, 64)
+	r.keep(err)
+	return n
+}
+
+func (r *hopReader) keep(err error) {
+	if r.err == nil {
+		r.err = err
+	}
+}
--- a/api/target.go
+++ b/api/target.go
@@ -17,18 +17,13 @@
 	HeaderEpoch        = "Zinnia-Epoch"
 	HeaderPartition    = "Zinnia-Partition"
 	HeaderService      = "Zinnia-Service"
-	HeaderTarget       = "Zinnia-Target"
-	HeaderKey          = "Zinnia-Key"
 	HeaderDeadlineMs   = "Zinnia-Deadline-Ms"
 	HeaderAttemptsLeft = "Zinnia-Attempts-Left"
-	HeaderHop          = "Zinnia-Hop"
-	HeaderIdempotent   = "Zinnia-Idempotent"
-	HeaderOrigin       = "Zinnia-Origin"
-	HeaderPriority     = "Zinnia-Priority"
-	// HeaderObjectiveMs is the time left to the latency objective; 0 says that it has passed.
-	HeaderObjectiveMs = "Zinnia-Objective-Ms"
-	HeaderExpected    = "Zinnia-Expected-Ms"
-	// HeaderBodyWaitMs is the time until the link of the owner's node is free for a large body.
+	// HeaderHop carries a Hop, HeaderExpected and HeaderBodyWaitMs the response to it: the time in which the
+	// target would respond to one more request, and the time until the link of its node is free for a large
+	// body, in milliseconds.
+	HeaderHop        = "Zinnia-Hop"
+	HeaderExpected   = "Zinnia-Expected-Ms"
 	HeaderBodyWaitMs = "Zinnia-Body-Wait-Ms"
 	HeaderCold       = "Zinnia-Cold"
 	HeaderShed       = "Zinnia-Shed"
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -38,11 +38,10 @@
 
 // destination is the target of an attempt and the node that it is on.
 type destination struct {
-	target       api.TargetID
-	session      api.SessionID
-	epoch        api.Epoch
-	peer         *api.Peer // nil if the target is on this node
-	attemptsLeft int       // attempts left when this target was chosen, including this attempt
+	target  api.TargetID
+	session api.SessionID
+	epoch   api.Epoch
+	peer    *api.Peer // nil if the target is on this node
 }
 
 // heldToken is the rate-limit token of a call. The zero value holds none.
--- a/gateway/caller_test.go
+++ b/gateway/caller_test.go
@@ -133,26 +133,23 @@
 		n.InternalHandler().ServeHTTP(w, r)
 		return errkind.Kind(w.Header().Get(errkind.HeaderKind))
 	}
-	hop := func(epoch, partition string) []string {
-		return []string{api.HeaderHop, "1", api.HeaderAttempt, api.NewID(), api.HeaderService, "quotes",
-			api.HeaderPartition, partition, api.HeaderEpoch, epoch, api.HeaderTarget, "t-b", api.HeaderKey, "k",
-			api.HeaderDeadlineMs, "500"}
-	}
-	own := map[int]string{0: "0", 1: "1", 2: "2", 3: "3"}[api.PartitionOf("k", 4)]
-	other := map[string]string{"0": "1"}[own]
-	if other == "" {
-		other = "0"
+	hop := func(epoch api.Epoch, partition int) []string {
+		d := api.Hop{Service: "quotes", Partition: partition, Epoch: epoch, Target: "t-b", Key: "k", DeadlineMs: 500, ObjectiveMs: -1}
+		return []string{api.HeaderHop, d.String(), api.HeaderAttempt, api.NewID()}
 	}
+	own := api.PartitionOf("k", 4)
+	other := (own + 1) % 4
 	is.Equal(send(b), errkind.UnknownMember)
-	is.Equal(send(b, hop("6", own)...), errkind.StaleEpoch)
-	is.Equal(send(b, hop("8", own)...), errkind.WrongOwner)
-	is.Equal(send(b, hop("7", other)...), errkind.WrongOwner)
-	is.Equal(send(b, hop("0", "-1")...), errkind.WrongOwner) // the service is partitioned, so a grant is required
-	is.Equal(send(a, hop("7", own)...), errkind.WrongOwner)  // no second hop
+	is.Equal(send(b, api.HeaderHop, "1", api.HeaderAttempt, api.NewID()), errkind.BadRequest)
+	is.Equal(send(b, hop(6, own)...), errkind.StaleEpoch)
+	is.Equal(send(b, hop(8, own)...), errkind.WrongOwner)
+	is.Equal(send(b, hop(7, other)...), errkind.WrongOwner)
+	is.Equal(send(b, hop(0, -1)...), errkind.WrongOwner)  // the service is partitioned, so a grant is required
+	is.Equal(send(a, hop(7, own)...), errkind.WrongOwner) // no second hop
 	is.Equal(target.runs.Load(), int64(0))
-	is.Equal(send(b, hop("7", own)...), errkind.Kind(""))
+	is.Equal(send(b, hop(7, own)...), errkind.Kind(""))
 	b.Gateway.tls = &tls.Config{}
-	is.Equal(send(b, hop("7", own)...), errkind.UnknownMember) // no certificate
+	is.Equal(send(b, hop(7, own)...), errkind.UnknownMember) // no certificate
 }
 
 // Guards against a request that reaches the target although the lease expires while it waits at the
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -123,7 +123,7 @@
 	}
 	setHeader(h, api.HeaderAttempt, s.Attempt)
 	setHeader(h, api.HeaderService, s.Service)
-	setHeader(h, api.HeaderDeadlineMs, remainingMs(s.Deadline))
+	setHeader(h, api.HeaderDeadlineMs, strconv.FormatInt(remainingMs(s.Deadline), 10))
 	if s.Partition >= 0 {
 		setHeader(h, api.HeaderPartition, strconv.Itoa(s.Partition))
 		setHeader(h, api.HeaderEpoch, strconv.FormatUint(uint64(s.Epoch), 10))
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -171,12 +170,10 @@
 	send := func(id string) *http.Response {
 		req, err := http.NewRequest("POST", b.hops.URL+"/quotes/k", nil)
 		is.NoErr(err)
-		for name, value := range map[string]string{
-			api.HeaderHop: "1", api.HeaderAttempt: id, api.HeaderService: "quotes", api.HeaderEpoch: "7",
-			api.HeaderPartition: strconv.Itoa(api.PartitionOf("k", 4)), api.HeaderTarget: "t-b", api.HeaderKey: "k", api.HeaderDeadlineMs: "900",
-		} {
-			req.Header.Set(name, value)
-		}
+		req.Header.Set(api.HeaderAttempt, id)
+		req.Header.Set(api.HeaderHop, api.Hop{
+			Service: "quotes", Partition: api.PartitionOf("k", 4), Epoch: 7, Target: "t-b", Key: "k", DeadlineMs: 900, ObjectiveMs: -1,
+		}.String())
 		resp, err := http.DefaultTransport.RoundTrip(req)
 		is.NoErr(err)
 		resp.Body.Close()
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -69,7 +69,6 @@
 		return destination{}, false
 	}
 	c.attemptsLeft--
-	p.attemptsLeft = c.attemptsLeft
 	telemetry.CountEvent(hedgeEvent, 1)
 	return p, true
 }
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -85,26 +84,8 @@
 func (h *hop) header() http.Header {
 	c := h.call
 	out := c.header.Clone()
-	setHeader(out, api.HeaderHop, "1")
-	if c.org != "" {
-		setHeader(out, api.HeaderOrganisation, string(c.org))
-	}
-	if c.origin != "" {
-		setHeader(out, api.HeaderOrigin, c.origin)
-	}
-	setHeader(out, api.HeaderPriority, strconv.Itoa(c.priority))
-	if !c.objective.IsZero() {
-		setHeader(out, api.HeaderObjectiveMs, formatMilliseconds(max(time.Until(c.objective), 0)))
-	}
 	setHeader(out, api.HeaderAttempt, h.id)
-	setHeader(out, api.HeaderService, c.ref.Service)
-	setHeader(out, api.HeaderPartition, strconv.Itoa(c.ref.Partition))
-	setHeader(out, api.HeaderEpoch, strconv.FormatUint(uint64(h.dest.epoch), 10))
-	setHeader(out, api.HeaderTarget, string(h.dest.target))
-	setHeader(out, api.HeaderKey, url.QueryEscape(c.key))
-	setHeader(out, api.HeaderIdempotent, strconv.FormatBool(c.idempotent))
-	setHeader(out, api.HeaderAttemptsLeft, strconv.Itoa(h.dest.attemptsLeft))
-	setHeader(out, api.HeaderDeadlineMs, remainingMs(hopDeadline(c.deadline)))
+	setHeader(out, api.HeaderHop, h.description().String())
 	if c.body.large() {
 		// The owner's node asks for the body once its link and the target have capacity for it: a
 		// refused body does not cross the link and can still be sent to another target.
@@ -113,6 +94,28 @@
 	return out
 }
 
+// description returns what the owner's node is told about the attempt.
+func (h *hop) description() api.Hop {
+	c := h.call
+	d := api.Hop{
+		Service:      c.ref.Service,
+		Partition:    c.ref.Partition,
+		Epoch:        h.dest.epoch,
+		Target:       h.dest.target,
+		Key:          c.key,
+		Organisation: c.org,
+		Origin:       c.origin,
+		Priority:     c.priority,
+		Idempotent:   c.idempotent,
+		DeadlineMs:   remainingMs(hopDeadline(c.deadline)),
+		ObjectiveMs:  -1,
+	}
+	if !c.objective.IsZero() {
+		d.ObjectiveMs = max(time.Until(c.objective), 0).Milliseconds()
+	}
+	return d
+}
+
 // hopDeadline returns the deadline for the owner's node.
 func hopDeadline(deadline time.Time) time.Time {
 	return deadline.Add(-min(hopMargin, time.Until(deadline)/10))
--- a/gateway/internal.go
+++ b/gateway/internal.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/url"
-	"strconv"
 	"time"
 
 	"github.com/zinniapier/zinniapier/api"
@@ -97,53 +95,43 @@
 	return nil
 }
 
-// newHopCall reads the internal headers of a hop. Errors: NoLease, BadRequest, WrongOwner.
+// newHopCall reads the description of a hop. Errors: NoLease, BadRequest, WrongOwner.
 func (g *Gateway) newHopCall(w http.ResponseWriter, r *http.Request, v *api.View) (*call, destination, error) {
 	if v.Configuration == nil || v.Index == nil {
 		return nil, destination{}, errkind.New(errkind.NoLease, "node has no configuration yet")
 	}
-	h := r.Header
-	partition, err := strconv.Atoi(h.Get(api.HeaderPartition))
+	d, err := api.ParseHop(r.Header.Get(api.HeaderHop))
 	if err != nil {
-		return nil, destination{}, errkind.New(errkind.BadRequest, "malformed partition")
+		return nil, destination{}, errkind.New(errkind.BadRequest, "%v", err)
 	}
-	epoch, err := strconv.ParseUint(h.Get(api.HeaderEpoch), 10, 64)
-	if err != nil {
-		return nil, destination{}, errkind.New(errkind.BadRequest, "malformed epoch")
-	}
-	ms, err := strconv.ParseInt(h.Get(api.HeaderDeadlineMs), 10, 64)
-	if err != nil || ms <= 0 || ms > maxDeadline.Milliseconds() {
+	if d.DeadlineMs <= 0 || d.DeadlineMs > maxDeadline.Milliseconds() {
 		return nil, destination{}, errkind.New(errkind.BadRequest, "malformed deadline")
 	}
-	key, err := url.QueryUnescape(h.Get(api.HeaderKey))
-	if err != nil {
-		return nil, destination{}, errkind.New(errkind.BadRequest, "malformed key")
-	}
 	c := &call{
 		incoming:   r,
 		id:         g.requestID(r),
-		header:     g.requestHeader(h),
+		header:     g.requestHeader(r.Header),
 		body:       hopBody(w, r, g.maxBody),
-		idempotent: h.Get(api.HeaderIdempotent) == "true",
-		org:        api.OrganisationID(h.Get(api.HeaderOrganisation)),
-		key:        key,
-		origin:     h.Get(api.HeaderOrigin),
-		priority:   hopPriority(h),
-		ref:        api.PartitionRef{Service: h.Get(api.HeaderService), Partition: partition},
-		deadline:   time.Now().Add(time.Duration(ms) * time.Millisecond),
+		idempotent: d.Idempotent,
+		org:        d.Organisation,
+		key:        d.Key,
+		origin:     d.Origin,
+		priority:   d.Priority,
+		ref:        api.PartitionRef{Service: d.Service, Partition: d.Partition},
+		deadline:   time.Now().Add(time.Duration(d.DeadlineMs) * time.Millisecond),
 	}
 	c.history.began = time.Now()
-	if left, ok := parseMilliseconds(h, api.HeaderObjectiveMs); ok {
-		c.objective = c.history.began.Add(left)
+	if d.ObjectiveMs >= 0 {
+		c.objective = c.history.began.Add(time.Duration(d.ObjectiveMs) * time.Millisecond)
 	}
-	if s := v.Configuration.Services.Find(c.ref.Service); s != nil && s.Ranged() && partition >= 0 {
+	if s := v.Configuration.Services.Find(c.ref.Service); s != nil && s.Ranged() && d.Partition >= 0 {
 		// The first node may see the split of a range later or earlier than this one.
-		c.ref.Partition = v.Partition(s, key)
+		c.ref.Partition = v.Partition(s, d.Key)
 	}
 	if org := v.Index.Organisations[c.org]; org != nil {
 		c.weight = org.Weight
 	}
-	return c, destination{target: api.TargetID(h.Get(api.HeaderTarget)), epoch: api.Epoch(epoch)}, checkService(v, c.ref)
+	return c, destination{target: d.Target, epoch: d.Epoch}, checkService(v, c.ref)
 }
 
 // requestID returns the caller's ID of the request, for logs.
@@ -155,16 +143,6 @@
 	return info.ID
 }
 
-// hopPriority reads the priority that the first node determined; a hop from an older version has
-// none.
-func hopPriority(h http.Header) int {
-	n, err := strconv.Atoi(h.Get(api.HeaderPriority))
-	if err != nil {
-		return 0
-	}
-	return n
-}
-
 // checkService refuses a hop if the two nodes disagree on whether the service is partitioned: as
 // not partitioned, the request would reach the target without a grant. Errors: WrongOwner.
 func checkService(v *api.View, ref api.PartitionRef) error {
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -139,6 +139,6 @@
 }
 
 // remainingMs returns the whole milliseconds until the deadline, at least 1.
-func remainingMs(deadline time.Time) string {
-	return strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10)
+func remainingMs(deadline time.Time) int64 {
+	return max(time.Until(deadline).Milliseconds(), 1)
 }
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -59,7 +59,7 @@
 	if !owner.Serves() {
 		return nil, errkind.New(errkind.NoOwner, "partition %d of %s has no owner", c.ref.Partition, c.ref.Service)
 	}
-	p := destination{target: owner.Target, session: owner.Session, epoch: owner.Epoch, attemptsLeft: c.attemptsLeft}
+	p := destination{target: owner.Target, session: owner.Session, epoch: owner.Epoch}
 	if owner.Session != v.Session {
 		p.peer = v.Index.Peers[owner.Session]
 		if p.peer == nil {
@@ -186,7 +186,6 @@
 		large: c.body.large(), serviceLatency: g.latencies.get(c.service.Name).meanLatency(),
 	})
 	p := destinationOf(v, targets[i])
-	p.attemptsLeft = c.attemptsLeft
 	return p, nil
 }
 
--- a/integration/requests_headers_test.go
+++ b/integration/requests_headers_test.go
@@ -21,8 +21,8 @@
 	h := http.Header{}
 	for _, name := range []string{
 		api.HeaderOrganisation, api.HeaderAttempt, api.HeaderEpoch, api.HeaderPartition, api.HeaderService,
-		api.HeaderTarget, api.HeaderKey, api.HeaderDeadlineMs, api.HeaderAttemptsLeft, api.HeaderHop,
-		api.HeaderIdempotent, api.HeaderCold, api.HeaderShed,
+		api.HeaderDeadlineMs, api.HeaderAttemptsLeft, api.HeaderHop, api.HeaderCold, api.HeaderShed,
+		"Zinnia-Target", "Zinnia-Key", "Zinnia-Idempotent",
 		"Zinnia-Error", "Zinnia-Not-Run", "Zinnia-Map-Version", "Zinnia-Anything",
 	} {
 		h.Set(name, intruder)
--- a/integration/requests_tls_test.go
+++ b/integration/requests_tls_test.go
@@ -195,8 +195,10 @@
 		return nil, err
 	}
 	req.Header = http.Header{
-		api.HeaderHop: {"1"}, api.HeaderAttempt: {"forged"}, api.HeaderService: {"quotes"}, api.HeaderPartition: {"0"},
-		api.HeaderEpoch: {"1"}, api.HeaderDeadlineMs: {"1000"}, api.HeaderOrganisation: {string(organisation)},
+		api.HeaderAttempt: {"forged"},
+		api.HeaderHop: {api.Hop{
+			Service: "quotes", Epoch: 1, Organisation: api.OrganisationID(organisation), DeadlineMs: 1000, ObjectiveMs: -1,
+		}.String()},
 		target.HeaderRequestID: {"forged"},
 	}
 	if err := req.Write(conn); err != nil {
