daemon: a planned stop handles no request of a connection that it has closed as idle

Cause: http.Server.SetKeepAlivesEnabled(false) closes the connections in StateIdle, which lasts until the whole header of the next request has been read; a request whose bytes had been read by then was handled without a connection to answer on. Change: connections are idle by what they have received: one is closed only while nothing arrived after its last response, and bytes that arrive later are not handed to the server. The same below TLS. Ruled out: the drain of 300 ms, which had passed.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -84,7 +84,7 @@
 	if err != nil || config == nil {
 		return l, err
 	}
-	return tls.NewListener(l, config), nil
+	return tls.NewListener(idleListener{l}, config), nil
 }
 
 // Main runs a program that reads either its own settings or those of a platform, and ends the
--- a/daemon/http.go
+++ b/daemon/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -43,8 +44,11 @@
 	mu sync.Mutex
 	// open is the number of connections.
 	open int
-	// unused holds the connections without a request so far.
+	// unused holds the connections without a request so far, idle those whose last request is answered.
 	unused map[net.Conn]struct{}
+	idle   map[*idleConn]struct{}
+	// closing is true once connections are closed when they become idle.
+	closing bool
 	// closed wakes the wait for the end of all connections.
 	closed chan struct{}
 }
@@ -56,6 +60,7 @@
 		listener:    listener,
 		unusedGrace: unusedGrace,
 		unused:      make(map[net.Conn]struct{}),
+		idle:        make(map[*idleConn]struct{}),
 		closed:      make(chan struct{}, 1),
 	}
 	s.server = &http.Server{
@@ -113,6 +118,37 @@
 		}
 	}
 	delete(s.unused, conn)
+	s.trackIdle(conn, state)
+}
+
+// trackIdle keeps the connections that are idle, or closes them once closing has begun. The caller holds s.mu.
+func (s *HTTPService) trackIdle(conn net.Conn, state http.ConnState) {
+	if encrypted, ok := conn.(*tls.Conn); ok {
+		conn = encrypted.NetConn()
+	}
+	c, ok := conn.(*idleConn)
+	if !ok {
+		return
+	}
+	if state != http.StateIdle {
+		delete(s.idle, c)
+		return
+	}
+	c.setIdle()
+	s.idle[c] = struct{}{}
+	if s.closing {
+		c.closeIfIdle()
+	}
+}
+
+// closeIdle closes the idle connections, now and later.
+func (s *HTTPService) closeIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closing = true
+	for c := range s.idle {
+		c.closeIfIdle()
+	}
 }
 
 func (s *HTTPService) closeUnused() {
@@ -147,7 +183,7 @@
 // running requests.
 func (s *HTTPService) Serve(ctx context.Context) error {
 	done := make(chan error, 1)
-	go func() { done <- s.server.Serve(s.listener) }()
+	go func() { done <- s.server.Serve(idleListener{s.listener}) }()
 	select {
 	case err := <-done:
 		return errors.Annotatef(err, "serve %s", s.name)
@@ -158,7 +194,7 @@
 	// connection that was accepted ends with a response.
 	_ = s.listener.Close()
 	<-done
-	s.server.SetKeepAlivesEnabled(false)
+	s.closeIdle()
 	timer := time.AfterFunc(s.unusedGrace, s.closeUnused)
 	defer timer.Stop()
 	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
--- /dev/null
+++ b/daemon/idleconn.go
@@ -0,0 +1,62 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"net"
+	"sync"
+)
+
+// idleListener wraps the connections that it accepts in idleConns.
+type idleListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l idleListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if _, encrypted := conn.(*tls.Conn); err != nil || encrypted {
+		return conn, err // http.Server knows a TLS connection by its type; ListenTLS has wrapped what it reads
+	}
+	return &idleConn{Conn: conn}, nil
+}
+
+// idleConn is a connection that can be closed while it is idle, and only then. http.Server takes a connection
+// for idle until it has read the whole header of the next request: closed by the server, the request may still
+// be handled, without anywhere to send the response.
+type idleConn struct {
+	net.Conn
+
+	mu     sync.Mutex
+	idle   bool // a response has been sent, and nothing was received after it
+	closed bool
+}
+
+// Read implements net.Conn. What arrives on a connection that has been closed as idle is discarded.
+func (c *idleConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	c.idle = false
+	return n, err
+}
+
+// setIdle records that a response has been sent.
+func (c *idleConn) setIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = true
+}
+
+// closeIfIdle closes the connection unless a request is arriving or at work.
+func (c *idleConn) closeIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle && !c.closed {
+		c.closed = true
+		_ = c.Conn.Close()
+	}
+}
