--- a/daemon/idleconn.go
+++ b/daemon/idleconn.go
@@ -60,3 +60,12 @@
 		_ = c.Conn.Close()
 	}
 }
+
+// CloseWrite ends the sending side. http.Server uses it where a request body was not read whole: closing at once
+// could take the response from the caller.
+func (c *idleConn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
--- a/daemon/idleconn_test.go
+++ b/daemon/idleconn_test.go
@@ -74,3 +74,22 @@
 	}
 	return 1
 }
+
+// Guards against a caller that waits for the end of a connection on which its body was refused: the server ends
+// its sending side with the response, and closes the connection half a second later.
+func TestRefusedBodyEndsTheConnectionAtOnce(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	s := NewHTTPService("test", l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }))
+	go func() { _ = s.Serve(t.Context()) }()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 1000000000\r\n\r\nx")
+	is.NoErr(err)
+	began := time.Now()
+	_, err = io.ReadAll(conn)
+	is.NoErr(err)
+	is.True(time.Since(began) < 400*time.Millisecond)
+}
