control, gateway: what the change did twice or left behind

- A reply looks for the encoded changes of the map before it asks for the history, which it copied for each node also where the encoding was at hand; one function gives both the changes and the whole map.
- splitLog counts the kept splits in the loop that it has; countOf is gone.
- choose no longer names a destination that it only returns.
No behaviour changes meant.
Seen and left, since it changes behaviour: the pause between plans holds back the leader's whole tick, with the ends of sessions, and not the plan alone; PeerUpdates and AssignmentUpdates keep their encoding in the same two fields.

--- a/control/reply.go
+++ b/control/reply.go
@@ -30,7 +30,7 @@
 	}
 	if err := l.fillMap(r, view, s.last.MapVersion); err != nil {
 		l.log.WithError(err).WithField("version", view.MapVersion).Error("Cannot encode assignments. Nodes keep the previous ones.")
-		r.MapFull, r.MapVersion = false, s.last.MapVersion
+		r.MapVersion = s.last.MapVersion
 	}
 	l.fillPeers(r, view, s.last.PeersVersion, now)
 	for _, m := range l.o.Log.Members() {
@@ -39,13 +39,19 @@
 	return r
 }
 
-// mapCache holds what nodes with older versions of the map lack, by that version; 0 stands for the whole map.
+// mapCache holds what nodes with older versions of the map lack, by that version; 0 stands for none.
 //
 // Load pattern: many targets are replaced at once. The map changes some hundred times a second, and the leader
 // encodes each difference for hundreds of nodes whose versions are a few apart.
 type mapCache struct {
 	version uint64
-	deltas  map[uint64]api.AssignmentUpdates
+	deltas  map[uint64]mapDelta
+}
+
+// mapDelta is the difference of two versions of the map, or the whole map if full is set.
+type mapDelta struct {
+	updates api.AssignmentUpdates
+	full    bool
 }
 
 // fillMap adds the assignments that changed since the known map version, or all of them.
@@ -53,32 +59,36 @@
 	if known == view.MapVersion {
 		return nil
 	}
-	refs, ok := l.o.Machine.Changes(known)
-	r.MapFull = !ok || known == 0 || known > view.MapVersion
-	if r.MapFull {
-		known = 0
-	}
 	if l.maps.deltas == nil || l.maps.version != view.MapVersion {
-		l.maps = mapCache{version: view.MapVersion, deltas: make(map[uint64]api.AssignmentUpdates)}
+		l.maps = mapCache{version: view.MapVersion, deltas: make(map[uint64]mapDelta)}
 	}
-	updates, cached := l.maps.deltas[known]
-	if !cached {
-		var err error
-		if updates, err = api.PackAssignments(mapSince(view, refs, r.MapFull)); err != nil {
-			return err
-		}
-		l.maps.deltas[known] = updates
+	d, err := l.mapSince(view, known)
+	if err != nil {
+		return err
 	}
-	r.Map = updates
+	r.Map, r.MapFull = d.updates, d.full
 	return nil
 }
 
-// mapSince returns all assignments if full is set, else those of the changed partitions.
-func mapSince(view *api.ControlState, changed []api.PartitionRef, full bool) []api.AssignmentUpdate {
-	if full {
-		return fullMap(view)
+// mapSince returns what a node with the known version lacks, encoded once for all nodes with that version.
+func (l *leader) mapSince(view *api.ControlState, known uint64) (d mapDelta, err error) {
+	if d, cached := l.maps.deltas[known]; cached {
+		return d, nil
 	}
-	return changedAssignments(view, changed)
+	refs, ok := l.o.Machine.Changes(known)
+	switch {
+	case known == 0:
+		d.full = true
+		d.updates, err = api.PackAssignments(fullMap(view))
+	case !ok || known > view.MapVersion:
+		d, err = l.mapSince(view, 0)
+	default:
+		d.updates, err = api.PackAssignments(changedAssignments(view, refs))
+	}
+	if err == nil {
+		l.maps.deltas[known] = d
+	}
+	return d, err
 }
 
 // changedAssignments returns the assignments of the partitions, each once.
--- a/control/splitlog.go
+++ b/control/splitlog.go
@@ -58,28 +58,21 @@
 	for i := range c.Services.Services {
 		s := &c.Services.Services[i]
 		before := &old.Services.Services[i]
+		kept := 0
 		for _, split := range s.Splits {
-			if !slices.Contains(before.Splits, split) {
-				added = append(added, api.ServiceSplit{Service: s.Name, RangeSplit: split})
+			if slices.Contains(before.Splits, split) {
+				kept++
+				continue
 			}
+			added = append(added, api.ServiceSplit{Service: s.Name, RangeSplit: split})
 		}
-		if len(before.Splits)+countOf(added, s.Name) != len(s.Splits) {
+		if kept != len(before.Splits) {
 			return nil, false
 		}
 	}
 	return added, true
 }
 
-func countOf(splits []api.ServiceSplit, service string) int {
-	n := 0
-	for _, s := range splits {
-		if s.Service == service {
-			n++
-		}
-	}
-	return n
-}
-
 // withoutSplits returns the configuration without version and splits.
 func withoutSplits(c *api.Configuration) api.Configuration {
 	plain := *c
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -185,8 +185,7 @@
 		targets: targets, loads: &g.loads, now: time.Now(), zone: v.Zone,
 		large: c.body.large(), serviceLatency: g.latencies.get(c.service.Name).meanLatency(),
 	})
-	p := destinationOf(v, targets[i])
-	return p, nil
+	return destinationOf(v, targets[i]), nil
 }
 
 func targetChoice(name string) (TargetChoice, error) {
