host: an earlier map is not applied after a later one

The keys would be released and granted again. Change: a map is applied only if it is later than the last one of the session.

--- a/host/grants.go
+++ b/host/grants.go
@@ -71,8 +71,8 @@
 // applyViewLocked is applyView for a caller that holds t.mu.
 func (t *Target) applyViewLocked(v *api.View, now time.Time) {
 	current := mapVersion{session: v.Session, version: v.MapVersion}
-	if t.appliedMap == current {
-		return
+	if t.appliedMap.session == current.session && t.appliedMap.version >= current.version {
+		return // also an earlier view, that was read before the lock was taken
 	}
 	t.appliedMap = current
 	list := v.Assignments[t.info.Service]
