raft: no lease from answers to messages of an older term

Cause: a follower answers a message of an older term with its own, higher term and echoes SentAt. A leader that restarted between has a clock that begins anew and may lead in that term by then; it counted the echo, a time ahead of its clock, as an answer to its own message, so its lease lasted past the next election: two members held a lease. Ruled out: membership change (the follower of a fixed membership shows it too), the draw of election timeouts. Change: such a message is answered with a rejected heartbeat response without times; a leader counts only times between the start of its leadership and now, so that answers of earlier versions count neither.

--- a/raft/core_test.go
+++ b/raft/core_test.go
@@ -123,3 +123,26 @@
 	is.Equal(messages[0].Type, Append)
 	is.Equal(messages[0].Index, uint64(2))
 }
+
+// Guards against a lease from a response to a message of an older term: the message was sent before
+// this member restarted, when its clock showed a later time. The rejection carries the follower's
+// term, which by then is the term that this member leads in.
+func TestLeaseIgnoresResponsesToOlderTerms(t *testing.T) {
+	for _, old := range []MessageType{Heartbeat, Append, InstallSnapshot} {
+		is := is.New(t)
+		r := electLeader(t)
+		is.NoErr(r.Step(410*ms, Message{Type: AppendResponse, From: 2, Term: 4, Index: 2, SentAt: 400 * ms}))
+		follower, err := New(testConfig(3), 0, HardState{Term: 4, Commit: 1},
+			Snapshot{Index: 1, Term: 1, Membership: Membership{Voters: []uint64{1, 2, 3}}}, nil)
+		is.NoErr(err)
+		is.NoErr(follower.Step(10*ms, Message{Type: old, From: 1, To: 3, Term: 3, Index: 1, LogTerm: 1, SentAt: 530 * ms}))
+		responses := processReady(follower)
+		is.Equal(len(responses), 1)
+		is.Equal(responses[0].Term, uint64(4))
+		is.NoErr(r.Step(534*ms, responses[0]))
+		is.True(!r.HoldsLease(535 * ms)) // 400 ms + 150 ms - 10%
+		// A follower of an earlier version echoes the time.
+		is.NoErr(r.Step(534*ms, Message{Type: AppendResponse, From: 3, Term: 4, Reject: true, SentAt: 9000 * ms}))
+		is.True(!r.HoldsLease(535 * ms))
+	}
+}
--- a/raft/follower.go
+++ b/raft/follower.go
@@ -13,9 +13,9 @@
 		response.Type = HeartbeatResponse
 	}
 	if m.Term < r.term {
-		// The higher term in the response makes the leader of an older term step down.
-		response.Reject = true
-		r.send(response)
+		// The higher term in the response makes the leader of an older term step down. The response
+		// echoes nothing: the sender may have restarted, and may lead in the higher term by now.
+		r.send(Message{Type: HeartbeatResponse, To: m.From, Reject: true})
 		return nil
 	}
 	if r.role == Leader && m.Term == r.term {
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -94,8 +94,12 @@
 	if !ok {
 		return
 	}
-	p.ackedSentAt = max(p.ackedSentAt, m.SentAt)
+	if m.SentAt >= r.leaderSince && m.SentAt <= now {
+		// Any other time is of a message of an older term, by the clock of this member before a restart.
+		p.ackedSentAt = max(p.ackedSentAt, m.SentAt)
+	}
 	switch {
+	case m.Type == HeartbeatResponse && m.Reject: // response to a message of an older term
 	case m.Type == HeartbeatResponse:
 		r.detectLostAppend(p, m)
 	case m.Reject:
