raft, replica: members sync beside their heartbeats

Cause: a member sent and answered raft heartbeats on the goroutine that waits for syncs, so syncs longer than an election (150 to 300 ms) ended the leader's lease again and again, and with it those of the nodes. Change: the core gives out the messages that promise nothing unsynced (MessagesBeforeSync); acknowledgements, votes and all of an unsynced term wait. Responses to heartbeats say what was received and what is synced, so that a slow sync is not taken for a lost message. A saver goroutine writes the log. A leader whose sync takes longer than an election resigns when a quorum is ahead of it, and a member with a stuck disk does not campaign.

--- a/raft/election.go
+++ b/raft/election.go
@@ -12,7 +12,7 @@
 	if !pre {
 		r.role = Candidate
 		r.term++
-		r.vote = r.cfg.ID
+		r.vote, r.received = r.cfg.ID, 0
 		request.Type = Vote
 		r.resetElection(now)
 	}
--- a/raft/follower.go
+++ b/raft/follower.go
@@ -26,6 +26,10 @@
 	switch m.Type {
 	case Heartbeat:
 		r.commitTo(min(m.Commit, r.log.lastIndex()))
+		response.Hint = r.received
+		if r.unsavedSnapshot == nil {
+			response.Index = min(r.received, r.log.stable)
+		}
 	case Append:
 		if err := r.onAppend(m, &response); err != nil {
 			return err
@@ -36,6 +40,9 @@
 		}
 		response.Index = r.onSnapshot(*m.Snapshot)
 	}
+	if m.Type != Heartbeat && !response.Reject {
+		r.received = max(r.received, response.Index)
+	}
 	r.send(response)
 	return nil
 }
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -18,7 +18,7 @@
 			continue
 		}
 		r.send(Message{Type: Heartbeat, To: id, Commit: min(p.match, r.log.commit), SentAt: now})
-		if p.probing && now >= p.lastSend+r.cfg.ElectionMin {
+		if p.probing && now >= p.lastSend+r.cfg.ElectionMin && !p.receivedInflight() {
 			// The probe or its response was lost.
 			p.inflight = nil
 		}
@@ -54,6 +54,11 @@
 	return maxInflightAppends
 }
 
+// receivedInflight reports whether the peer has received all entries in flight and is still syncing them.
+func (p *progress) receivedInflight() bool {
+	return len(p.inflight) > 0 && p.received >= p.inflight[len(p.inflight)-1]
+}
+
 func (r *Raft) sendEntries(now time.Duration, id uint64, p *progress) {
 	p.pendingSnapshot = 0
 	prev := p.next - 1
@@ -101,6 +106,10 @@
 	switch {
 	case m.Type == HeartbeatResponse && m.Reject: // response to a message of an older term
 	case m.Type == HeartbeatResponse:
+		p.received = m.Hint
+		if m.Index > p.match {
+			r.onAppendAccepted(now, p, m.Index)
+		}
 		r.detectLostAppend(p, m)
 	case m.Reject:
 		r.onAppendRejected(p, m)
@@ -113,10 +122,10 @@
 }
 
 // detectLostAppend resumes after the last acknowledged index when the peer has answered a
-// heartbeat that was sent after the last Append, and has not acknowledged that Append. Links
-// preserve the order of messages, so the Append or its response was lost.
+// heartbeat that was sent after the last Append, and has not received that Append. Links preserve the
+// order of messages, so the Append was lost.
 func (r *Raft) detectLostAppend(p *progress, m Message) {
-	if !p.probing && m.SentAt > p.lastSend && p.match < p.next-1 {
+	if !p.probing && m.SentAt > p.lastSend && max(p.match, p.received) < p.next-1 {
 		p.probe(p.match + 1)
 	}
 }
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -18,6 +18,9 @@
 	// probing is true while next is a guess; then only one Append is in flight.
 	probing  bool
 	inflight []uint64 // last index of each unacknowledged append
+	// received is the last index that the peer has received, synced or not, by its latest response to a
+	// heartbeat.
+	received uint64
 	lastSend time.Duration
 	// ackedSentAt is the send time of the latest message of this term that the peer has
 	// answered.
@@ -39,6 +42,8 @@
 	term   uint64
 	vote   uint64
 	leader uint64
+	// received is the last index received from the leader of this term; the log up to it is the leader's.
+	received uint64
 
 	// lastContact is when this member last received a message from a leader, was leader
 	// itself, or started, whichever is latest.
@@ -166,7 +171,7 @@
 
 func (r *Raft) becomeFollower(now time.Duration, term, leader uint64) {
 	if term > r.term {
-		r.term, r.vote = term, 0
+		r.term, r.vote, r.received = term, 0, 0
 	}
 	if r.role == Leader {
 		// A leader that steps down counts as in contact with a leader until now. Otherwise
@@ -178,12 +183,26 @@
 	r.resetElection(now)
 }
 
+// Resign makes a leader a follower if a quorum of others has synced entries that this member has not.
+// The caller calls it when a sync takes long.
+//
+// Load pattern: the disk of the leader alone is full or slow. When all disks are slow, another leader
+// would serve no better, and this one goes on.
+func (r *Raft) Resign(now time.Duration) {
+	if r.role == Leader && r.log.commit > r.log.stable {
+		r.becomeFollower(now, r.term, 0)
+	}
+}
+
 // resetElection draws a new random election timeout that starts at now.
 func (r *Raft) resetElection(now time.Duration) {
 	spread := r.cfg.ElectionMax - r.cfg.ElectionMin
 	r.electionDeadline = now + r.cfg.ElectionMin + time.Duration(r.random.Int63n(int64(spread)+1))
 }
 
+// IsLeader reports whether this member leads in its term.
+func (r *Raft) IsLeader() bool { return r.role == Leader }
+
 func (r *Raft) isVoter() bool { return r.members.current().IsVoter(r.cfg.ID) }
 
 func (r *Raft) committedInTerm() bool { return r.log.matches(r.log.commit, r.term) }
--- a/raft/ready.go
+++ b/raft/ready.go
@@ -1,25 +1,54 @@
 package raft
 
-import (
-	"slices"
+import "github.com/juju/errors"
 
-	"github.com/juju/errors"
-)
+// MessagesBeforeSync removes and returns the pending messages that may be sent while the work of a
+// Ready is not done: they promise nothing that is not on disk. Proposals made since the last call are
+// sent to each peer together.
+//
+// Load pattern: the disk takes longer for a sync than a leader may be silent. Heartbeats and their
+// responses keep the leader and its lease meanwhile.
+func (r *Raft) MessagesBeforeSync() []Message {
+	r.sendProposals()
+	if r.term != r.storedState.Term || r.vote != r.storedState.Vote {
+		return nil
+	}
+	var free, held []Message
+	for _, m := range r.messages {
+		if m.dependsOnSync() {
+			held = append(held, m)
+		} else {
+			free = append(free, m)
+		}
+	}
+	r.messages = held
+	return free
+}
 
-// Ready returns the pending work. The caller does it and then calls Advance. Proposals made
-// since the last call of Ready are sent to each peer together.
-func (r *Raft) Ready() Ready {
+// dependsOnSync reports whether the message acknowledges entries, a snapshot or a vote.
+func (m Message) dependsOnSync() bool {
+	return !m.Reject && (m.Type == AppendResponse || m.Type == VoteResponse)
+}
+
+func (r *Raft) sendProposals() {
 	if r.hasUnsentProposals && r.role == Leader {
 		r.replicateAll(r.now)
 	}
 	r.hasUnsentProposals = false
+}
+
+// Ready returns the pending work. The caller does it and then calls Advance; until then it may call
+// any other method.
+func (r *Raft) Ready() Ready {
+	r.sendProposals()
 	hs := HardState{Term: r.term, Vote: r.vote, Commit: r.log.commit}
 	rd := Ready{
 		HardState: hs,
 		Entries:   r.log.slice(r.log.stable+1, r.log.lastIndex(), 0),
-		Messages:  slices.Clone(r.messages),
+		Messages:  r.messages,
 		Snapshot:  r.unsavedSnapshot,
 	}
+	r.messages = nil
 	rd.Committed = r.log.slice(r.log.applied+1, r.log.commit, 0)
 	voted := hs.Term != r.storedState.Term || hs.Vote != r.storedState.Vote
 	rd.MustSync = voted || len(rd.Entries) > 0 || rd.Snapshot != nil
@@ -30,7 +59,6 @@
 // Advance records that the work of rd, the result of the last call of Ready, is done.
 func (r *Raft) Advance(rd Ready) {
 	r.storedState = rd.HardState
-	r.messages = r.messages[len(rd.Messages):]
 	if rd.Snapshot != nil && r.unsavedSnapshot == rd.Snapshot {
 		r.unsavedSnapshot = nil
 	}
--- a/raft/sim_test.go
+++ b/raft/sim_test.go
@@ -14,7 +14,7 @@
 
 // defaultChecks is the number of schedules unless a flag sets another. Rapid's own default of
 // 100 does not detect several faults that were put into the core on purpose.
-const defaultChecks = "1500"
+const defaultChecks = "3000"
 
 func TestMain(m *testing.M) {
 	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
@@ -36,6 +36,8 @@
 	frozen    bool
 	restarts  int64
 	applied   uint64
+	sync      *Ready        // work whose sync is under way, nil if none
+	syncedAt  time.Duration // when the sync ends
 }
 
 // delayedMessage is a message that the network delivers at a later time.
@@ -55,6 +57,7 @@
 	isolated  map[uint64]bool // members on the smaller side of a partition
 	loss      float64         // share of messages lost
 	delay     float64         // share of messages delayed by up to 500 ms
+	maxSync   int             // longest sync in ms
 	committed []Entry         // by index; position 0 is unused
 	leaders   map[uint64]uint64
 	proposals int
@@ -85,7 +88,10 @@
 
 func (s *sim) start(n *simNode) {
 	n.restarts++
-	n.down, n.frozen, n.started, n.applied = false, false, s.now, n.snap.Index
+	if n.sync != nil && s.random.Float64() < 0.5 {
+		s.store(n, *n.sync) // the sync ended, and the process before it could say so
+	}
+	n.down, n.frozen, n.started, n.applied, n.sync = false, false, s.now, n.snap.Index, nil
 	cfg := Config{
 		ID: n.id, ElectionMin: 150 * time.Millisecond, ElectionMax: 300 * time.Millisecond,
 		Heartbeat: 30 * time.Millisecond, Seed: int64(n.id)*1000 + n.restarts,
@@ -108,14 +114,30 @@
 func (n *simNode) isRunning() bool { return !n.down && !n.frozen }
 
 // handleReady completes the pending work of a member, which crashes before or after the sync
-// with the given probability.
+// with the given probability. Some syncs take up to maxSync; meanwhile the member goes on.
 func (s *sim) handleReady(n *simNode, crash float64) {
 	for n.isRunning() {
-		rd := n.core.Ready()
-		if rd.Empty() {
+		if s.random.Float64() < 0.7 {
+			s.network = append(s.network, n.core.MessagesBeforeSync()...)
+		}
+		rd, crashNow := Ready{}, s.random.Float64() < crash
+		switch {
+		case n.sync != nil && s.now < n.syncedAt:
+			n.core.Resign(n.clock(s.now))
+			n.down = crashNow
 			return
+		case n.sync != nil:
+			rd, n.sync = *n.sync, nil
+		default:
+			if rd = n.core.Ready(); rd.Empty() {
+				return
+			}
+			if rd.MustSync && s.maxSync > 0 && s.random.Float64() < 0.5 {
+				n.sync, n.syncedAt = &rd, s.now+time.Duration(1+s.random.Intn(s.maxSync))*time.Millisecond
+				continue
+			}
 		}
-		if s.random.Float64() < crash {
+		if crashNow {
 			n.down = true
 			return
 		}
@@ -306,7 +328,7 @@
 
 func (s *sim) compact() {
 	n := s.any()
-	if n.down || n.applied <= n.snap.Index {
+	if n.down || n.sync != nil || n.applied <= n.snap.Index {
 		return
 	}
 	at := n.applied
@@ -343,7 +365,7 @@
 
 // recover ends all faults and checks that a leader then brings every member up to date.
 func (s *sim) recover() {
-	s.isolated, s.loss, s.delay = map[uint64]bool{}, 0, 0
+	s.isolated, s.loss, s.delay, s.maxSync = map[uint64]bool{}, 0, 0, 0
 	s.unfreezeAll()
 	s.restartAll()
 	s.run(3*time.Second, 0)
@@ -364,7 +386,7 @@
 }
 
 // Guards against schedules of message loss, duplication, reordering, crashes, frozen
-// processes, partitions and membership changes that violate a safety property of Raft, let
+// processes, slow disks, partitions and membership changes that violate a safety property of Raft, let
 // two members hold a lease at once, or leave the group without progress.
 func TestSchedules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -395,6 +417,7 @@
 			"heal":    func(*rapid.T) { s.isolated = map[uint64]bool{} },
 			"loss":    func(t *rapid.T) { s.loss = rapid.SampledFrom([]float64{0, 0, 0.05, 0.3}).Draw(t, "loss") },
 			"delay":   func(t *rapid.T) { s.delay = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "delay") },
+			"disks":   func(t *rapid.T) { s.maxSync = rapid.SampledFrom([]int{0, 20, 400, 1000}).Draw(t, "sync") },
 			"members": func(*rapid.T) { s.changeMembership() },
 			"compact": func(*rapid.T) { s.compact() },
 		})
--- a/raft/types.go
+++ b/raft/types.go
@@ -78,7 +78,8 @@
 	Data        []byte
 }
 
-// HardState is the state that must be on disk before messages are sent.
+// HardState is the state that must be on disk before messages are sent, except for those of
+// MessagesBeforeSync.
 type HardState struct {
 	Term, Vote, Commit uint64
 }
@@ -113,14 +114,16 @@
 	From, To uint64
 	Term     uint64
 	// Index is the last index of a candidate's log, the index before Entries, or the
-	// acknowledged or rejected index of an AppendResponse.
+	// acknowledged or rejected index of an AppendResponse. A HeartbeatResponse acknowledges the entries
+	// up to Index, too.
 	Index uint64
 	// LogTerm is the term of the entry at Index.
 	LogTerm uint64
 	Entries []Entry
 	Commit  uint64
 	Reject  bool
-	// Hint is set in a rejection: the leader may retry with the entry after this index.
+	// Hint is set in a rejection: the leader may retry with the entry after this index. In a
+	// HeartbeatResponse it is the last index received in this term, synced or not.
 	Hint uint64
 	// SentAt is the time on the leader's clock when it sent the message; responses echo it.
 	SentAt   time.Duration
--- a/replica/applier.go
+++ b/replica/applier.go
@@ -10,7 +10,6 @@
 
 	"github.com/zinniapier/zinniapier/errkind"
 	"github.com/zinniapier/zinniapier/raft"
-	"github.com/zinniapier/zinniapier/wal"
 )
 
 // outcome is the result of a proposal: the result of Apply and the entry's index, or an error.
@@ -37,7 +36,7 @@
 type applier struct {
 	fsm             FSM
 	log             *logrus.Entry
-	store           *wal.Log
+	store           storage
 	snapshotEntries uint64
 	compactions     chan raft.Snapshot
 	// wake notifies the raft goroutine that the term of the last applied entry has changed.
@@ -56,7 +55,7 @@
 	snapIndex  uint64
 }
 
-func newApplier(o Options, log *logrus.Entry, store *wal.Log, snap raft.Snapshot) *applier {
+func newApplier(o Options, log *logrus.Entry, store storage, snap raft.Snapshot) *applier {
 	a := &applier{
 		fsm: o.FSM, log: log, store: store, snapshotEntries: uint64(o.SnapshotEntries),
 		compactions: make(chan raft.Snapshot, 1), wake: make(chan struct{}, 1),
--- a/replica/harness_test.go
+++ b/replica/harness_test.go
@@ -56,7 +56,9 @@
 	listen  string // differs from the address behind a proxy
 	fsm     *listFSM
 	replica *Replica
-	stop    func()
+	// wrapStorage replaces the storage, if set.
+	wrapStorage func(storage) storage
+	stop        func()
 }
 
 type testGroup []*testMember
@@ -97,6 +99,9 @@
 	var err error
 	m.replica, err = Open(m.options)
 	is.NoErr(err)
+	if m.wrapStorage != nil {
+		m.replica.store = m.wrapStorage(m.replica.store)
+	}
 	server := rpc.NewServer(nil)
 	is.NoErr(m.replica.RegisterRPC(server))
 	listener, err := net.Listen("tcp", m.listen)
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -28,15 +28,19 @@
 	done chan outcome
 }
 
-// loop is the state of the raft goroutine, the only one that uses the raft core and saves to the
-// write-ahead log.
+// loop is the state of the raft goroutine, the only one that uses the raft core.
 type loop struct {
 	r       *Replica
 	core    *raft.Raft
 	applier *applier
 	links   *transport
-	roster  roster
-	context []byte // encoded form of roster
+	saver   *saver
+	// saverBusy is true while the saver works on a task, since saverBusySince.
+	saverBusy      bool
+	saverBusySince time.Duration
+	saving         raft.Ready // the Ready of that task, empty if it removes old state
+	roster         roster
+	context        []byte // encoded form of roster
 
 	lastChange LeadershipChange
 	// leadingTerm is the term that this member has led since leadingSince; 0 if it is not leader.
@@ -50,6 +54,10 @@
 	ticker := time.NewTicker(l.r.o.Tick)
 	defer ticker.Stop()
 	for {
+		compactions := l.applier.compactions
+		if l.saverBusy {
+			compactions = nil // the saver uses the write-ahead log
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -61,18 +69,34 @@
 			l.propose(p)
 		case f := <-l.r.calls:
 			f(l)
-		case s := <-l.applier.compactions:
+		case s := <-compactions:
 			if err := l.compact(s); err != nil {
 				return err
 			}
+		case err := <-l.saver.results:
+			if err != nil {
+				return err
+			}
+			l.finishTask()
 		}
 		l.drainQueues()
-		l.core.Tick(l.r.now())
+		l.tick()
 		l.reconcile()
-		if err := l.handleReady(); err != nil {
-			return err
+		l.handleReady()
+	}
+}
+
+// tick lets time pass in the core. A member whose disk is stuck neither leads others, which are ahead of it,
+// nor campaigns.
+func (l *loop) tick() {
+	now := l.r.now()
+	if l.saverBusy && now > l.saverBusySince+l.r.o.ElectionMax {
+		l.core.Resign(now)
+		if !l.core.IsLeader() {
+			return
 		}
 	}
+	l.core.Tick(now)
 }
 
 // drainQueues handles further queued messages and proposals, so that they share one sync. It is
@@ -126,34 +150,52 @@
 	}
 }
 
-// handleReady completes the core's pending work. State is synced, and the loss of a lease is
-// published, before any message is sent.
-func (l *loop) handleReady() error {
-	for rd := l.core.Ready(); !rd.Empty(); rd = l.core.Ready() {
-		if rd.Snapshot != nil {
-			if err := l.r.store.InstallSnapshot(*rd.Snapshot); err != nil {
-				return err
-			}
+// handleReady starts or completes the core's pending work. The loss of a lease is published before any
+// message is sent.
+func (l *loop) handleReady() {
+	l.publish()
+	l.links.send(l.core.MessagesBeforeSync(), l.roster)
+	for !l.saverBusy {
+		rd := l.core.Ready()
+		if rd.Empty() {
+			break
 		}
 		if rd.MustSync {
-			if err := l.r.store.Save(rd.HardState, rd.Entries); err != nil {
-				return err
-			}
+			l.startTask(saveTask{ready: rd})
+			break
 		}
-		l.publish()
-		l.links.send(rd.Messages, l.roster)
-		l.applier.enqueue(rd)
-		l.core.Advance(rd)
+		l.complete(rd)
 	}
 	l.publish()
-	return nil
+}
+
+func (l *loop) startTask(t saveTask) {
+	l.saverBusy, l.saverBusySince, l.saving = true, l.r.now(), t.ready
+	l.saver.tasks <- t
+}
+
+func (l *loop) finishTask() {
+	rd := l.saving
+	l.saverBusy, l.saving = false, raft.Ready{}
+	if rd.MustSync {
+		l.complete(rd)
+	}
+}
+
+// complete sends and applies what rd holds after its state is synced.
+func (l *loop) complete(rd raft.Ready) {
+	l.publish()
+	l.links.send(rd.Messages, l.roster)
+	l.applier.enqueue(rd)
+	l.core.Advance(rd)
 }
 
 func (l *loop) compact(s raft.Snapshot) error {
 	if err := l.core.Compact(s); err != nil {
 		return err
 	}
-	return l.r.store.Prune(l.core.Status().SnapshotIndex)
+	l.startTask(saveTask{prune: l.core.Status().SnapshotIndex})
+	return nil
 }
 
 // published is a copy of the raft goroutine's state for other goroutines.
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -37,7 +37,7 @@
 	o         Options
 	log       *logrus.Entry
 	openedAt  time.Duration // boottime.Now when the replica was opened
-	store     *wal.Log
+	store     storage
 	recovered wal.RecoveredState
 	identity  atomic.Pointer[identity]
 	transport atomic.Pointer[transport]
@@ -141,8 +141,9 @@
 	links := newTransport(ctx, r.log, r.o, *r.self())
 	r.transport.Store(links)
 	applier := newApplier(r.o, r.log, r.store, rec.Snapshot)
-	l := &loop{r: r, core: core, applier: applier, links: links}
-	err = runAll(ctx, cancel, l.run, applier.run, r.keepJoined)
+	saver := newSaver(r.store)
+	l := &loop{r: r, core: core, applier: applier, links: links, saver: saver}
+	err = runAll(ctx, cancel, l.run, saver.run, applier.run, r.keepJoined)
 	links.wait.Wait()
 	r.published.Store(nil)
 	applier.failAll()
