control: only plans are throttled, and for 50 ms at most

Cause: the pause after a plan held back the whole tick of the leader, with the expiry of sessions and the issue of tokens, for three times the wall time of the tick; when the machine stalls the process in a plan, that is the triple of the stall. Change: the pause is around the plan alone, at most 50 ms, and counts the plan alone.

--- a/control/control.go
+++ b/control/control.go
@@ -39,6 +39,9 @@
 	// Load pattern: many targets of a large fleet are replaced at once. Nearly every heartbeat then reports
 	// something new to plan, and a plan takes some milliseconds.
 	planDivisor = 4
+	// maxPlanPause is the longest pause after a plan. A plan takes long when the machine is busy, too, and the
+	// keys of a lost node wait for the next one.
+	maxPlanPause = 50 * time.Millisecond
 	// retryDelay is the wait before the next proposal after a failed one.
 	retryDelay = 50 * time.Millisecond
 )
@@ -223,11 +226,7 @@
 	}
 	batch := &state.Batch{Term: l.term}
 	if l.ready {
-		if now.Before(l.nextPlan) {
-			return
-		}
 		batch = l.tick(now)
-		l.nextPlan = time.Now().Add((planDivisor - 1) * time.Since(now))
 	}
 	if l.ready && batch.Empty() {
 		return
--- a/control/leader.go
+++ b/control/leader.go
@@ -105,13 +105,20 @@
 	l.endTokenWithholding(view, now)
 	l.reserveForUnresponsive(view, now)
 	batch := &state.Batch{Term: l.term}
-	if !now.Before(l.firstPlanAt) || l.allOwnersReported(view) {
+	if !now.Before(l.nextPlan) && (!now.Before(l.firstPlanAt) || l.allOwnersReported(view)) {
+		began := time.Now()
 		batch = l.plan(view, now)
+		l.nextPlan = now.Add(untilNextPlan(time.Since(began)))
 	}
 	l.planSessions(view, now, batch)
 	return batch
 }
 
+// untilNextPlan returns the time from the start of a plan that took as long as given to the start of the next.
+func untilNextPlan(took time.Duration) time.Duration {
+	return took + min((planDivisor-1)*took, maxPlanPause)
+}
+
 // allOwnersReported reports whether partitions are assigned and a target is reported at the address
 // of every owner. A new leader then need not wait for more nodes before it plans.
 func (l *leader) allOwnersReported(view *api.ControlState) bool {
