tokens: nodes without a leader count the whole time since the last tokens

Cause: a node that begins to admit by itself was credited with 1.5 s of its part of a rate, however late the first request came, and admitted fractions of a token by a draw at each request, which also used the fraction up. Change: a bucket begins with the tokens since the last contact and one random fraction, and refuses below one token. All nodes together admit what they may, with less scatter.

--- a/tokens/standalone.go
+++ b/tokens/standalone.go
@@ -72,18 +72,16 @@
 	rate, burst := fraction*o.Rate, max(fraction*o.Burst, 1)
 	b := s.buckets[o.ID]
 	if b == nil {
-		// The tokens of the time without a leader have not been used; the burst may have been.
-		b = &localBucket{level: min(rate*StandaloneAfter.Seconds(), burst), last: now}
+		// The tokens of the time without a leader have not been used; the burst may have been. In a large fleet
+		// each node has only a fraction of a token. A random fraction is added, so that all nodes together admit
+		// what they may, and each node its part over time.
+		b = &localBucket{level: rand.Float64(), last: s.lastContact}
 		s.buckets[o.ID] = b
 	}
 	b.level = min(b.level+rate*now.Sub(b.last).Seconds(), burst)
 	b.last = now
 	if b.level < 1 {
-		// In a large fleet each node has only a fraction of a token. It admits a request with that
-		// probability, so that all nodes together admit what they may, however many requests arrive.
-		chance := b.level
-		b.level = 0
-		return rand.Float64() < chance
+		return false
 	}
 	b.level--
 	return true
--- a/tokens/standalone_test.go
+++ b/tokens/standalone_test.go
@@ -158,6 +158,18 @@
 	})
 }
 
+// Guards against refusals of rare requests within the rate: the tokens of the whole time without a leader
+// count, not only those until the node began to admit by itself.
+func TestRareRequestsWithoutLeaderAreAdmitted(t *testing.T) {
+	is := is.New(t)
+	org := &api.Organisation{ID: "o", Rate: 36, Burst: 36}
+	start := time.Unix(0, 0)
+	for range 100 { // buckets begin with a random fraction of a token
+		s := standaloneBuckets{nodes: func() int { return 81 }, lastContact: start, hadLeader: true, buckets: map[api.OrganisationID]*localBucket{}}
+		is.True(s.take(start.Add(3*time.Second), org, 1.0/81, true)) // 0.4 tokens a second
+	}
+}
+
 // Guards against a leader that issues the shares that it has sent to nodes now out of contact.
 func TestSentShareIsReserved(t *testing.T) {
 	is := is.New(t)
