gateway, api: the owner's node confirms a receipt on the connection of the hop

A connection costs dozens of system calls and the compilation of gob types on both sides. Change: an attempt that is under way for 0.6 of the probe interval is confirmed by an interim response (102); it is queried again only once the session of its node has ended. Hops that announce a large body are queried once, as before.

--- a/api/deflate.go
+++ b/api/deflate.go
@@ -31,6 +31,9 @@
 	return w
 }}
 
+// inflaters holds idle readers of package flate: one takes some ten kilobytes.
+var inflaters = sync.Pool{New: func() any { return flate.NewReader(nil) }}
+
 // deflate packs data, which may be random in part: identifiers take most of the bytes of replies.
 func deflate(data []byte) ([]byte, error) {
 	if len(data) < minDeflated {
@@ -59,7 +62,11 @@
 	case plainData:
 		return packed[1:], nil
 	case deflatedData:
-		r := flate.NewReader(bytes.NewReader(packed[1:]))
+		r := inflaters.Get().(io.Reader)
+		defer inflaters.Put(r)
+		if err := r.(flate.Resetter).Reset(bytes.NewReader(packed[1:]), nil); err != nil {
+			return nil, errors.Trace(err)
+		}
 		data, err := io.ReadAll(io.LimitReader(r, mostInflated))
 		return data, errors.Trace(err)
 	}
--- a/api/updates_test.go
+++ b/api/updates_test.go
@@ -99,3 +99,17 @@
 		_ = new(PeerUpdates).GobDecode(rapid.SliceOf(rapid.Byte()).Draw(t, "data"))
 	})
 }
+
+// BenchmarkInflate measures the unpacking of the short lists of most replies.
+func BenchmarkInflate(b *testing.B) {
+	packed, err := deflate(bytes.Repeat([]byte("partition "), 40))
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := inflate(packed); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,9 @@
 	maxRefusalSize = 4 << 10
 )
 
+// eventFateQuery counts the queries of probes for the fate of an attempt.
+const eventFateQuery = "fate_query"
+
 // hop is one attempt through the owner's node.
 type hop struct {
 	gateway *Gateway
@@ -38,6 +42,8 @@
 	cancel context.CancelFunc
 	timer  *time.Timer
 	fenced atomic.Bool // the owner's node has confirmed that it will never start the attempt
+	// received is true once the owner's node has confirmed that it has received the attempt.
+	received atomic.Bool
 }
 
 // hop makes an attempt through another node.
@@ -51,7 +57,7 @@
 func (h *hop) do(ctx context.Context) (*response, *errkind.Error) {
 	outer := ctx
 	ctx, h.cancel = context.WithCancel(ctx)
-	req := newOutgoingRequest(httptrace.WithClientTrace(ctx, h.once.trace()), h.call, h.scheme(), h.dest.peer.InternalAddr, h.header())
+	req := newOutgoingRequest(httptrace.WithClientTrace(ctx, h.trace()), h.call, h.scheme(), h.dest.peer.InternalAddr, h.header())
 	h.startProbing(ctx)
 	began := time.Now()
 	resp, err := h.conns.roundTrip(req, h.call.body)
@@ -74,6 +80,18 @@
 	return a, nil
 }
 
+// trace notes the receipt of the attempt, too.
+func (h *hop) trace() *httptrace.ClientTrace {
+	t := h.once.trace()
+	t.Got1xxResponse = func(_ int, header textproto.MIMEHeader) error {
+		if header.Get(api.HeaderAttempt) == h.id {
+			h.received.Store(true)
+		}
+		return nil
+	}
+	return t
+}
+
 func (h *hop) scheme() string {
 	if h.gateway.tls != nil {
 		return "https"
@@ -121,8 +139,9 @@
 	return deadline.Add(-min(hopMargin, time.Until(deadline)/10))
 }
 
-// startProbing queries at each probe interval whether the request has arrived. If it has not, the
-// connection is dead: the attempt is fenced, and the call is routed again over a new connection.
+// startProbing queries at each probe interval whether the request has arrived, until that is known. If it has
+// not, the connection is dead: the attempt is fenced, and the call is routed again over a new connection. An
+// attempt that has arrived is queried again once the session of the owner's node has ended.
 func (h *hop) startProbing(ctx context.Context) {
 	// The timer starts only after the field is set, since probe reads it.
 	h.timer = time.AfterFunc(time.Hour, func() { h.probe(ctx) })
@@ -135,11 +154,20 @@
 	if ctx.Err() != nil {
 		return
 	}
+	present := h.gateway.view().Index.Peers[h.dest.session] != nil
+	if present && h.received.Load() {
+		h.timer.Reset(h.gateway.probeInterval)
+		return
+	}
+	telemetry.CountEvent(eventFateQuery, 1)
 	reply, err := h.gateway.fates.ask(ctx, h.dest.peer.FateAddr, api.FateRequest{Attempt: h.id, Session: h.dest.session, Peek: true})
 	if err == nil && (reply.Former || !reply.Received && h.fence()) {
 		h.abandon()
 		return
 	}
+	if err == nil && reply.Received {
+		h.received.Store(true)
+	}
 	if err != nil && h.gateway.view().Index.Peers[h.dest.session] == nil {
 		// The owner's session has ended and its node does not reply: no response will come.
 		h.abandon()
--- a/gateway/internal.go
+++ b/gateway/internal.go
@@ -44,7 +44,9 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	stopReceipt := startReceipt(w, r, time.Duration(receiptShare*float64(g.probeInterval)))
 	a, e := g.dispatch(ctx, g.awaitEpoch(ctx, v, c.ref, p.epoch), c, p, t, id, true)
+	stopReceipt()
 	setHeader(w.Header(), api.HeaderExpected, formatMilliseconds(t.Gate().ExpectedLatency()))
 	setHeader(w.Header(), api.HeaderBodyWaitMs, formatMilliseconds(g.bodies.wait(time.Now())))
 	g.requests.logAttempt(c, p, id, v, e)
