--- a/config/services.go
+++ b/config/services.go
@@ -25,6 +25,9 @@
 func CheckServices(s *api.Services) error {
 	p := &problems{}
 	names := make(map[string]int)
+	if s.Services == nil {
+		s.Services = []api.Service{} // null is refused when the file is written back
+	}
 	for i := range s.Services {
 		service := &s.Services[i]
 		fillService(service)
