--- a/api/view.go
+++ b/api/view.go
@@ -21,7 +21,7 @@
 	// AccessHash is that of Configuration.
 	AccessHash   uint64
 	MapVersion   uint64
-	Assignments  Assignments
+	Assignments  AssignmentTable
 	Peers        []Peer
 	PeersVersion uint64
 	// Index holds look-ups derived from the fields above.
@@ -134,11 +134,7 @@
 
 // Owner returns the assignment of a partition; its state is Unassigned when nobody owns it.
 func (v *View) Owner(ref PartitionRef) Assignment {
-	list := v.Assignments[ref.Service]
-	if ref.Partition < 0 || ref.Partition >= len(list) {
-		return Assignment{}
-	}
-	return list[ref.Partition]
+	return *v.Assignments[ref.Service].At(ref.Partition)
 }
 
 // Usable says whether undivided work may be admitted: while the lease is valid, or with any
@@ -150,8 +146,8 @@
 // OwnsAny says whether the map assigns any partition to the view's own session.
 func (v *View) OwnsAny() bool {
 	for _, list := range v.Assignments {
-		for i := range list {
-			if list[i].State != Unassigned && list[i].Session == v.Session {
+		for _, a := range list.All() {
+			if a.State != Unassigned && a.Session == v.Session {
 				return true
 			}
 		}
--- a/bench/watch.go
+++ b/bench/watch.go
@@ -51,7 +51,7 @@
 	w.noteZone()
 	v := w.d.Nodes[0].View()
 	for service, list := range v.Assignments {
-		for i, a := range list {
+		for i, a := range list.All() {
 			if a.State == api.Granted {
 				w.noteOwner(api.PartitionRef{Service: service, Partition: i}, a.Target)
 			}
--- a/capacity/view.go
+++ b/capacity/view.go
@@ -20,10 +20,7 @@
 	if err != nil {
 		return nil, err
 	}
-	v := &api.View{Configuration: configuration, Peers: r.Peers.List, Assignments: api.Assignments{}}
-	for _, u := range r.Map.List {
-		v.Assignments[u.Service] = append(v.Assignments[u.Service], u.Assignment)
-	}
+	v := &api.View{Configuration: configuration, Peers: r.Peers.List, Assignments: api.AssignmentTable{}.With(r.Map.List)}
 	v.Index = api.NewViewIndex(v)
 	return v, nil
 }
--- a/gateway/failover_test.go
+++ b/gateway/failover_test.go
@@ -56,7 +56,7 @@
 	a.change(func(v *api.View) {
 		expire(v)
 		v.WithoutLease = true
-		v.Assignments = api.Assignments{"quotes": make([]api.Assignment, 4)}
+		v.Assignments = api.NewAssignmentTable(api.Assignments{"quotes": make([]api.Assignment, 4)})
 	})
 	before := telemetry.Retries(errkind.NoOwner)
 	got := a.call(t, "POST", "/quotes/k", "x", api.HeaderDeadlineMs, "400")
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -140,7 +140,7 @@
 	}
 	for _, n := range nodes {
 		v := &api.View{Session: n.peer.Session, LeaseUntil: time.Now().Add(time.Hour), Configuration: c,
-			MapVersion: 3, Assignments: api.Assignments{"quotes": list}, Peers: peers}
+			MapVersion: 3, Assignments: api.NewAssignmentTable(api.Assignments{"quotes": list}), Peers: peers}
 		v.Index = api.NewViewIndex(v)
 		n.now.Store(v)
 		n.ViewChanged(v)
--- a/gateway/owner_test.go
+++ b/gateway/owner_test.go
@@ -19,7 +19,9 @@
 	b := newNode(t, "b", newTarget(t, echoOK).addr(), config.Traffic{})
 	connect(b, a, b)
 	granted := b.now.Load().Assignments
-	b.change(func(v *api.View) { v.Assignments = api.Assignments{"quotes": make([]api.Assignment, 4)} })
+	b.change(func(v *api.View) {
+		v.Assignments = api.NewAssignmentTable(api.Assignments{"quotes": make([]api.Assignment, 4)})
+	})
 	const late = 300 * time.Millisecond
 	time.AfterFunc(late, func() { b.change(func(v *api.View) { v.Assignments = granted }) })
 	begin := time.Now()
--- a/gateway/split_test.go
+++ b/gateway/split_test.go
@@ -20,9 +20,12 @@
 		c.Services.Services = slices.Clone(c.Services.Services)
 		c.Services.Services[0].Splits = []api.RangeSplit{{Base: 0, First: 4, Parts: 2}}
 		v.Configuration = &c
-		list := append([]api.Assignment{{Epoch: 7}}, v.Assignments["quotes"][1:]...)
-		list = append(list, v.Assignments["quotes"][0], v.Assignments["quotes"][0])
-		v.Assignments = api.Assignments{"quotes": list}
+		first := *v.Assignments["quotes"].At(0)
+		v.Assignments = v.Assignments.With([]api.AssignmentUpdate{
+			{PartitionRef: api.PartitionRef{Service: "quotes"}, Assignment: api.Assignment{Epoch: 7}},
+			{PartitionRef: api.PartitionRef{Service: "quotes", Partition: 4}, Assignment: first},
+			{PartitionRef: api.PartitionRef{Service: "quotes", Partition: 5}, Assignment: first},
+		})
 	})
 }
 
@@ -44,7 +47,9 @@
 	connect(a, a)
 	partitionByRange(a)
 	owned := a.now.Load().Assignments
-	a.change(func(v *api.View) { v.Assignments = api.Assignments{"quotes": make([]api.Assignment, 4)} })
+	a.change(func(v *api.View) {
+		v.Assignments = api.NewAssignmentTable(api.Assignments{"quotes": make([]api.Assignment, 4)})
+	})
 	time.AfterFunc(100*time.Millisecond, func() {
 		a.change(func(v *api.View) { v.Assignments = owned })
 		splitFirstRange(a)
--- a/host/callmodel_test.go
+++ b/host/callmodel_test.go
@@ -106,7 +106,7 @@
 				list[p] = api.Assignment{State: m.state[p], Target: m.nodes[o].target.info.ID, Session: api.SessionID(fmt.Sprint("s", o)), Epoch: m.epochs[p], Place: "p"}
 			}
 		}
-		v.Assignments = api.Assignments{testService: list}
+		v.Assignments = api.NewAssignmentTable(api.Assignments{testService: list})
 		n.view = v
 		n.target.applyView(v, m.now)
 	}
--- a/host/calls_test.go
+++ b/host/calls_test.go
@@ -381,7 +381,7 @@
 		for p := range list {
 			list[p] = api.Assignment{State: api.Granted, Target: w.a.ID, Session: v.Session, Epoch: api.Epoch(5 + p%2), Place: "p"}
 		}
-		v.Assignments = api.Assignments{testService: list}
+		v.Assignments = api.NewAssignmentTable(api.Assignments{testService: list})
 	})
 	var inFlight, most int
 	w.respond(func(http.ResponseWriter, testCall) {
--- a/host/grants.go
+++ b/host/grants.go
@@ -80,8 +80,7 @@
 		t.splitGrants(s)
 	}
 	added := make(map[api.Epoch][]int)
-	for p := range list {
-		a := &list[p]
+	for p, a := range list.All() {
 		if a.State == api.Unassigned || a.Target != t.info.ID || a.Session != v.Session {
 			continue
 		}
@@ -94,7 +93,7 @@
 			WithField("by_epoch", added).Info("Grants added.")
 	}
 	for p, g := range t.grants {
-		if p < len(list) && assignedTo(&list[p], t.info.ID, v.Session, g.epoch) {
+		if assignedTo(list.At(p), t.info.ID, v.Session, g.epoch) {
 			continue
 		}
 		g.reportEnd = false
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -73,7 +73,7 @@
 	c.change(func(v *api.View) {
 		v.MapVersion++
 		a := api.Assignment{State: state, Target: id, Session: v.Session, Epoch: epoch}
-		v.Assignments = api.Assignments{testService: {a}}
+		v.Assignments = api.NewAssignmentTable(api.Assignments{testService: {a}})
 	})
 }
 
--- a/host/pull_test.go
+++ b/host/pull_test.go
@@ -58,7 +58,7 @@
 				list[p] = api.Assignment{State: state, Target: w.a.ID, Session: v.Session, Epoch: epoch, Place: "p", Handover: fmt.Sprint("from-", epoch)}
 			}
 		}
-		v.Assignments = api.Assignments{testService: list}
+		v.Assignments = api.NewAssignmentTable(api.Assignments{testService: list})
 	})
 }
 
@@ -226,7 +226,7 @@
 			s.Splits = []api.RangeSplit{{Base: 0, First: pullPartitions, Parts: 4}}
 			c.Services.Services = []api.Service{s}
 			v.Configuration = &c
-			a := v.Assignments[testService][1]
+			a := *v.Assignments[testService].At(1)
 			list := make([]api.Assignment, pullPartitions+4)
 			list[0], list[1] = api.Assignment{Epoch: 5}, a
 			for i := range 4 {
@@ -234,7 +234,7 @@
 				part.State = states[i]
 				list[pullPartitions+i] = part
 			}
-			v.Assignments = api.Assignments{testService: list}
+			v.Assignments = api.NewAssignmentTable(api.Assignments{testService: list})
 		})
 	}
 	divide(api.Granted, api.Granted, api.Granted, api.Granted)
@@ -290,7 +290,7 @@
 		for i := range owned {
 			list[2*i] = api.Assignment{State: api.Granted, Target: w.a.ID, Session: v.Session, Epoch: 5, Place: "p", Handover: "token"}
 		}
-		v.Assignments = api.Assignments{testService: list}
+		v.Assignments = api.NewAssignmentTable(api.Assignments{testService: list})
 	})
 	reply := w.pull(api.Pull{})
 	is.Equal(len(reply.Grants), MaxReplyRanges)
--- a/host/registry.go
+++ b/host/registry.go
@@ -278,8 +278,7 @@
 		}
 	}
 	for service, list := range v.Assignments {
-		for p := range list {
-			a := &list[p]
+		for p, a := range list.All() {
 			if a.State == api.Unassigned || a.Session != v.Session || r.targets[a.Target] != nil || a.Place != "" {
 				continue
 			}
--- a/host/target.go
+++ b/host/target.go
@@ -168,8 +168,8 @@
 func (t *Target) hasLeft() bool {
 	v := t.r.o.View()
 	list := v.Assignments[t.info.Service]
-	for i := range list {
-		if list[i].State != api.Unassigned && list[i].Target == t.info.ID && list[i].Session == v.Session {
+	for _, a := range list.All() {
+		if a.State != api.Unassigned && a.Target == t.info.ID && a.Session == v.Session {
 			return false
 		}
 	}
--- a/session/view.go
+++ b/session/view.go
@@ -1,9 +1,6 @@
 package session
 
 import (
-	"maps"
-	"slices"
-
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
 )
@@ -89,34 +86,12 @@
 }
 
 // mergeAssignments returns the assignments after the full or partial map of the reply.
-func mergeAssignments(old api.Assignments, r *api.HeartbeatReply) api.Assignments {
+func mergeAssignments(old api.AssignmentTable, r *api.HeartbeatReply) api.AssignmentTable {
 	if r.MapFull {
-		return applyUpdates(make(api.Assignments), nil, r.Map.List)
+		return api.AssignmentTable{}.With(r.Map.List)
 	}
 	if len(r.Map.List) == 0 {
 		return old
 	}
-	next := maps.Clone(old)
-	if next == nil {
-		next = make(api.Assignments)
-	}
-	return applyUpdates(next, old, r.Map.List)
-}
-
-// applyUpdates applies the updates to next, and returns it. Lists shared with old are copied first.
-func applyUpdates(next, old api.Assignments, updates []api.AssignmentUpdate) api.Assignments {
-	copied := make(map[string]bool)
-	for _, u := range updates {
-		list := next[u.Service]
-		if !copied[u.Service] {
-			list = slices.Clone(old[u.Service])
-			copied[u.Service] = true
-		}
-		for len(list) <= u.Partition {
-			list = append(list, api.Assignment{})
-		}
-		list[u.Partition] = u.Assignment
-		next[u.Service] = list
-	}
-	return next
+	return old.With(r.Map.List)
 }
