--- a/api/control.go
+++ b/api/control.go
@@ -25,7 +25,7 @@
 	Handover string `json:"handover,omitempty"`
 }
 
-// Serves says whether the owner admits requests. One that pulls its grants does until it reads
+// Serves reports whether the owner admits requests. One that pulls its grants does until it reads
 // that it has lost them.
 func (a Assignment) Serves() bool {
 	return a.State == Granted || a.State == Releasing && a.Place != ""
--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -213,7 +213,7 @@
 	Received bool
 }
 
-// PeersDiffer says whether the reply changes the list of nodes.
+// PeersDiffer reports whether the reply changes the list of nodes.
 func (r *HeartbeatReply) PeersDiffer() bool {
 	return r.PeersFull || len(r.Peers.List) > 0 || len(r.PeersGone) > 0
 }
--- a/api/services.go
+++ b/api/services.go
@@ -48,7 +48,7 @@
 // KeyRange is a range of numeric keys, both ends included.
 type KeyRange struct{ First, Last int }
 
-// Ranged says whether the service is divided into ranges of numeric keys.
+// Ranged reports whether the service is divided into ranges of numeric keys.
 func (s *Service) Ranged() bool { return s.Key != nil && s.Key.Span > 0 }
 
 // Range returns the keys of a partition of a ranged service.
@@ -112,7 +112,7 @@
 	Weight float64 `json:"weight"`
 }
 
-// Divided says whether the service is divided by key.
+// Divided reports whether the service is divided by key.
 func (s *Service) Divided() bool { return s.Key != nil }
 
 // Find returns the service of that name, or nil.
@@ -138,7 +138,7 @@
 	Priority *int `json:"priority,omitempty"`
 }
 
-// Limited says whether the organisation has a rate and a burst.
+// Limited reports whether the organisation has a rate and a burst.
 func (o *Organisation) Limited() bool { return o.Rate > 0 || o.Burst > 0 }
 
 // OrganisationKey is a credential; only its digest is stored.
--- a/api/splits.go
+++ b/api/splits.go
@@ -56,7 +56,7 @@
 	return -1
 }
 
-// IsSplit says whether a partition has been divided.
+// IsSplit reports whether a partition has been divided.
 func (s *Service) IsSplit(partition int) bool {
 	_, found := s.findSplit(partition)
 	return found
--- a/api/view.go
+++ b/api/view.go
@@ -45,7 +45,7 @@
 	Peer   *Peer
 }
 
-// LeaseValid says whether the session lease covers now. A nil view has none.
+// LeaseValid reports whether the session lease covers now. A nil view has none.
 func (v *View) LeaseValid(now time.Time) bool {
 	return v != nil && now.Before(v.LeaseUntil)
 }
@@ -137,13 +137,13 @@
 	return *v.Assignments[ref.Service].At(ref.Partition)
 }
 
-// Usable says whether undivided work may be admitted: while the lease is valid, or with any
+// Usable reports whether undivided work may be admitted: while the lease is valid, or with any
 // configuration when the node goes on without a lease.
 func (v *View) Usable(now time.Time) bool {
 	return v.LeaseValid(now) || v.WithoutLease && v.Configuration != nil
 }
 
-// OwnsAny says whether the map assigns any partition to the view's own session.
+// OwnsAny reports whether the map assigns any partition to the view's own session.
 func (v *View) OwnsAny() bool {
 	for _, list := range v.Assignments {
 		for _, a := range list.All() {
--- a/bench/bucket.go
+++ b/bench/bucket.go
@@ -17,7 +17,7 @@
 	return &bucket{rate: rate, burst: burst, level: burst}
 }
 
-// admit says whether one central bucket would have admitted an arrival at the given time.
+// admit reports whether one central bucket would have admitted an arrival at the given time.
 // Arrivals must come in order.
 func (b *bucket) admit(at time.Duration) bool {
 	b.level = min(b.burst, b.level+b.rate*(at-b.last).Seconds())
--- a/bench/load.go
+++ b/bench/load.go
@@ -40,7 +40,7 @@
 	Broken bool // the answer was cut off or no answer came
 }
 
-// Served says whether the caller got a whole successful answer.
+// Served reports whether the caller got a whole successful answer.
 func (s *Sample) Served() bool {
 	return !s.Broken && s.Status >= http.StatusOK && s.Status < statusOKLimit
 }
--- a/bench/watch.go
+++ b/bench/watch.go
@@ -117,7 +117,7 @@
 	return last
 }
 
-// changing says whether a request arrived shortly after a change of the zone.
+// changing reports whether a request arrived shortly after a change of the zone.
 func (w *watcher) changing(at time.Duration) bool {
 	for _, change := range []time.Duration{w.zoneOut, w.zoneIn} {
 		if change > 0 && at >= change && at < change+changeSpan {
--- a/client/do.go
+++ b/client/do.go
@@ -42,7 +42,7 @@
 	}
 }
 
-// mayRepeat says whether the request may go to another node.
+// mayRepeat reports whether the request may go to another node.
 func (c *Client) mayRepeat(req *http.Request, resp *http.Response, sent bool, err error) bool {
 	if req.Context().Err() != nil {
 		return false
@@ -129,7 +129,7 @@
 	return &onceReader{Reader: bytes.NewReader(p.buffer)}
 }
 
-// again says whether the body can be sent once more. A stream may have been read in part.
+// again reports whether the body can be sent once more. A stream may have been read in part.
 func (p *payload) again() bool { return p.stream == nil || !p.used }
 
 type onceReader struct{ io.Reader }
--- a/client/routing.go
+++ b/client/routing.go
@@ -56,7 +56,7 @@
 	return nil
 }
 
-// idempotent says whether a request may be repeated. Without a known route it may not:
+// idempotent reports whether a request may be repeated. Without a known route it may not:
 // the services file may declare even a GET as non-idempotent.
 func (r *routing) idempotent(req *http.Request) bool {
 	route := r.match(req)
--- a/config/problems.go
+++ b/config/problems.go
@@ -31,7 +31,7 @@
 
 const nameRule = "1 to 64 letters, digits, '.', '_' or '-', with a letter or digit at both ends"
 
-// ValidName says whether a name may be used for a service, availability zone, host, organisation or plug-in.
+// ValidName reports whether a name may be used for a service, availability zone, host, organisation or plug-in.
 func ValidName(name string) bool { return namePattern.MatchString(name) }
 
 func (p *problems) name(path, value string) {
--- a/config/services.go
+++ b/config/services.go
@@ -175,7 +175,7 @@
 	}
 }
 
-// overlap says whether two lists of methods share one; an empty list means all.
+// overlap reports whether two lists of methods share one; an empty list means all.
 func overlap(a, b []string) bool {
 	if len(a) == 0 || len(b) == 0 {
 		return true
--- a/control/session.go
+++ b/control/session.go
@@ -123,7 +123,7 @@
 func (l *leader) expireSessions(view *api.ControlState, now time.Time) {
 	for id, s := range l.sessions {
 		if !s.lost && !now.Before(s.deadline) {
-			l.log.WithField("node", s.last.Name).Warn("Session lease expired.")
+			l.log.WithField("node", s.last.Name).Warn("The session lease of a node has expired.")
 			l.endSession(id, s)
 		}
 		if s.lost && now.After(s.deadline.Add(endedSessionRetention)) && !ownsAssignment(view, id) {
--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -98,7 +98,7 @@
 	return table[Internal]
 }
 
-// Valid says whether the kind is in the closed list.
+// Valid reports whether the kind is in the closed list.
 func (k Kind) Valid() bool {
 	_, ok := table[k]
 	return ok
--- a/integration/requests_traffic_test.go
+++ b/integration/requests_traffic_test.go
@@ -292,7 +292,7 @@
 	return a
 }
 
-// check says whether the answer is an error that the caller sees, and fails the test when it
+// check reports whether the answer is an error that the caller sees, and fails the test when it
 // looks complete and is not the whole answer to the request.
 func (a *rawAnswer) check(t *testing.T, id string, padding int) (isError bool) {
 	t.Helper()
--- a/internal/cluster/process.go
+++ b/internal/cluster/process.go
@@ -192,7 +192,7 @@
 	}
 }
 
-// allStopped says whether every thread of the process is stopped.
+// allStopped reports whether every thread of the process is stopped.
 func allStopped(pid int) bool {
 	stats, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
 	if err != nil || len(stats) == 0 {
--- a/internal/cluster/sockets.go
+++ b/internal/cluster/sockets.go
@@ -64,7 +64,7 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{b[3], b[2], b[1], b[0]}), port), true
 }
 
-// listening says whether a socket listens on the address.
+// listening reports whether a socket listens on the address.
 func listening(address string) bool {
 	want, err := netip.ParseAddrPort(address)
 	if err != nil {
--- a/internal/cluster/valve.go
+++ b/internal/cluster/valve.go
@@ -86,7 +86,7 @@
 
 func (v *valve) anyCut() bool { return v.cut[stream.Upstream] || v.cut[stream.Downstream] }
 
-// open says whether data of a connection may pass now, and returns a channel that is closed at the next change.
+// open reports whether data of a connection may pass now, and returns a channel that is closed at the next change.
 func (v *valve) open(d stream.Direction, c *connection) (bool, <-chan struct{}) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/local/local.go
+++ b/local/local.go
@@ -231,7 +231,7 @@
 	return d.allTargetsKnown()
 }
 
-// allTargetsKnown says whether every node can route to every target.
+// allTargetsKnown reports whether every node can route to every target.
 func (d *Deployment) allTargetsKnown() bool {
 	for _, n := range d.Nodes {
 		known := 0
--- a/node/node.go
+++ b/node/node.go
@@ -344,7 +344,7 @@
 	return n.registry.AnnounceHandler()
 }
 
-// isReady says whether callers should send requests to this node.
+// isReady reports whether callers should send requests to this node.
 func (n *Node) isReady() bool { return !n.leaving.Load() && n.session.View().Usable(time.Now()) }
 
 // awaitHandover waits until no local target holds a grant or runs a request.
@@ -353,7 +353,7 @@
 	}
 }
 
-// holdsWork says whether a local target holds a grant or runs a request, or the map assigns
+// holdsWork reports whether a local target holds a grant or runs a request, or the map assigns
 // a partition to this session while it has a lease.
 func (n *Node) holdsWork() bool {
 	v := n.session.View()
--- a/operator/call.go
+++ b/operator/call.go
@@ -62,7 +62,7 @@
 	return next
 }
 
-// tryNext says whether another member may decide what this one did not.
+// tryNext reports whether another member may decide what this one did not.
 func tryNext(err *errkind.Error, repeatable bool) bool {
 	switch err.Kind {
 	case errkind.NodeUnreachable, errkind.NotLeader, errkind.ShuttingDown, errkind.NoLease:
--- a/session/heartbeat.go
+++ b/session/heartbeat.go
@@ -55,7 +55,7 @@
 		return // the session has given up its lease itself
 	}
 	telemetry.CountEvent("lease_lapsed", 1)
-	telemetry.Logger("session").Warn("The session lease has expired.")
+	telemetry.Logger("session").Warn("The session lease of this node has expired.")
 }
 
 // sendHeartbeat sends one heartbeat to the current member and applies the reply. After a failure the
--- a/target/cold.go
+++ b/target/cold.go
@@ -32,7 +32,7 @@
 	return int(min(n, float64(c.slots)))
 }
 
-// cold says whether the target still bears less than its slots.
+// cold reports whether the target still bears less than its slots.
 func (c *coldState) cold() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/target/grants.go
+++ b/target/grants.go
@@ -56,7 +56,7 @@
 // ClockMs is the target's monotonic clock in milliseconds since its start.
 func (g *Grants) ClockMs() int64 { return g.now().Milliseconds() }
 
-// Check says whether work of the partition may go on under the epoch. A server calls it at the
+// Check reports whether work of the partition may go on under the epoch. A server calls it at the
 // start of the work and again before the work takes effect. Errors: StaleEpoch for an older
 // epoch, WrongOwner without a current grant.
 func (g *Grants) Check(partition int, epoch api.Epoch) error {
--- a/telemetry/limiter.go
+++ b/telemetry/limiter.go
@@ -16,7 +16,7 @@
 	omitted int64
 }
 
-// Allow says whether a line may be written now, and how many were left out since the last one.
+// Allow reports whether a line may be written now, and how many were left out since the last one.
 func (l *Limiter) Allow(now time.Time) (ok bool, omitted int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
