integration: why the number of partitions may grow in TestControlHostWithEmptyDisk

Not splits, as the commit of the check said: each key of the test's traffic gets 20 requests a second, and a plan gives up to four keys of 10 or more a partition of their own (control/overrides.go), hence 36 for 32 and 40 for 36.

--- a/integration/control_test.go
+++ b/integration/control_test.go
@@ -93,7 +93,7 @@
 	list := tr.finish()
 	tr.expectUnavailable("second_control_host_lost_unavailable", list, failed, lost, servedAgain)
 	for i, s := range status(t, c).Services {
-		// No assignment is lost; a busy partition may have been split.
+		// No assignment is lost; hot keys may have got partitions of their own, four in one plan.
 		is.True(s.Granted >= owned[i].Granted)
 		is.True(s.Partitions >= owned[i].Partitions)
 	}
