raft: elections that slow disks do not interrupt

Traced with the members' states: a leader whose sync took a little longer than those of a quorum resigned; the elections after it did not end, since a vote takes a sync (600 ms) on both sides and the timeout is 150 to 300 ms. Simulated: with syncs of 300 to 1,000 ms there was no leader at all after 20 s. Change: a leader resigns once it has been behind a quorum for an election timeout in one sync; a member does not count the time of a sync for its election timeout; timeouts double after failed elections, 32 times at most; a member that has just voted or syncs its vote grants no pre-vote.

--- a/raft/election.go
+++ b/raft/election.go
@@ -13,6 +13,8 @@
 		r.role = Candidate
 		r.term++
 		r.vote, r.received = r.cfg.ID, 0
+		r.failedElections++
+		r.votedAt = now
 		request.Type = Vote
 		r.resetElection(now)
 	}
@@ -60,6 +62,9 @@
 	if r.role == Leader || now < r.lastContact+r.cfg.ElectionMin {
 		return
 	}
+	if m.Type == PreVote && r.electionUnderWay(now) {
+		return
+	}
 	if m.Type == Vote && m.Term > r.term {
 		r.becomeFollower(now, m.Term, 0)
 	}
@@ -69,6 +74,7 @@
 		return
 	}
 	if m.Type == Vote {
+		r.votedAt = now
 		r.vote = m.From
 		r.resetElection(now)
 	}
@@ -76,6 +82,12 @@
 	r.send(response)
 }
 
+// electionUnderWay reports whether this member has voted a moment ago, or syncs its vote. Another election would
+// interrupt the first, again and again if syncs take longer than election timeouts.
+func (r *Raft) electionUnderWay(now time.Duration) bool {
+	return r.term != r.storedState.Term || r.vote != r.storedState.Vote || now < r.votedAt+r.cfg.ElectionMin
+}
+
 // canGrantVote applies Raft's voting rules to a vote request of the current or a later term.
 func (r *Raft) canGrantVote(m Message) bool {
 	if !r.log.isUpToDate(m.Index, m.LogTerm) {
@@ -105,6 +117,7 @@
 
 func (r *Raft) becomeLeader(now time.Duration) {
 	r.role, r.leader = Leader, r.cfg.ID
+	r.failedElections = 0
 	r.votes = nil
 	r.leaderSince = now
 	r.peers = make(map[uint64]*progress)
--- a/raft/follower.go
+++ b/raft/follower.go
@@ -21,6 +21,7 @@
 	if r.role == Leader && m.Term == r.term {
 		return errors.Errorf("two leaders in term %d: members %x and %x", m.Term, r.cfg.ID, m.From)
 	}
+	r.failedElections = 0
 	r.becomeFollower(now, m.Term, m.From)
 	r.lastContact = now
 	switch m.Type {
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -49,7 +49,13 @@
 	// itself, or started, whichever is latest.
 	lastContact      time.Duration
 	electionDeadline time.Duration
-	votes            map[uint64]bool
+	// failedElections is the number of elections that this member has begun since it last had a leader.
+	failedElections int
+	// votedAt is when this member last voted, without the time of syncs since.
+	votedAt time.Duration
+	// behindSince is since when a leader has been behind a quorum of others in its present sync, or distantPast.
+	behindSince time.Duration
+	votes       map[uint64]bool
 
 	peers       map[uint64]*progress
 	leaderSince time.Duration
@@ -81,7 +87,7 @@
 		members: membershipHistory{{index: snap.Index, Membership: snap.Membership}},
 		term:    hs.Term, vote: hs.Vote, storedState: hs,
 		// The last contact before a restart is not stored, so it may have been just now.
-		lastContact: now,
+		lastContact: now, votedAt: distantPast, behindSince: distantPast,
 	}
 	for _, e := range entries {
 		if r.members, err = r.members.withEntry(e); err != nil {
@@ -183,21 +189,42 @@
 	r.resetElection(now)
 }
 
-// Resign makes a leader a follower if a quorum of others has synced entries that this member has not.
-// The caller calls it when a sync takes long.
+// ResignIfBehind makes a leader a follower if a quorum of others has for ElectionMax had entries on disk that this
+// member is still syncing. The caller calls it at each tick during a sync.
 //
-// Load pattern: the disk of the leader alone is full or slow. When all disks are slow, another leader
-// would serve no better, and this one goes on.
-func (r *Raft) Resign(now time.Duration) {
-	if r.role == Leader && r.log.commit > r.log.stable {
+// Load pattern: the disk of the leader alone is full or slow. When all disks are slow, another leader would serve
+// no better, and this one goes on.
+func (r *Raft) ResignIfBehind(now time.Duration) {
+	switch {
+	case r.role != Leader || r.log.commit <= r.log.stable:
+		r.behindSince = distantPast
+	case r.behindSince == distantPast:
+		r.behindSince = now
+	case now > r.behindSince+r.cfg.ElectionMax:
 		r.becomeFollower(now, r.term, 0)
 	}
 }
 
-// resetElection draws a new random election timeout that starts at now.
+// maxElectionDoublings limits how often the election timeout doubles.
+const maxElectionDoublings = 5
+
+// resetElection draws a new random election timeout that starts at now. It doubles with each election that
+// fails.
+//
+// Load pattern: the disks of the voters take longer for a sync, without which they do not vote, than the
+// candidate waits for its election.
 func (r *Raft) resetElection(now time.Duration) {
 	spread := r.cfg.ElectionMax - r.cfg.ElectionMin
-	r.electionDeadline = now + r.cfg.ElectionMin + time.Duration(r.random.Int63n(int64(spread)+1))
+	timeout := r.cfg.ElectionMin + time.Duration(r.random.Int63n(int64(spread)+1))
+	r.electionDeadline = now + timeout<<min(max(r.failedElections-1, 0), maxElectionDoublings)
+}
+
+// DelayElection adds d to the election timeout of a member that does not lead. The caller calls it after a sync
+// that took d, during which it does not call Tick: a member that waits for its disk cannot vote, and neither wins an
+// election nor is told of a new leader's entries.
+func (r *Raft) DelayElection(d time.Duration) {
+	r.electionDeadline += d
+	r.votedAt += d
 }
 
 // IsLeader reports whether this member leads in its term.
--- a/raft/ready.go
+++ b/raft/ready.go
@@ -59,6 +59,7 @@
 // Advance records that the work of rd, the result of the last call of Ready, is done.
 func (r *Raft) Advance(rd Ready) {
 	r.storedState = rd.HardState
+	r.behindSince = distantPast
 	if rd.Snapshot != nil && r.unsavedSnapshot == rd.Snapshot {
 		r.unsavedSnapshot = nil
 	}
--- a/raft/sim_test.go
+++ b/raft/sim_test.go
@@ -36,7 +36,8 @@
 	frozen    bool
 	restarts  int64
 	applied   uint64
-	sync      *Ready        // work whose sync is under way, nil if none
+	sync      *Ready // work whose sync is under way, nil if none
+	syncBegan time.Duration
 	syncedAt  time.Duration // when the sync ends
 }
 
@@ -57,7 +58,8 @@
 	isolated  map[uint64]bool // members on the smaller side of a partition
 	loss      float64         // share of messages lost
 	delay     float64         // share of messages delayed by up to 500 ms
-	maxSync   int             // longest sync in ms
+	minSync   int             // in ms; each sync takes at least that long, if not 0
+	maxSync   int             // in ms; the longest time that a sync takes beyond minSync
 	committed []Entry         // by index; position 0 is unused
 	leaders   map[uint64]uint64
 	proposals int
@@ -123,17 +125,18 @@
 		rd, crashNow := Ready{}, s.random.Float64() < crash
 		switch {
 		case n.sync != nil && s.now < n.syncedAt:
-			n.core.Resign(n.clock(s.now))
+			n.core.ResignIfBehind(n.clock(s.now))
 			n.down = crashNow
 			return
 		case n.sync != nil:
 			rd, n.sync = *n.sync, nil
+			n.core.DelayElection(n.clock(s.now) - n.clock(n.syncBegan))
 		default:
 			if rd = n.core.Ready(); rd.Empty() {
 				return
 			}
-			if rd.MustSync && s.maxSync > 0 && s.random.Float64() < 0.5 {
-				n.sync, n.syncedAt = &rd, s.now+time.Duration(1+s.random.Intn(s.maxSync))*time.Millisecond
+			if rd.MustSync && s.maxSync > 0 && (s.minSync > 0 || s.random.Float64() < 0.5) {
+				n.sync, n.syncBegan, n.syncedAt = &rd, s.now, s.now+time.Duration(s.minSync+1+s.random.Intn(s.maxSync))*time.Millisecond
 				continue
 			}
 		}
@@ -237,7 +240,9 @@
 		s.deliver(crash)
 		for _, n := range s.nodes {
 			if n.isRunning() && s.random.Float64() < 0.9 {
-				n.core.Tick(n.clock(s.now))
+				if n.sync == nil || n.core.IsLeader() {
+					n.core.Tick(n.clock(s.now))
+				}
 				s.handleReady(n, crash)
 			}
 			s.checkLeases()
@@ -424,3 +429,32 @@
 		s.recover()
 	})
 }
+
+// slowDiskRuns is the number of runs of TestElectionsWithSlowDisks, which take long.
+const slowDiskRuns = 60
+
+// Guards against elections that never end because each member takes longer to sync its vote than it waits for a
+// leader: members whose disks are slow must elect a leader all the same, and keep it. A minute is 50 syncs or more.
+func TestElectionsWithSlowDisks(t *testing.T) {
+	runs := 0
+	rapid.Check(t, func(t *rapid.T) {
+		if runs++; runs > slowDiskRuns {
+			return
+		}
+		s := newSim(t, rapid.SampledFrom([]int{3, 5}).Draw(t, "size"))
+		s.minSync = rapid.IntRange(300, 800).Draw(t, "sync")
+		s.maxSync = 1 + rapid.IntRange(0, 200).Draw(t, "spread")
+		s.run(time.Minute, 0)
+		lead := s.leader()
+		s.check(lead != nil && lead.core.HoldsLease(lead.clock(s.now)), "no leader at first")
+		lead.down = true
+		s.run(time.Minute, 0)
+		next := s.leader()
+		s.check(next != nil && next.core.HoldsLease(next.clock(s.now)), "no leader after the loss of the first")
+		term := next.core.term
+		s.propose()
+		s.run(5*time.Second, 0)
+		s.check(next.core.role == Leader && next.core.term == term, "leader lost in term %d", term)
+		s.check(next.core.log.stable == next.core.log.commit, "proposal not committed")
+	})
+}
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -86,17 +86,16 @@
 	}
 }
 
-// tick lets time pass in the core. A member whose disk is stuck neither leads others, which are ahead of it,
-// nor campaigns.
+// tick lets time pass in the core. A member whose disk is stuck does not lead others that are ahead of it, and one
+// that waits for its disk does not campaign.
 func (l *loop) tick() {
 	now := l.r.now()
-	if l.saverBusy && now > l.saverBusySince+l.r.o.ElectionMax {
-		l.core.Resign(now)
-		if !l.core.IsLeader() {
-			return
-		}
+	if l.saverBusy {
+		l.core.ResignIfBehind(now)
+	}
+	if !l.saverBusy || l.core.IsLeader() {
+		l.core.Tick(now)
 	}
-	l.core.Tick(now)
 }
 
 // drainQueues handles further queued messages and proposals, so that they share one sync. It is
@@ -177,6 +176,7 @@
 func (l *loop) finishTask() {
 	rd := l.saving
 	l.saverBusy, l.saving = false, raft.Ready{}
+	l.core.DelayElection(l.r.now() - l.saverBusySince)
 	if rd.MustSync {
 		l.complete(rd)
 	}
