raft, replica: state is published once in each turn of the loop

It is published before messages are sent, and again only after a Ready is done. The test for a term or vote that is not on disk, written three times, has one name (voteUnsynced).

--- a/raft/election.go
+++ b/raft/election.go
@@ -85,7 +85,7 @@
 // electionUnderWay reports whether this member has voted a moment ago, or syncs its vote. Another election would
 // interrupt the first, again and again if syncs take longer than election timeouts.
 func (r *Raft) electionUnderWay(now time.Duration) bool {
-	return r.term != r.storedState.Term || r.vote != r.storedState.Vote || now < r.votedAt+r.cfg.ElectionMin
+	return r.voteUnsynced() || now < r.votedAt+r.cfg.ElectionMin
 }
 
 // canGrantVote applies Raft's voting rules to a vote request of the current or a later term.
--- a/raft/ready.go
+++ b/raft/ready.go
@@ -10,7 +10,7 @@
 // responses keep the leader and its lease meanwhile.
 func (r *Raft) MessagesBeforeSync() []Message {
 	r.sendProposals()
-	if r.term != r.storedState.Term || r.vote != r.storedState.Vote {
+	if r.voteUnsynced() {
 		return nil
 	}
 	var free, held []Message
@@ -25,6 +25,11 @@
 	return free
 }
 
+// voteUnsynced reports whether the term or the vote is not on disk yet.
+func (r *Raft) voteUnsynced() bool {
+	return r.term != r.storedState.Term || r.vote != r.storedState.Vote
+}
+
 // dependsOnSync reports whether the message acknowledges entries, a snapshot or a vote.
 func (m Message) dependsOnSync() bool {
 	return !m.Reject && (m.Type == AppendResponse || m.Type == VoteResponse)
@@ -50,8 +55,7 @@
 	}
 	r.messages = nil
 	rd.Committed = r.log.slice(r.log.applied+1, r.log.commit, 0)
-	voted := hs.Term != r.storedState.Term || hs.Vote != r.storedState.Vote
-	rd.MustSync = voted || len(rd.Entries) > 0 || rd.Snapshot != nil
+	rd.MustSync = r.voteUnsynced() || len(rd.Entries) > 0 || rd.Snapshot != nil
 	rd.hardStateChanged = rd.MustSync || hs != r.storedState
 	return rd
 }
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -150,22 +150,22 @@
 }
 
 // handleReady starts or completes the core's pending work. The loss of a lease is published before any
-// message is sent.
+// message is sent: the published state is that of the core whenever messages are.
 func (l *loop) handleReady() {
 	l.publish()
 	l.links.send(l.core.MessagesBeforeSync(), l.roster)
 	for !l.saverBusy {
 		rd := l.core.Ready()
 		if rd.Empty() {
-			break
+			return
 		}
 		if rd.MustSync {
 			l.startTask(saveTask{ready: rd})
-			break
+			return
 		}
 		l.complete(rd)
+		l.publish()
 	}
-	l.publish()
 }
 
 func (l *loop) startTask(t saveTask) {
@@ -184,7 +184,6 @@
 
 // complete sends and applies what rd holds after its state is synced.
 func (l *loop) complete(rd raft.Ready) {
-	l.publish()
 	l.links.send(rd.Messages, l.roster)
 	l.applier.enqueue(rd)
 	l.core.Advance(rd)
