--- a/api/assignmenttable.go
+++ b/api/assignmenttable.go
@@ -2,6 +2,7 @@
 
 import (
 	"iter"
+	"maps"
 	"slices"
 )
 
@@ -32,12 +33,14 @@
 	return AssignmentTable{}.With(updates)
 }
 
-// With returns the table after the updates. Partitions must not be negative; lists grow as needed.
+// With returns the table after the updates, t itself if there are none. Partitions must not be negative; lists
+// grow as needed.
 func (t AssignmentTable) With(updates []AssignmentUpdate) AssignmentTable {
-	next := make(AssignmentTable, len(t)+1)
-	for service, list := range t {
-		next[service] = list
+	if len(updates) == 0 {
+		return t
 	}
+	next := make(AssignmentTable, len(t)+1)
+	maps.Copy(next, t)
 	copied := make(map[*[tablePage]Assignment]bool)
 	cloned := make(map[string]bool)
 	for _, u := range updates {
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -154,8 +154,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	present := h.gateway.view().Index.Peers[h.dest.session] != nil
-	if present && h.received.Load() {
+	if h.received.Load() && h.ownerPresent() {
 		h.timer.Reset(h.gateway.probeInterval)
 		return
 	}
@@ -168,7 +167,7 @@
 	if err == nil && reply.Received {
 		h.received.Store(true)
 	}
-	if err != nil && h.gateway.view().Index.Peers[h.dest.session] == nil {
+	if err != nil && !h.ownerPresent() {
 		// The owner's session has ended and its node does not reply: no response will come.
 		h.abandon()
 		return
@@ -178,6 +177,9 @@
 	}
 }
 
+// ownerPresent reports whether the session of the owner's node goes on.
+func (h *hop) ownerPresent() bool { return h.gateway.view().Index.Peers[h.dest.session] != nil }
+
 // fence asks the owner's node never to start the attempt, and reports whether it is certain that
 // the attempt will not run.
 func (h *hop) fence() bool {
--- a/gateway/receipt_test.go
+++ b/gateway/receipt_test.go
@@ -15,17 +15,26 @@
 	"github.com/zinniapier/zinniapier/telemetry"
 )
 
+// slowOK responds after several probe intervals.
+func slowOK(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(4 * defaultProbeInterval)
+	echoOK(w, r)
+}
+
+// newHopTo starts a target, its node b, and a node a whose requests to it take a hop.
+func newHopTo(t *testing.T, f http.HandlerFunc) (target *httpTarget, a, b *testNode) {
+	target = newTarget(t, f)
+	a = newNode(t, "a", "", config.Traffic{})
+	b = newNode(t, "b", target.addr(), config.Traffic{})
+	connect(b, a, b)
+	return target, a, b
+}
+
 // Guards against queries over connections of their own for each request that takes a while: the owner's node
 // confirms the receipt on the connection of the hop.
 func TestSlowHopNeedsNoFateQuery(t *testing.T) {
 	is := is.New(t)
-	target := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(4 * defaultProbeInterval)
-		echoOK(w, r)
-	})
-	a := newNode(t, "a", "", config.Traffic{})
-	b := newNode(t, "b", target.addr(), config.Traffic{})
-	connect(b, a, b)
+	target, a, _ := newHopTo(t, slowOK)
 	before := telemetry.Events(eventFateQuery)
 	for _, method := range []string{"GET", "POST"} {
 		got := a.call(t, method, "/quotes/k", "")
@@ -40,13 +49,7 @@
 // receipt cannot be sent: a large body is announced, and its reading sends an interim response of its own.
 func TestSlowHopWithoutReceiptIsQueriedOnce(t *testing.T) {
 	is := is.New(t)
-	target := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(4 * defaultProbeInterval)
-		echoOK(w, r)
-	})
-	a := newNode(t, "a", "", config.Traffic{})
-	b := newNode(t, "b", target.addr(), config.Traffic{})
-	connect(b, a, b)
+	_, a, _ := newHopTo(t, slowOK)
 	before := telemetry.Events(eventFateQuery)
 	got := a.call(t, "POST", "/quotes/k", string(make([]byte, 1<<20)))
 	is.Equal(got.status, 200)
@@ -58,11 +61,8 @@
 func TestReceivedHopEndsWithTheSessionOfItsNode(t *testing.T) {
 	is := is.New(t)
 	hang := make(chan struct{})
-	target := newTarget(t, func(http.ResponseWriter, *http.Request) { <-hang })
 	defer close(hang)
-	a := newNode(t, "a", "", config.Traffic{})
-	b := newNode(t, "b", target.addr(), config.Traffic{})
-	connect(b, a, b)
+	_, a, b := newHopTo(t, func(http.ResponseWriter, *http.Request) { <-hang })
 	time.AfterFunc(3*defaultProbeInterval, func() {
 		b.fate.Close()
 		a.change(func(v *api.View) { v.Peers = []api.Peer{a.peer} })
--- a/session/view.go
+++ b/session/view.go
@@ -88,10 +88,7 @@
 // mergeAssignments returns the assignments after the full or partial map of the reply.
 func mergeAssignments(old api.AssignmentTable, r *api.HeartbeatReply) api.AssignmentTable {
 	if r.MapFull {
-		return api.AssignmentTable{}.With(r.Map.List)
-	}
-	if len(r.Map.List) == 0 {
-		return old
+		old = nil
 	}
 	return old.With(r.Map.List)
 }
