--- a/member/member.go
+++ b/member/member.go
@@ -156,7 +156,7 @@
 	if m.status != nil {
 		supervisor.Add(daemon.NewHTTPService("status", m.status, telemetry.Handler()))
 	}
-	telemetry.Logger("member").WithField("name", m.settings.Name).Info("Control member is up.")
+	telemetry.Logger("member").WithField("name", m.settings.Name).WithField("heap_bytes", telemetry.HeapBytes()).Info("Control member is up.")
 	err := supervisor.Serve(ctx)
 	telemetry.Logger("member").WithField("name", m.settings.Name).Info("Control member has stopped.")
 	return err
--- a/raft/log.go
+++ b/raft/log.go
@@ -9,6 +9,7 @@
 	baseIndex uint64
 	baseTerm  uint64 // term of the entry at baseIndex
 	entries   []Entry
+	bytes     int    // size of the data of entries
 	stable    uint64 // last index known to be synced to disk
 	commit    uint64
 	applied   uint64
@@ -22,12 +23,21 @@
 		}
 	}
 	l.entries = append(l.entries, entries...)
+	l.bytes = dataBytes(l.entries)
 	l.stable = l.lastIndex()
 	l.commit = min(max(commit, snap.Index), l.lastIndex())
 	l.applied = snap.Index
 	return l, nil
 }
 
+// dataBytes returns the size of the data of entries.
+func dataBytes(entries []Entry) (size int) {
+	for _, e := range entries {
+		size += len(e.Data)
+	}
+	return size
+}
+
 func (l *raftLog) firstIndex() uint64 { return l.baseIndex + 1 }
 
 func (l *raftLog) lastIndex() uint64 { return l.baseIndex + uint64(len(l.entries)) }
@@ -78,13 +88,17 @@
 		return
 	}
 	at := entries[0].Index
+	l.bytes += dataBytes(entries) - dataBytes(l.entries[at-l.baseIndex-1:])
 	// Overwriting in place is safe because slice returns copies.
 	l.entries = append(l.entries[:at-l.baseIndex-1], entries...)
 	l.stable = min(l.stable, at-1)
 }
 
 // extend adds one entry at the end.
-func (l *raftLog) extend(e Entry) { l.entries = append(l.entries, e) }
+func (l *raftLog) extend(e Entry) {
+	l.entries = append(l.entries, e)
+	l.bytes += len(e.Data)
+}
 
 // firstConflict returns the position in entries of the first one that the log does not hold
 // or holds with another term, or len(entries) if there is none.
@@ -120,7 +134,7 @@
 func (l *raftLog) reset(s Snapshot) {
 	l.snap = s
 	l.baseIndex, l.baseTerm = s.Index, s.Term
-	l.entries = nil
+	l.entries, l.bytes = nil, 0
 	l.stable, l.commit, l.applied = s.Index, s.Index, s.Index
 }
 
@@ -134,6 +148,7 @@
 	cut := s.Index - trailingEntries
 	term, _ := l.term(cut)
 	l.entries = append([]Entry(nil), l.entries[cut-l.baseIndex:]...)
+	l.bytes = dataBytes(l.entries)
 	l.baseIndex, l.baseTerm = cut, term
 }
 
--- a/raft/ready.go
+++ b/raft/ready.go
@@ -102,7 +102,7 @@
 	s := Status{
 		ID: r.cfg.ID, Role: r.role, Term: r.term, Leader: r.leader,
 		Commit: r.log.commit, Applied: r.log.applied,
-		FirstIndex: r.log.firstIndex(), LastIndex: r.log.lastIndex(),
+		FirstIndex: r.log.firstIndex(), LastIndex: r.log.lastIndex(), LogBytes: r.log.bytes,
 		Membership: members.Clone(), MembershipPending: r.membershipPending(),
 		SnapshotIndex: r.log.snap.Index, CommittedInTerm: r.committedInTerm(),
 	}
--- a/raft/types.go
+++ b/raft/types.go
@@ -179,6 +179,7 @@
 	Term, Leader          uint64
 	Commit, Applied       uint64
 	FirstIndex, LastIndex uint64
+	LogBytes              int // size of the data of the entries in memory
 	Membership            Membership
 	MembershipPending     bool
 	Peers                 []PeerStatus // set on the leader only
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -82,9 +82,33 @@
 		store.Close()
 		return nil, err
 	}
+	r.reportLog()
 	return r, nil
 }
 
+// reportLog logs what was read from disk, and publishes the size of the part of the log that is in memory.
+func (r *Replica) reportLog() {
+	entries := r.recovered.Entries
+	bytes := 0
+	for _, e := range entries {
+		bytes += len(e.Data)
+	}
+	r.log.WithField("entries", len(entries)).WithField("bytes", bytes).
+		WithField("snapshot", r.recovered.Snapshot.Index).WithField("snapshot_bytes", len(r.recovered.Snapshot.Data)).
+		WithField("ms", (boottime.Now()-r.openedAt).Milliseconds()).WithField("heap_bytes", telemetry.HeapBytes()).
+		Info("The log is open.")
+	telemetry.Gauge("log_bytes", func() int64 { return int64(r.status().LogBytes) })
+	telemetry.Gauge("log_entries", func() int64 { s := r.status(); return int64(s.LastIndex+1) - int64(s.FirstIndex) })
+}
+
+// status returns the last published status of the core; before the member belongs to a group, that of an empty log.
+func (r *Replica) status() raft.Status {
+	if p := r.published.Load(); p != nil {
+		return p.status
+	}
+	return raft.Status{FirstIndex: 1}
+}
+
 func (r *Replica) initIdentity() error {
 	snap := r.recovered.Snapshot
 	empty := snap.Index == 0 && r.recovered.HardState == raft.HardState{} && len(r.recovered.Entries) == 0
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -87,7 +87,7 @@
 	return 0
 }
 
-// Handler serves the counters at /debug/vars, and counters and latencies as text at /metrics.
+// Handler serves the counters and gauges at /debug/vars, and these and latencies as text at /metrics.
 func Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/debug/vars", expvar.Handler())
@@ -105,5 +105,6 @@
 			fmt.Fprintf(w, "zinnia_%s_total{kind=%q} %s\n", m.name, kv.Key, kv.Value)
 		})
 	}
+	writeGauges(w)
 	writeLatencies(w)
 }
