daemon: services under a supervisor have names

Cause: suture.Supervisor.Add names a service without String by fmt.Sprintf("%#v", service). The replica holds the log that it has just read; printed as a list of hexadecimal bytes, 94 MB of log took 6 s and 1,937 MB, and the supervisor kept 663 MB of text for good. Class of fault: a library prints a whole object for want of a name.

--- a/capacity/leader.go
+++ b/capacity/leader.go
@@ -87,8 +87,8 @@
 	supervisor := daemon.NewSupervisor("slopes")
 	for _, m := range g.members {
 		supervisor.Add(daemon.Service{Name: "rpc", Run: func(ctx context.Context) error { return m.server.Serve(ctx, m.listen) }})
-		supervisor.Add(m.Replica)
-		supervisor.Add(m.control)
+		supervisor.Add(daemon.Service{Name: "replica", Run: m.Replica.Serve})
+		supervisor.Add(daemon.Service{Name: "control", Run: m.control.Serve})
 	}
 	g.done = supervisor.ServeBackground(ctx)
 	if _, err := g.leader(ctx); err != nil {
--- a/capacity/spread.go
+++ b/capacity/spread.go
@@ -54,7 +54,7 @@
 			return nil, err
 		}
 		s.list = append(s.list, one)
-		supervisor.Add(one)
+		supervisor.Add(daemon.Service{Name: "session", Run: one.Serve})
 	}
 	ctx, s.stop = context.WithCancel(ctx)
 	s.done = supervisor.ServeBackground(ctx)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"fmt"
 	"net"
 	"os"
 	"os/signal"
@@ -21,13 +22,34 @@
 // supervisorTimeout bounds how long a supervisor waits for a part to stop.
 const supervisorTimeout = 15 * time.Second
 
+// NamedService is a service with a name for logs, which String returns. suture prints a service without a name
+// with all that it holds, and keeps that text.
+type NamedService interface {
+	suture.Service
+	fmt.Stringer
+}
+
+// Supervisor runs services and restarts those that fail.
+type Supervisor struct{ s *suture.Supervisor }
+
 // NewSupervisor returns a supervisor that logs the failures of its services under its name.
-func NewSupervisor(name string) *suture.Supervisor {
+func NewSupervisor(name string) *Supervisor {
 	log := telemetry.Logger(name)
-	return suture.New(name, suture.Spec{
+	return &Supervisor{suture.New(name, suture.Spec{
 		EventHook: func(e suture.Event) { log.Warning(e.String()) },
 		Timeout:   supervisorTimeout,
-	})
+	})}
+}
+
+// Add adds a service.
+func (s *Supervisor) Add(service NamedService) { s.s.Add(service) }
+
+// Serve runs the services until ctx ends.
+func (s *Supervisor) Serve(ctx context.Context) error { return s.s.Serve(ctx) }
+
+// ServeBackground is Serve on a goroutine of its own. The channel receives its result.
+func (s *Supervisor) ServeBackground(ctx context.Context) <-chan error {
+	return s.s.ServeBackground(ctx)
 }
 
 // SignalContext returns a context that ends with SIGTERM or SIGINT.
--- a/local/local.go
+++ b/local/local.go
@@ -185,7 +185,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	supervisor := daemon.NewSupervisor(name)
 	for _, s := range list {
-		supervisor.Add(s)
+		supervisor.Add(daemon.Service{Name: name, Run: s.Serve})
 	}
 	done := supervisor.ServeBackground(ctx)
 	return func() {
--- a/member/member.go
+++ b/member/member.go
@@ -150,8 +150,8 @@
 func (m *Member) Serve(ctx context.Context) error {
 	supervisor := daemon.NewSupervisor("member")
 	supervisor.Add(daemon.Service{Name: "rpc", Run: func(ctx context.Context) error { return m.server.Serve(ctx, m.rpc) }})
-	supervisor.Add(m.replica)
-	supervisor.Add(m.control)
+	supervisor.Add(daemon.Service{Name: "replica", Run: m.replica.Serve})
+	supervisor.Add(daemon.Service{Name: "control", Run: m.control.Serve})
 	supervisor.Add(daemon.NewHTTPService("operator", m.operator, m.operatorHandler()))
 	if m.status != nil {
 		supervisor.Add(daemon.NewHTTPService("status", m.status, telemetry.Handler()))
--- a/node/node.go
+++ b/node/node.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/thejerf/suture/v4"
 
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/config"
@@ -275,9 +274,9 @@
 	return ctx.Err()
 }
 
-func (n *Node) addBack(s *suture.Supervisor) {
-	s.Add(n.session)
-	s.Add(n.registry)
+func (n *Node) addBack(s *daemon.Supervisor) {
+	s.Add(daemon.Service{Name: "session", Run: n.session.Serve})
+	s.Add(daemon.Service{Name: "registry", Run: n.registry.Serve})
 	s.Add(daemon.NewInternalHTTPService("internal", n.internal, n.gateway.InternalHandler()))
 	s.Add(daemon.NewInternalHTTPService("announce", n.announce, n.announceHandler()))
 	if n.ready != nil {
