--- a/raft/log.go
+++ b/raft/log.go
@@ -138,14 +138,19 @@
 	l.stable, l.commit, l.applied = s.Index, s.Index, s.Index
 }
 
-// compact records a snapshot of applied state and drops the entries that are more than
-// trailingEntries before it.
+// compact records a snapshot of applied state and drops entries before it: those beyond the last
+// trailingEntries and trailingBytes.
 func (l *raftLog) compact(s Snapshot) {
 	l.snap = s
-	if s.Index <= l.baseIndex+trailingEntries {
+	cut, size := s.Index, 0
+	for ; cut > l.baseIndex && s.Index-cut < trailingEntries; cut-- {
+		if size += len(l.entries[cut-l.baseIndex-1].Data); size > trailingBytes {
+			break
+		}
+	}
+	if cut == l.baseIndex {
 		return
 	}
-	cut := s.Index - trailingEntries
 	term, _ := l.term(cut)
 	l.entries = append([]Entry(nil), l.entries[cut-l.baseIndex:]...)
 	l.bytes = dataBytes(l.entries)
--- a/raft/types.go
+++ b/raft/types.go
@@ -33,9 +33,10 @@
 	MaxEntryBytes = 1 << 20
 	// maxInflightAppends is the maximum number of unacknowledged Append messages per peer.
 	maxInflightAppends = 16
-	// trailingEntries is the number of entries before a snapshot that stay in memory, so
+	// trailingEntries and trailingBytes limit the entries before a snapshot that stay in memory, so
 	// that a peer slightly behind does not need the snapshot.
 	trailingEntries = 512
+	trailingBytes   = 8 << 20
 	// maxPromotionLag is how many entries a learner may be behind the commit index when it
 	// is promoted.
 	maxPromotionLag = 64
--- a/replica/applier.go
+++ b/replica/applier.go
@@ -51,8 +51,9 @@
 	appliedTerm atomic.Uint64
 
 	// Used only by the goroutine that runs the state machine.
-	membership raft.Membership
-	snapIndex  uint64
+	membership     raft.Membership
+	snapIndex      uint64
+	bytesSinceSnap int // data of the entries applied after snapIndex
 }
 
 func newApplier(o Options, log *logrus.Entry, store storage, snap raft.Snapshot) *applier {
@@ -115,7 +116,7 @@
 			return err
 		}
 	}
-	if a.applied.Load() >= a.snapIndex+a.snapshotEntries {
+	if a.applied.Load() >= a.snapIndex+a.snapshotEntries || a.bytesSinceSnap >= snapshotBytes {
 		a.snapshot(ctx)
 	}
 	return nil
@@ -133,7 +134,7 @@
 	if err := restoreState(a.fsm, s); err != nil {
 		return err
 	}
-	a.membership, a.snapIndex = s.Membership, s.Index
+	a.membership, a.snapIndex, a.bytesSinceSnap = s.Membership, s.Index, 0
 	a.applied.Store(s.Index)
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -158,6 +159,7 @@
 		}
 		a.membership = m
 	}
+	a.bytesSinceSnap += len(e.Data)
 	a.applied.Store(e.Index)
 	if a.appliedTerm.Swap(e.Term) != e.Term {
 		notify(a.wake)
@@ -184,10 +186,11 @@
 }
 
 // snapshot stores a snapshot of the state machine and passes it to the raft goroutine for
-// compaction. After a failure, the next attempt follows after another snapshotEntries entries.
+// compaction. After a failure, the next attempt follows after another snapshotEntries entries or
+// snapshotBytes.
 func (a *applier) snapshot(ctx context.Context) {
 	index := a.applied.Load()
-	a.snapIndex = index
+	a.snapIndex, a.bytesSinceSnap = index, 0
 	data, err := a.fsm.Snapshot()
 	s := raft.Snapshot{Index: index, Term: a.appliedTerm.Load(), Membership: a.membership, Data: data}
 	if err == nil {
--- a/replica/harness_test.go
+++ b/replica/harness_test.go
@@ -21,11 +21,16 @@
 type listFSM struct {
 	mu   sync.Mutex
 	list []string
+	// lastOnly says that only the last item is kept.
+	lastOnly bool
 }
 
 func (f *listFSM) Apply(_ uint64, data []byte) any {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.lastOnly {
+		f.list = nil
+	}
 	f.list = append(f.list, string(data))
 	return len(f.list)
 }
@@ -56,6 +61,8 @@
 	listen  string // differs from the address behind a proxy
 	fsm     *listFSM
 	replica *Replica
+	// keepsLast is lastOnly of its state machines.
+	keepsLast bool
 	// wrapStorage replaces the storage, if set.
 	wrapStorage func(storage) storage
 	stop        func()
@@ -94,7 +101,7 @@
 // start opens and serves the member.
 func (m *testMember) start() {
 	is := is.New(m.t)
-	m.fsm = &listFSM{}
+	m.fsm = &listFSM{lastOnly: m.keepsLast}
 	m.options.FSM = m.fsm
 	var err error
 	m.replica, err = Open(m.options)
--- a/replica/options.go
+++ b/replica/options.go
@@ -19,6 +19,11 @@
 	DefaultSnapshotEntries = 4096
 )
 
+// snapshotBytes is the size of the log entries after which a snapshot follows, before SnapshotEntries.
+//
+// Load pattern: hundreds of changes of a configuration with thousands of routes, each an entry of its own.
+const snapshotBytes = 16 << 20
+
 // callTimeout is the timeout of every call to another member.
 const callTimeout = 300 * time.Millisecond
 
@@ -70,7 +75,7 @@
 	ElectionMin, ElectionMax time.Duration
 	// ProposeTimeout limits proposals and membership changes whose context has no deadline.
 	ProposeTimeout time.Duration
-	// SnapshotEntries is the number of log entries between snapshots.
+	// SnapshotEntries is the maximum number of log entries between snapshots.
 	SnapshotEntries int
 }
 
