state, api: large log entries are packed

Its entry holds the routes as JSON and the document as base64, three times the bytes of the operator, and an entry has 1 MiB at most; five members also sent and synced these bytes for each change. Entries of 4 KiB and more are deflated now; plain entries of earlier versions are read as before.

--- a/api/deflate.go
+++ b/api/deflate.go
@@ -34,8 +34,8 @@
 // inflaters holds idle readers of package flate: one takes some ten kilobytes.
 var inflaters = sync.Pool{New: func() any { return flate.NewReader(nil) }}
 
-// deflate packs data, which may be random in part: identifiers take most of the bytes of replies.
-func deflate(data []byte) ([]byte, error) {
+// Deflate packs data, which may be random in part: identifiers take most of the bytes of replies.
+func Deflate(data []byte) ([]byte, error) {
 	if len(data) < minDeflated {
 		return append([]byte{plainData}, data...), nil
 	}
@@ -53,8 +53,8 @@
 	return buffer.Bytes(), nil
 }
 
-// inflate returns what deflate has packed. It fails for data that deflate does not write.
-func inflate(packed []byte) ([]byte, error) {
+// Inflate returns what Deflate has packed. It fails for data that Deflate does not write.
+func Inflate(packed []byte) ([]byte, error) {
 	if len(packed) == 0 {
 		return nil, errors.New("no packed data")
 	}
--- a/api/packed.go
+++ b/api/packed.go
@@ -55,7 +55,7 @@
 	if err := gob.NewEncoder(&buffer).Encode(&body); err != nil {
 		return nil, errors.Trace(err)
 	}
-	return deflate(buffer.Bytes())
+	return Deflate(buffer.Bytes())
 }
 
 // Unpack returns the configuration and its AccessHash, or nil and 0 when there is none. Organisations
@@ -65,7 +65,7 @@
 	if len(p) == 0 {
 		return nil, 0, nil
 	}
-	data, err := inflate(p)
+	data, err := Inflate(p)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/api/updates.go
+++ b/api/updates.go
@@ -86,7 +86,7 @@
 		data = append(data, text...)
 	}
 	data = binary.AppendUvarint(data, uint64(count))
-	return deflate(append(data, rows...))
+	return Deflate(append(data, rows...))
 }
 
 // updatesReader reads what textTable has packed. Once broken, it returns zero values.
@@ -98,7 +98,7 @@
 
 // newUpdatesReader returns a reader that has read the table of texts.
 func newUpdatesReader(packed []byte) (*updatesReader, error) {
-	data, err := inflate(packed)
+	data, err := Inflate(packed)
 	if err != nil {
 		return nil, err
 	}
--- a/api/updates_test.go
+++ b/api/updates_test.go
@@ -102,13 +102,13 @@
 
 // BenchmarkInflate measures the unpacking of the short lists of most replies.
 func BenchmarkInflate(b *testing.B) {
-	packed, err := deflate(bytes.Repeat([]byte("partition "), 40))
+	packed, err := Deflate(bytes.Repeat([]byte("partition "), 40))
 	if err != nil {
 		b.Fatal(err)
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := inflate(packed); err != nil {
+		if _, err := Inflate(packed); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/state/command.go
+++ b/state/command.go
@@ -97,12 +97,29 @@
 	Rejected []Rejection
 }
 
-// Encode returns the log entry of the command.
+// minPackedEntry is the size in bytes from which on entries are packed. A whole configuration, which repeats much
+// of its text, would take three times the bytes that the operator has sent, and more than an entry may have.
+const minPackedEntry = 4 << 10
+
+// Encode returns the log entry of the command: JSON, packed if it is large.
 func (c *Command) Encode() ([]byte, error) {
 	data, err := json.Marshal(c)
+	if err == nil && len(data) >= minPackedEntry {
+		data, err = api.Deflate(data)
+	}
 	return data, errors.Annotate(err, "encode command")
 }
 
+// decodeCommand parses a log entry.
+func decodeCommand(data []byte) (c Command, err error) {
+	if packed := len(data) > 0 && data[0] != '{'; packed {
+		if data, err = api.Inflate(data); err != nil {
+			return c, err
+		}
+	}
+	return c, errors.Trace(json.Unmarshal(data, &c))
+}
+
 // EncodeChange returns the log entry of an operator's change.
 func EncodeChange(change *api.Change) ([]byte, error) {
 	return (&Command{Kind: ConfigChange, Change: change}).Encode()
--- a/state/fuzz_test.go
+++ b/state/fuzz_test.go
@@ -1,6 +1,10 @@
 package state
 
-import "testing"
+import (
+	"testing"
+
+	"github.com/zinniapier/zinniapier/api"
+)
 
 // Guards against a log entry or a snapshot that stops a member: each member applies it again after each start.
 func FuzzApply(f *testing.F) {
@@ -9,6 +13,11 @@
 		f.Fatal(err)
 	}
 	f.Add(change)
+	packed, err := EncodeChange(&api.Change{ID: "c", Kind: api.Replace, Replacement: &api.Replacement{Label: 1, Document: make([]byte, minPackedEntry)}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(packed)
 	f.Add([]byte(`{"kind":"config-change","change":{"id":"c","kind":"apply-services","services":{"services":[{"name":"q","partitions":4}]}}}`))
 	f.Add([]byte(`{"kind":"grant-batch","batch":{"term":1,"grants":[{"service":"q","partition":-1}],"splits":[{"service":"q","partition":9}]}}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/state/machine.go
+++ b/state/machine.go
@@ -47,8 +47,8 @@
 }
 
 func (m *Machine) apply(next *api.ControlState, data []byte) any {
-	var c Command
-	if err := json.Unmarshal(data, &c); err != nil {
+	c, err := decodeCommand(data)
+	if err != nil {
 		return errkind.New(errkind.Invalid, "log entry %d: %v", next.Index, err)
 	}
 	switch {
