--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -21,6 +21,8 @@
 	SetAttemptHeaders(h http.Header, s AttemptInfo)
 	// ParseResponse interprets the status and header of a target's response to the attempt.
 	ParseResponse(resp *http.Response, s AttemptInfo) ResponseInfo
+	// ParseStatement returns what a target states about itself in the header of any of its responses.
+	ParseStatement(h http.Header) TargetStatement
 	// WriteError sends an error response to a caller. retryAfter is when a refused request that has
 	// not run may be sent again; 0 means unspecified.
 	WriteError(w http.ResponseWriter, e *errkind.Error, retryAfter time.Duration)
@@ -67,6 +69,15 @@
 	Load TargetLoad
 }
 
+// TargetStatement is what a target states about itself beside a response.
+type TargetStatement struct {
+	// RateLimit is the number of requests per second that the target takes from all nodes; negative if it
+	// names no limit.
+	RateLimit float64
+	// Leaving is true if the target is about to stop.
+	Leaving bool
+}
+
 // TargetLoad is the load of a target as the target reports it.
 type TargetLoad struct{ Running, Waiting, Slots int }
 
@@ -147,6 +158,11 @@
 	return v
 }
 
+// ParseStatement implements Dialect. Targets state that they leave in their announcements.
+func (defaultDialect) ParseStatement(http.Header) TargetStatement {
+	return TargetStatement{RateLimit: -1}
+}
+
 // WriteError implements Dialect.
 func (defaultDialect) WriteError(w http.ResponseWriter, e *errkind.Error, _ time.Duration) {
 	errkind.WriteHTTP(w, e)
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -257,6 +257,8 @@
 		r.once.closeConn()
 		return errkind.New(errkind.Unknown, "target %s switched protocols", info.ID)
 	}
+	statement := r.gateway.dialect.ParseStatement(resp.Header)
+	r.target.ReportStatement(statement.RateLimit, statement.Leaving)
 	if parsed.ColdRemaining >= 0 {
 		r.target.ReportColdRemaining(parsed.ColdRemaining)
 	}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -54,6 +54,8 @@
 func (t *testTarget) CountRefusal(api.PartitionRef, string) {}
 func (t *testTarget) ReportColdRemaining(time.Duration)     {}
 
+func (t *testTarget) ReportStatement(float64, bool) {}
+
 func (t *testTarget) Begin(ctx context.Context, _ api.PartitionRef, _ api.Epoch, _ string) (context.Context, func(), error) {
 	if t.onBegin != nil {
 		t.onBegin()
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -17,6 +17,9 @@
 	// ReportColdRemaining reports the remaining cold start that a response stated; 0 means that it
 	// has ended.
 	ReportColdRemaining(left time.Duration)
+	// ReportStatement reports the rate limit that a response named, negative for none, and whether the
+	// response said that the target leaves.
+	ReportStatement(rateLimit float64, leaving bool)
 	// CountRefusal counts a request for a key of the partition that the gate refused as load.
 	CountRefusal(ref api.PartitionRef, key string)
 	// Begin checks that the target may start work under the grant now and counts the attempt as in
--- a/host/target.go
+++ b/host/target.go
@@ -48,6 +48,7 @@
 	grantsUsable chan struct{}
 	appliedMap   mapVersion
 	meter        *meter
+	limitLines   telemetry.Limiter
 }
 
 // mapVersion identifies the assignments that have been applied.
@@ -70,7 +71,8 @@
 		orders:       orderState{version: 1},
 		grantsUsable: make(chan struct{}),
 		meter:        newMeter(arrived),
-		pulled:       pullState{changed: make(chan struct{})},
+		limitLines:   telemetry.Limiter{PerSecond: limitLinesPerSecond},
+		pulled:       pullState{rateLimit: -1, changed: make(chan struct{})},
 	}
 	if a.Pulls {
 		t.client = t.callClient()
