gate, host: a target gets no more than the rate that it names

Cause: nobody read the limit; the gate of a target knew slots and the rate of a cold start only. Class of fault: what a target says about itself is not part of its admission. All requests to a target pass the gate of the node beside it, so the limit is kept there for all machines, also those out of touch: starts are spaced by the named rate, with a burst of 250 ms; the wait counts in the estimate by which a request is refused at once, and in the expected latency by which other nodes choose targets. Responses without a limit end it after 500 ms, since responses arrive out of order.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -36,6 +36,9 @@
 	QueueLength int
 	// NoColdStart disables the cold-start ramp.
 	NoColdStart bool
+	// FirstSlots is the maximum number of running requests until the target has responded to one, which may
+	// name a rate; 0 means no such limit.
+	FirstSlots int
 	// FixedLimit disables the adaptive limit: the target may run as many requests as it has slots.
 	FixedLimit bool
 	// Now is the clock; nil means time.Now.
@@ -77,6 +80,11 @@
 	limiter   limiter
 	load      loadAverage
 	startRate startRateLimiter
+	namedRate namedRateLimiter
+	// startTimer admits waiting requests again at startTimerAt, for the limits on starts; zero when it is not
+	// pending.
+	startTimer   *time.Timer
+	startTimerAt time.Time
 }
 
 // New returns a gate whose target is in a cold start. It panics when the queue policy is not
@@ -95,6 +103,8 @@
 		noRamp:    o.NoColdStart,
 		adaptive:  float64(o.Slots),
 		fixed:     o.FixedLimit,
+
+		firstSlots: o.FirstSlots,
 	}
 	g.limiter.startCold(g.now())
 	return g
@@ -170,7 +180,7 @@
 	defer g.mu.Unlock()
 	now := g.now()
 	g.limiter.advance(now)
-	if g.queue.Len() == 0 && g.limiter.allows(g.running+1) && g.startRate.wait(now) == 0 {
+	if g.queue.Len() == 0 && g.limiter.allows(g.running+1) && g.startWait(now) == 0 {
 		g.start(now)
 		return nil, nil
 	}
@@ -231,7 +241,7 @@
 func (g *Gate) admitWaiting() {
 	for g.limiter.allows(g.running + 1) {
 		now := g.now()
-		if wait := g.startRate.wait(now); wait > 0 && g.queue.Len() > 0 {
+		if wait := g.startWait(now); wait > 0 && g.queue.Len() > 0 {
 			g.admitWaitingAfter(wait)
 			return
 		}
@@ -249,6 +259,12 @@
 	g.load.advance(now, g.running)
 	g.running++
 	g.startRate.record(now)
+	g.namedRate.record(now)
+}
+
+// startWait returns how long the limits on starts delay the next one. The caller holds the lock.
+func (g *Gate) startWait(now time.Time) time.Duration {
+	return max(g.startRate.wait(now), g.namedRate.wait(now, 1))
 }
 
 // Release returns the slot and records how the request ended. Only the first call has an effect.
--- a/gate/limit.go
+++ b/gate/limit.go
@@ -25,8 +25,10 @@
 	stepStart time.Time // start of the present step
 	adaptive  float64
 	fixed     bool // the adaptive limit is off
-	cutAt     time.Time
-	times     latencyStats
+	// firstSlots limits the running requests until the target has responded; 0 means no limit.
+	firstSlots int
+	cutAt      time.Time
+	times      latencyStats
 
 	paused    bool          // no request is admitted
 	lastPause time.Duration // zero once the target has served a request
@@ -42,6 +44,9 @@
 	if l.cold {
 		n = min(n, l.rampLimit)
 	}
+	if l.firstSlots > 0 {
+		n = min(n, l.firstSlots)
+	}
 	return max(n, 1)
 }
 
--- a/gate/load.go
+++ b/gate/load.go
@@ -25,17 +25,14 @@
 }
 
 // ExpectedLatency returns the time in which the target would respond to one more request: its mean
-// service time plus the wait for a slot. It is 0 before the first response.
+// service time plus the wait for a slot and for the named rate. It is 0 before the first response.
 func (g *Gate) ExpectedLatency() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	mean := g.limiter.times.mean
 	limit := g.limiter.limit()
-	over := g.running + g.queue.Len() + 1 - limit
-	if over <= 0 {
-		return mean
-	}
-	return mean + mean*time.Duration(over)/time.Duration(limit)
+	over := max(g.running+g.queue.Len()+1-limit, 0)
+	return mean + max(mean*time.Duration(over)/time.Duration(limit), g.namedRate.wait(g.now(), g.queue.Len()+1))
 }
 
 // ServiceTime returns the mean service time of the target over its last few hundred requests; 0 when
--- a/gate/request.go
+++ b/gate/request.go
@@ -42,8 +42,8 @@
 	if !ok || mean == 0 {
 		return nil
 	}
-	position := time.Duration(g.queue.Ahead(r) + 1)
-	wait := mean * position / time.Duration(g.limiter.limit())
+	position := g.queue.Ahead(r) + 1
+	wait := max(mean*time.Duration(position)/time.Duration(g.limiter.limit()), g.namedRate.wait(now, position))
 	if latest := r.LatestStart(now, mean); !latest.IsZero() && now.Add(wait).After(latest) {
 		return errkind.New(errkind.Overloaded, "estimated queue wait %v exceeds the remaining %v; %d of %d slots in use",
 			wait, latest.Sub(now), g.running, g.limiter.limit())
--- a/gate/startrate.go
+++ b/gate/startrate.go
@@ -12,8 +12,6 @@
 	// starts is a ring buffer of the times of the latest starts, recorded while warm as well.
 	starts []time.Time
 	next   int
-	// timerPending is true while a call of admitWaitingAfter is scheduled.
-	timerPending bool
 }
 
 // wait returns how long the next start has to wait; 0 means that it may start now.
@@ -51,7 +49,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if rate != g.startRate.rate {
-		g.startRate = startRateLimiter{rate: rate, timerPending: g.startRate.timerPending}
+		g.startRate = startRateLimiter{rate: rate}
 	}
 	g.startRate.until = g.now().Add(d)
 	g.admitWaiting()
@@ -59,14 +57,19 @@
 
 // admitWaitingAfter admits waiting requests again after the given time. The caller holds the lock.
 func (g *Gate) admitWaitingAfter(wait time.Duration) {
-	if g.startRate.timerPending {
+	at := g.now().Add(wait)
+	pending := !g.startTimerAt.IsZero()
+	if pending && !at.Before(g.startTimerAt) {
 		return
 	}
-	g.startRate.timerPending = true
-	time.AfterFunc(wait, func() {
+	if pending {
+		g.startTimer.Stop()
+	}
+	g.startTimerAt = at
+	g.startTimer = time.AfterFunc(wait, func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.startRate.timerPending = false
+		g.startTimerAt = time.Time{}
 		g.admitWaiting()
 	})
 }
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -30,6 +30,8 @@
 
 func (fakeGate) SetColdRate(time.Duration, float64) {}
 
+func (fakeGate) SetNamedRate(float64) {}
+
 // fakeControl replaces the session and the leader: it renews the lease and publishes assignments.
 type fakeControl struct {
 	view atomic.Pointer[api.View]
--- a/host/pull.go
+++ b/host/pull.go
@@ -44,8 +44,10 @@
 	confirming bool
 	// coldUntil is the end of the cold start that the target has reported.
 	coldUntil time.Time
-	// rateLimit is the rate that the target has named last, in requests per second; negative for none.
+	// rateLimit is the rate that the target has named last, at rateNamed, in requests per second; negative for
+	// none.
 	rateLimit float64
+	rateNamed time.Time
 	// saysLeaving is true once a response has said that the target leaves.
 	saysLeaving bool
 	// changed is closed and replaced when the node has something new for the target.
--- a/host/registry.go
+++ b/host/registry.go
@@ -39,6 +39,8 @@
 	// SetColdRate limits the target to rate request starts per second for the duration d. A d of 0
 	// ends the limit, and a rate of 0 means no limit.
 	SetColdRate(d time.Duration, rate float64)
+	// SetNamedRate limits the target to the rate that it has named, in requests per second; negative means none.
+	SetNamedRate(rate float64)
 }
 
 // Options configures a Registry.
--- a/host/statement.go
+++ b/host/statement.go
@@ -6,6 +6,10 @@
 	"github.com/zinniapier/zinniapier/telemetry"
 )
 
+// namedRateHold is how long a named rate holds against responses without one. Responses arrive out of order, and a
+// faulty one may lack the header.
+const namedRateHold = 500 * time.Millisecond
+
 // limitLinesPerSecond bounds the log lines about the named limits of one target.
 const limitLinesPerSecond = 2
 
@@ -15,8 +19,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	log := telemetry.Logger("host").WithField("target", t.info.ID)
+	now := time.Now()
+	if rateLimit < 0 && now.Sub(t.pulled.rateNamed) < namedRateHold {
+		rateLimit = t.pulled.rateLimit
+	} else if rateLimit >= 0 {
+		t.pulled.rateNamed = now
+	}
+	t.gate.SetNamedRate(rateLimit)
 	if rateLimit != t.pulled.rateLimit {
-		if ok, omitted := t.limitLines.Allow(time.Now()); ok {
+		if ok, omitted := t.limitLines.Allow(now); ok {
 			log.WithField("limit", rateLimit).WithField("former", t.pulled.rateLimit).WithField("omitted", omitted).
 				Info("Target names another rate limit.")
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -212,6 +212,7 @@
 		QueueLength: s.QueueLength,
 		NoColdStart: s.ColdStart != nil && !*s.ColdStart,
 		FixedLimit:  n.profile.FixedLimit,
+		FirstSlots:  n.profile.FirstSlots,
 	})
 }
 
--- a/node/profile.go
+++ b/node/profile.go
@@ -52,6 +52,8 @@
 	TargetChoice string
 	// FixedLimit lets a target run as many requests as it has slots, whatever its latency.
 	FixedLimit bool
+	// FirstSlots limits the running requests until the target has responded to one; 0 means no limit.
+	FirstSlots int
 }
 
 // silentPulls is the number of announcements of a pulling target that may fail to come before
@@ -65,6 +67,8 @@
 	// pulledRetryBurst keeps the sum over some eighty nodes within the slack that a service has for
 	// repeats.
 	pulledRetryBurst = 2
+	// pulledFirstSlots is within what a target that names a rate allows beyond it.
+	pulledFirstSlots = 4
 	// pulledMemberTimeout covers a member that waits for a fraction of a core.
 	pulledMemberTimeout = 400 * time.Millisecond
 	// pulledMemberPatience covers a queue of 0.8 s on the link of a host; a lease lasts 5 s.
@@ -76,6 +80,7 @@
 	p.Silence, p.RetryBurst = pulledSilence, pulledRetryBurst
 	p.MemberTimeout, p.MemberPatience = pulledMemberTimeout, pulledMemberPatience
 	p.FixedLimit = true
+	p.FirstSlots = pulledFirstSlots
 	p.TargetChoice = gateway.NearChoice
 	return p
 }
