placement, control: keys go where the limits that targets name leave room

Targets report the rate in use; the balanced policy plans nine tenths of it for a target whose share would exceed it, and lets the others have up to twice an even load. A target whose share is below its limit keeps its keys.

--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -33,6 +33,8 @@
 	Load float64 `json:"load"`
 	// ServiceMs is the mean service time in milliseconds; 0 when it is not known.
 	ServiceMs int64 `json:"service_ms,omitempty"`
+	// RateLimit is the number of requests per second that the target takes; 0 when it names no limit.
+	RateLimit float64 `json:"rate_limit,omitempty"`
 	// Place names the address on a host where only one target can run at a time: another target
 	// that is reported for it proves that this one has ended. Empty when there is no such proof.
 	Place string `json:"place,omitempty"`
--- a/gate/namedrate.go
+++ b/gate/namedrate.go
@@ -56,6 +56,16 @@
 	l.due = l.due.Add(l.interval)
 }
 
+// NamedRate returns the limit in use, in requests per second; 0 for none.
+func (g *Gate) NamedRate() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.namedRate.interval == 0 {
+		return 0
+	}
+	return float64(time.Second) / float64(g.namedRate.interval)
+}
+
 // SetNamedRate limits the target to the rate of requests per second that a response has named; a negative rate means
 // that the response named none. Any response ends the limit of Options.FirstSlots.
 func (g *Gate) SetNamedRate(rate float64) {
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -32,6 +32,8 @@
 
 func (fakeGate) SetNamedRate(float64) {}
 
+func (fakeGate) NamedRate() float64 { return 0 }
+
 // fakeControl replaces the session and the leader: it renews the lease and publishes assignments.
 type fakeControl struct {
 	view atomic.Pointer[api.View]
--- a/host/registry.go
+++ b/host/registry.go
@@ -41,6 +41,8 @@
 	SetColdRate(d time.Duration, rate float64)
 	// SetNamedRate limits the target to the rate that it has named, in requests per second; negative means none.
 	SetNamedRate(rate float64)
+	// NamedRate returns the limit in use, in requests per second; 0 for none.
+	NamedRate() float64
 }
 
 // Options configures a Registry.
--- a/host/target.go
+++ b/host/target.go
@@ -118,6 +118,7 @@
 		Cold:          cold,
 		Load:          roundLoad(load),
 		ServiceMs:     t.gate.ServiceTime().Milliseconds(),
+		RateLimit:     t.gate.NamedRate(),
 		PartitionLoad: partitions,
 		HotKeys:       hot,
 		Place:         t.exclusiveAddress(),
--- a/placement/balanced.go
+++ b/placement/balanced.go
@@ -48,6 +48,8 @@
 
 // Plan implements Policy.
 func (Balanced) Plan(_ string, ps []Partition, ts []Target, maxMoves int) []Move {
+	ts = slices.Clone(ts)
+	limitCapacities(ts, totalLoad(ps))
 	pl := newPlanner(ps, ts)
 	if len(pl.eligible) == 0 {
 		return nil
@@ -110,10 +112,16 @@
 	return pl
 }
 
-func (pl *planner) addTarget(t Target) {
-	if t.Capacity <= 0 {
-		t.Capacity = 1
+// positiveCapacity returns the capacity; zero and negative values count as one.
+func positiveCapacity(c float64) float64 {
+	if c <= 0 {
+		return 1
 	}
+	return c
+}
+
+func (pl *planner) addTarget(t Target) {
+	t.Capacity = positiveCapacity(t.Capacity)
 	x := &targetLoad{Target: t}
 	pl.targets[t.ID] = x
 	if !t.Eligible {
@@ -145,12 +153,16 @@
 	}
 }
 
-// partitionWeights returns the weight of each partition: its load, but at least the minimum weights.
-func partitionWeights(ps []Partition) []float64 {
-	sum := 0.0
+func totalLoad(ps []Partition) (sum float64) {
 	for _, p := range ps {
 		sum += p.Load
 	}
+	return sum
+}
+
+// partitionWeights returns the weight of each partition: its load, but at least the minimum weights.
+func partitionWeights(ps []Partition) []float64 {
+	sum := totalLoad(ps)
 	weights := make([]float64, len(ps))
 	for i, p := range ps {
 		weights[i] = max(p.Load, minMeanShare*sum/float64(len(ps)), minWeight)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -13,6 +13,8 @@
 	// Capacity is relative to the other targets, such as the number of slots. Zero and negative
 	// values count as one.
 	Capacity float64
+	// MaxLoad is the load in requests per second that the target takes; 0 means no limit.
+	MaxLoad float64
 	// Cold is set while the target is in its cold-start ramp.
 	Cold bool
 	// Eligible is false for a target that must lose its partitions.
