host, gateway: a target that says in a response that it leaves gets nothing later

Cause: Server-Leaving was not read; a target drained only by its heartbeats, or by the call that it stops. That node may restart and forget, so each node that has passed on such a response also stops by itself.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,6 +62,9 @@
 	// RetryBurst is the number of retries that the retry budget may accumulate. Default
 	// defaultBudgetBurst.
 	RetryBurst int
+	// AdmitLeaving is how long requests go to a target of another node after a response has said that it leaves; 0
+	// means as long as that node admits them.
+	AdmitLeaving time.Duration
 	// TargetChoice is the policy of services that name none. Default DefaultTargetChoice.
 	TargetChoice string
 }
@@ -92,6 +95,7 @@
 	hedges           *retryBudget
 	requests         *requestLog
 	bodies           *bodyPacer
+	departures       departures
 
 	closing     atomic.Bool
 	inFlight    atomic.Int64
@@ -120,6 +124,7 @@
 		hedges:       newBudget(shareOr(t.HedgeShare, defaultHedgeShare), 0),
 		requests:     newRequestLog(),
 		bodies:       newBodyPacer(t.LinkMbps),
+		departures:   departures{admitFor: o.AdmitLeaving},
 	}
 	if g.dialect == nil {
 		g.dialect = defaultDialect{}
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -235,6 +235,9 @@
 	if kind := resp.Header.Get(errkind.HeaderKind); kind != "" {
 		return readRefusal(errkind.Kind(kind), resp)
 	}
+	if h.gateway.dialect.ParseStatement(resp.Header).Leaving {
+		h.gateway.departures.record(h.dest.target, time.Now())
+	}
 	if !endIsDetectable(h.call.incoming.Method, resp) {
 		return errkind.New(errkind.ShortAnswer, "response of node %s has neither a length nor chunks", h.dest.peer.Name)
 	}
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -237,6 +237,9 @@
 
 func (g *Gateway) attemptAt(ctx context.Context, v *api.View, c *call, p destination) (*response, *errkind.Error) {
 	id := api.NewID()
+	if p.peer != nil && g.departures.over(p.target, time.Now()) {
+		return nil, errkind.New(errkind.WrongOwner, "target %s has said that it leaves", p.target)
+	}
 	if p.peer != nil {
 		return g.hop(ctx, c, p, id)
 	}
--- a/host/pull.go
+++ b/host/pull.go
@@ -34,7 +34,7 @@
 type pullState struct {
 	// sequence is the sequence of the latest announcement.
 	sequence uint64
-	// leaving is true once the target has said that it stops for ever.
+	// leaving is true once the target has said that it stops for ever, by a call or in a response.
 	leaving bool
 	// drainingSince is when the draining state last changed, takenOutSince when this node learnt that
 	// operators took the target or its zone out; zero when they have not.
@@ -48,8 +48,6 @@
 	// none.
 	rateLimit float64
 	rateNamed time.Time
-	// saysLeaving is true once a response has said that the target leaves.
-	saysLeaving bool
 	// changed is closed and replaced when the node has something new for the target.
 	changed chan struct{}
 }
--- a/host/statement.go
+++ b/host/statement.go
@@ -34,8 +34,10 @@
 		telemetry.CountEvent("rate_limit_named", 1)
 		t.pulled.rateLimit = rateLimit
 	}
-	if leaving && !t.pulled.saysLeaving {
+	if leaving && !t.pulled.leaving {
 		log.Info("Target says in a response that it leaves.")
-		t.pulled.saysLeaving = true
+		t.pulled.leaving = true
+		t.setDraining(true)
+		t.wake()
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -158,6 +158,7 @@
 		Origin:        n.profile.Origin,
 		ProbeInterval: n.profile.Silence,
 		RetryBurst:    n.profile.RetryBurst,
+		AdmitLeaving:  n.profile.AdmitDraining,
 
 		TargetChoice: n.profile.TargetChoice,
 	})
--- a/node/profile.go
+++ b/node/profile.go
@@ -42,7 +42,7 @@
 	PullInterval time.Duration
 	// Calls is that of host.Options.
 	Calls host.RangeCalls
-	// AdmitDraining and AdmitOut are those of host.Options.
+	// AdmitDraining and AdmitOut are those of host.Options; AdmitDraining is also AdmitLeaving of gateway.Options.
 	AdmitDraining time.Duration
 	AdmitOut      time.Duration
 	// Silence and RetryBurst are those of gateway.Options.
