host, platform: announcements with numbers that no target sends change nothing

With a start in the far future it counted as a later instance at the same place: the running target was marked lost, and its keys could be granted elsewhere while it still held them.

--- a/host/pull.go
+++ b/host/pull.go
@@ -22,6 +22,25 @@
 	MaxReplyRanges = 140
 )
 
+const (
+	// maxSequence is above the sequence of every target: ten announcements a second take 13 years.
+	maxSequence = 1 << 32
+	// maxStartAhead is how far the start of a target may lie in the future; clocks differ by seconds.
+	maxStartAhead = time.Hour
+)
+
+// checkPull returns Invalid for numbers that no target sends. Once accepted, all later announcements of the target
+// would count as old.
+func checkPull(a api.Announcement, p api.Pull, now time.Time) error {
+	if p.Sequence > maxSequence {
+		return errkind.New(errkind.Invalid, "sequence %d is too large", p.Sequence)
+	}
+	if a.StartedMs > now.Add(maxStartAhead).UnixMilli() {
+		return errkind.New(errkind.Invalid, "start at %d ms lies in the future", a.StartedMs)
+	}
+	return nil
+}
+
 // withDrift returns the longest real time that a target with a slow clock measures as d.
 func withDrift(d time.Duration) time.Duration { return time.Duration(float64(d) * (1 + clockDrift)) }
 
@@ -62,6 +81,9 @@
 	if err := checkAnnouncement(&a); err != nil {
 		return api.PullReply{}, err
 	}
+	if err := checkPull(a, p, arrived); err != nil {
+		return api.PullReply{}, err
+	}
 	t := r.Lookup(a.ID)
 	if t == nil {
 		if r.hasNewerInstance(a) {
