gateway: a connection that has carried a refusal of the target is closed

All attempts of a request bear one id on the platform. A target that refused an attempt (421, or 503 that says not run) and wrote that refusal once more on the kept connection answered the next attempt of the same request with it, while it ran the request: the attempt after that ran it a second time (TWICE), or the client was told that it had not run (REFUSED). A refusal for another id was recognised before. Now the connection ends with the refusal, so that what is written later on it reaches nobody. TestRepeatedRefusalIsNotTakenForTheNextAttempt: before, a request that may run once ran twice; after, once, locally and over a hop.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -263,6 +263,8 @@
 		r.target.ReportColdRemaining(parsed.ColdRemaining)
 	}
 	if parsed.Refusal != nil {
+		// A target may write the refusal once more, and a later attempt of the request has the same id.
+		r.once.closeConn()
 		// A target that refuses with free slots is not overloaded: a lower limit would only refuse
 		// more.
 		r.outcome.Shed, r.outcome.Cold = parsed.Shed && !parsed.Load.HasFreeSlots(), parsed.Cold
