gateway: a connection that has carried a refusal stays in use for other requests

Found by a run of TestShedByTargetIsRetriedOnlyWhenIdempotent under the race detector (3 of 4 attempts, two of two runs; no data race): net/http puts the connection of a response without a body back among the idle ones before the gateway sees the response. Closing it after a refusal then hit whatever was sent on it next, which ended as unknown. Now the connection remembers the ids of the requests that were refused on it, and takes no other attempt of these; the attempt counts as not sent and goes to another connection. A refusal that is written once more meets another id and is not taken for its response, as before. TestRepeatedRefusalIsNotTakenForTheNextAttempt and TestShedByTargetIsRetriedOnlyWhenIdempotent pass, five times each and under the race detector with the whole package.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -94,7 +94,7 @@
 
 func (r *localAttempt) do(ctx context.Context) (*response, *errkind.Error) {
 	ctx, r.cancel = context.WithCancel(ctx)
-	r.once.check = r.beforeFirstByte
+	r.once.check, r.once.requestID = r.beforeFirstByte, r.call.id
 	info := r.target.Info()
 	conns := r.gateway.targetTransports.get(string(info.ID)+"@"+info.Address, info.MaxConnections)
 	req := r.request(ctx, info.Address)
@@ -263,8 +263,7 @@
 		r.target.ReportColdRemaining(parsed.ColdRemaining)
 	}
 	if parsed.Refusal != nil {
-		// A target may write the refusal once more, and a later attempt of the request has the same id.
-		r.once.closeConn()
+		r.once.recordRefusal()
 		// A target that refuses with free slots is not overloaded: a lower limit would only refuse
 		// more.
 		r.outcome.Shed, r.outcome.Cold = parsed.Shed && !parsed.Load.HasFreeSlots(), parsed.Cold
--- a/gateway/sendonce.go
+++ b/gateway/sendonce.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -15,6 +16,8 @@
 // target twice.
 type sendOnce struct {
 	check func() error
+	// requestID is the id that all attempts of the request have; empty if there is none.
+	requestID string
 
 	mu   sync.Mutex
 	sent bool
@@ -76,16 +79,49 @@
 	}
 }
 
+// recordRefusal notes that the target has refused the attempt on its connection, which then carries no other attempt of
+// the request.
+func (s *sendOnce) recordRefusal() {
+	if c := s.conn.Load(); c != nil && s.requestID != "" {
+		c.recordRefused(s.requestID)
+	}
+}
+
+// maxRefusedIDs limits the refused requests that a connection remembers; those before them have reached their deadlines.
+const maxRefusedIDs = 64
+
 // guardedConn consults the sendOnce of the current attempt before it writes the first byte of a
 // request.
 type guardedConn struct {
 	net.Conn
 	guard atomic.Pointer[sendOnce]
+
+	mu      sync.Mutex
+	refused []string // ids of the requests whose attempts the target has refused on this connection, oldest first
 }
 
-// Write implements net.Conn. If the attempt must not be sent, it writes nothing.
+func (c *guardedConn) recordRefused(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.refused) == maxRefusedIDs {
+		c.refused = c.refused[1:]
+	}
+	c.refused = append(c.refused, id)
+}
+
+func (c *guardedConn) hasRefused(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Contains(c.refused, id)
+}
+
+// Write implements net.Conn. If the attempt must not be sent, it writes nothing. Neither does it for a request that the
+// target has refused on this connection: a target may write a refusal once more.
 func (c *guardedConn) Write(p []byte) (int, error) {
 	if s := c.guard.Swap(nil); s != nil {
+		if c.hasRefused(s.requestID) {
+			return 0, errkind.New(errkind.TargetUnreachable, "the connection has carried a refusal of the request")
+		}
 		if err := s.beginSend(); err != nil {
 			return 0, err
 		}
