--- a/review/standin/evacuation.go
+++ b/review/standin/evacuation.go
@@ -11,14 +11,16 @@
 const (
 	// evacuateLimit is the bound Evacuate.
 	evacuateLimit = 5 * time.Second
+	// maxStretch is the bound MaxStretch, by which an unstable core stretches that one at most.
+	maxStretch = 5 * time.Second
 	// ackTime is the bound Ack: for so long an order may be sent again.
 	ackTime = 4 * time.Second
 	// freezeTime is how long the core machine stands still.
 	freezeTime = 3900 * time.Millisecond
 )
 
-// staleOrder takes an evacuation back while a core machine that does not lead is frozen. The order reaches that machine
-// first, and another one acknowledges it. Then the zone is evacuated again, and the frozen machine wakes.
+// staleOrder takes the evacuations of two zones back while a core machine that does not lead is frozen. The orders reach
+// that machine first, and another one acknowledges them. Then the zones are evacuated again, and the frozen machine wakes.
 func staleOrder(r *record, trouble bool) (int, string) {
 	rules := []rule{{name: "r-orders", prefix: "/orders/", kind: "non_idempotent", service: "orders"}}
 	d, endpoints, all, err := deployed(r, []string{"orders", "orders", "orders", "portal"}, map[string]bool{"orders": false, "portal": true}, rules)
@@ -50,9 +52,8 @@
 		}
 		time.Sleep(time.Second)
 	}
-	const zone = "/-/evacuations/a"
-	if status, _ := d.orderAny(ackTime, "POST", zone, "", "", rest...); status != 200 {
-		return cannotRun, "the first evacuation is not acknowledged"
+	if _, ok := d.orderZones("POST", rest...); !ok {
+		return cannotRun, "the first evacuations are not acknowledged"
 	}
 	time.Sleep(2 * time.Second)
 	began := time.Now()
@@ -60,30 +61,58 @@
 		frozen.signal(syscall.SIGSTOP)
 		time.Sleep(100 * time.Millisecond)
 	}
-	if status, _ := d.orderAny(ackTime, "DELETE", zone, "", "", frozen, others[1], leader); status != 200 {
-		return cannotRun, "taking back the evacuation is not acknowledged"
+	if _, ok := d.orderZones("DELETE", frozen, others[1], leader); !ok {
+		return cannotRun, "taking back the evacuations is not acknowledged"
 	}
 	time.Sleep(500 * time.Millisecond)
-	status, acknowledged := d.orderAny(ackTime, "POST", zone, "", "", rest...)
-	if status != 200 {
-		return cannotRun, "the second evacuation is not acknowledged"
+	acknowledged, ok := d.orderZones("POST", rest...)
+	if !ok {
+		return cannotRun, "the second evacuations are not acknowledged"
 	}
 	time.Sleep(time.Until(began.Add(freezeTime)))
 	if trouble {
 		frozen.signal(syscall.SIGCONT)
 	}
-	time.Sleep(time.Until(acknowledged.Add(2*evacuateLimit + 4*time.Second)))
+	time.Sleep(time.Until(acknowledged.Add(evacuateLimit + maxStretch + 5*time.Second)))
 	stop()
 	var late []run
+	from := make(map[string]int)
 	for _, x := range all.all() {
+		evacuated := x.from == endpoints[0].id || x.from == endpoints[1].id
 		// The machines are in touch once the core has been stable since the end of the freeze.
-		if x.from == endpoints[0].id && x.at.After(acknowledged.Add(evacuateLimit)) && x.at.After(began.Add(freezeTime+stabilityWindow)) {
+		if evacuated && x.at.After(acknowledged.Add(evacuateLimit+maxStretch)) && x.at.After(began.Add(freezeTime+stabilityWindow)) {
 			late = append(late, x)
+			from[x.from]++
 		}
 	}
 	if len(late) == 0 {
-		return held0, fmt.Sprintf("no request reached zone a over %v after the acknowledgement of the second evacuation at %s", evacuateLimit, r.seconds(acknowledged))
+		return held0, fmt.Sprintf("no request reached zones a and b over %v after the acknowledgement of the second evacuations at %s", evacuateLimit+maxStretch, r.seconds(acknowledged))
 	}
-	return broken, fmt.Sprintf("%d requests reached %s in zone a over %v after the acknowledgement of the second evacuation at %s, the first at %s and the last at %s",
-		len(late), endpoints[0].id, evacuateLimit, r.seconds(acknowledged), r.seconds(late[0].at), r.seconds(late[len(late)-1].at))
+	return broken, fmt.Sprintf("%d requests reached endpoints in evacuated zones (%v) over %v after the acknowledgement of the second evacuations at %s, the first at %s and the last at %s",
+		len(late), from, evacuateLimit+maxStretch, r.seconds(acknowledged), r.seconds(late[0].at), r.seconds(late[len(late)-1].at))
+}
+
+// orderZones evacuates the zones a and b, or takes that back, with both orders in progress at once. It returns when the
+// later of them was acknowledged.
+func (d *deployment) orderZones(method string, machines ...*machine) (acknowledged time.Time, ok bool) {
+	type outcome struct {
+		status int
+		at     time.Time
+	}
+	outcomes := make(chan outcome)
+	for _, zone := range []string{"a", "b"} {
+		go func() {
+			status, at := d.orderAny(ackTime, method, "/-/evacuations/"+zone, "", "", machines...)
+			outcomes <- outcome{status, at}
+		}()
+	}
+	ok = true
+	for range 2 {
+		o := <-outcomes
+		ok = ok && o.status == 200
+		if o.at.After(acknowledged) {
+			acknowledged = o.at
+		}
+	}
+	return acknowledged, ok
 }
