gateway: a response that begins early leaves the rest of the upload to the target

Callers: uploads that a target began to answer before they were in reached it with parts missing in the middle; in chunks they ended as whole ones, and callers got 200 for some of them.

Cause: the HTTP server of the Go library discards up to 256 KB of an unread request body when it sends the header of a response, while the transport still copies that body to the target: two readers take turns. Ruled out: the hop and its 100-continue (own node and hop behave alike), and attempts without a response (their transport has stopped by then).

Why it works: while the body is on its way, the response is sent in full duplex, so that the attempt is the only reader. An attempt that is over passes on nothing more, also not what a pending read returns after the server has taken over. The connection ends with such a response, and the rest of the body is read for 0.5 s, so that no reset overtakes it.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -69,6 +69,9 @@
 // asked reports whether any of the stream has been read, so that its sender was asked for it.
 func (b *body) asked() bool { return b.streamRead.Load() }
 
+// pending reports whether part of the body may still be on its way from its sender.
+func (b *body) pending() bool { return b.stream != nil && !b.streamEnded.Load() }
+
 // partlyRead reports whether the stream has been started but not read to its end.
 func (b *body) partlyRead() bool { return b.streamRead.Load() && !b.streamEnded.Load() }
 
@@ -139,9 +142,19 @@
 	if errors.Is(err, io.EOF) {
 		a.body.streamEnded.Store(true)
 	}
+	if a.isClosed() {
+		// The server may have discarded bytes before these.
+		return 0, io.ErrClosedPipe
+	}
 	return n, err
 }
 
+func (a *attemptBody) isClosed() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.closed
+}
+
 // next copies from the buffer, or returns the stream once the buffer has been read.
 func (a *attemptBody) next(p []byte) (int, io.Reader, error) {
 	a.mu.Lock()
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -112,6 +112,7 @@
 		return nil, e
 	}
 	a := &response{resp: resp}
+	a.onFinish(func() { _ = req.Body.Close() })
 	a.onFinish(r.end)
 	if e := r.checkResponse(info, resp); e != nil {
 		a.finish()
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -69,6 +69,7 @@
 		return nil, h.failure(outer, err)
 	}
 	a := &response{resp: resp}
+	a.onFinish(func() { _ = req.Body.Close() })
 	a.onFinish(h.cancel)
 	if e := h.checkResponse(resp); e != nil {
 		a.finish()
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -96,6 +96,9 @@
 	if a.resp.ContentLength >= 0 && hasBody(method, a.resp.StatusCode) {
 		w.Header().Set("Content-Length", strconv.FormatInt(a.resp.ContentLength, 10))
 	}
+	if c.body.pending() {
+		defer keepRequestBody(w)()
+	}
 	w.WriteHeader(a.resp.StatusCode)
 	if !hasBody(method, a.resp.StatusCode) {
 		return
@@ -111,6 +114,21 @@
 	}
 }
 
+// bodyLinger is how long the rest of a request body is read after its response has been sent. A connection that is
+// closed with bytes unread is reset, and the sender may not have read the response yet.
+const bodyLinger = 500 * time.Millisecond
+
+// keepRequestBody leaves the request body to the attempt while its response is sent: by default, net/http discards
+// what remains of it when it sends the header. The connection ends with the response. The returned function must be
+// called once the response has been sent.
+func keepRequestBody(w http.ResponseWriter) (done func()) {
+	control := http.NewResponseController(w)
+	// Writers that do not support it do not discard the body.
+	_ = control.EnableFullDuplex()
+	w.Header().Set("Connection", "close")
+	return func() { _ = control.SetReadDeadline(time.Now().Add(bodyLinger)) }
+}
+
 // copyBody copies the body to the caller. flush sends each read at once, for streamed responses. A
 // writeErr means that the caller has disconnected.
 func copyBody(w http.ResponseWriter, from io.Reader, flush bool) (readErr, writeErr error) {
