node, daemon: a stop answers the requests that still wait at its leave limit

Callers: a node that gets SIGTERM ends with requests that wait for the owner of their keys, and cuts them off.

Cause: the leave limit ended the wait of the process for its requests, not the requests. Nothing ended the waits for an owner, a slot, a token or the link. Ruled out: the drain of connections; these are kept open as they should be.

In the gateway, requests that wait at an owner or a slot, here and over a hop, were reported as no-owner or deadline-exceeded before.

Why it works: the contexts of all requests descend from one of their listener, which ends with a cause at the leave limit.

--- a/daemon/http.go
+++ b/daemon/http.go
@@ -41,6 +41,10 @@
 
 	unusedGrace time.Duration
 
+	// requests is the context from which those of all requests descend; cancelRequests ends it.
+	requests       context.Context
+	cancelRequests context.CancelCauseFunc
+
 	mu sync.Mutex
 	// open is the number of connections.
 	open int
@@ -63,7 +67,9 @@
 		idle:        make(map[*idleConn]struct{}),
 		closed:      make(chan struct{}, 1),
 	}
+	s.requests, s.cancelRequests = context.WithCancelCause(context.Background())
 	s.server = &http.Server{
+		BaseContext:       func(net.Listener) context.Context { return s.requests },
 		Handler:           s.closeWhileDraining(handler),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ConnState:         s.trackConnection,
@@ -151,6 +157,15 @@
 	}
 }
 
+// GiveUp ends the contexts of all requests, now and later, with a cause, so that their handlers respond to them
+// before the process ends. Connections without a request are closed.
+func (s *HTTPService) GiveUp(cause error) {
+	s.Drain()
+	s.cancelRequests(cause)
+	s.closeIdle()
+	s.closeUnused()
+}
+
 func (s *HTTPService) closeUnused() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -32,7 +32,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	if e := g.takeToken(ctx, c); e != nil {
-		g.refuse(w, r, c, e)
+		g.refuse(w, r, c, givenUp(ctx, e))
 		return
 	}
 	g.serveCall(ctx, w, c)
@@ -42,7 +42,7 @@
 	a, e := g.route(ctx, c)
 	if e != nil {
 		c.settleOrRefundToken(e.NotRun)
-		g.refuse(w, c.incoming, c, e)
+		g.refuse(w, c.incoming, c, givenUp(ctx, e))
 		return
 	}
 	c.token.settle()
@@ -50,6 +50,15 @@
 	g.writeResponse(w, c, a)
 }
 
+// givenUp returns the error with which a request ends: ShuttingDown instead of e for one that has not run and was given
+// up because the process ends.
+func givenUp(ctx context.Context, e *errkind.Error) *errkind.Error {
+	if cause := context.Cause(ctx); e.NotRun && errkind.Of(cause) == errkind.ShuttingDown {
+		return errkind.From(cause)
+	}
+	return e
+}
+
 func (c *call) settleOrRefundToken(notRun bool) {
 	if notRun {
 		c.token.refund()
--- a/gateway/internal.go
+++ b/gateway/internal.go
@@ -51,7 +51,7 @@
 	setHeader(w.Header(), api.HeaderBodyWaitMs, formatMilliseconds(g.bodies.wait(time.Now())))
 	g.requests.logAttempt(c, p, id, v, e)
 	if e != nil {
-		g.refuseHop(w, e)
+		g.refuseHop(w, givenUp(ctx, e))
 		return
 	}
 	g.writeResponse(w, c, a)
--- a/node/node.go
+++ b/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/config"
 	"github.com/zinniapier/zinniapier/daemon"
+	"github.com/zinniapier/zinniapier/errkind"
 	"github.com/zinniapier/zinniapier/gate"
 	"github.com/zinniapier/zinniapier/gateway"
 	"github.com/zinniapier/zinniapier/host"
@@ -47,6 +48,9 @@
 
 	caller, internal, fate, announce, status, ready net.Listener
 
+	// callerService and hopService serve the requests of callers and of other nodes.
+	callerService, hopService *daemon.HTTPService
+
 	// leaving is set once the node has been asked to stop.
 	leaving atomic.Bool
 
@@ -258,17 +262,18 @@
 	n.addBack(back)
 	backDone := back.ServeBackground(parts)
 	front := daemon.NewSupervisor("callers")
-	callerService := daemon.NewHTTPService("caller", n.caller, n.gateway.CallerHandler())
-	front.Add(callerService)
+	n.callerService = daemon.NewHTTPService("caller", n.caller, n.gateway.CallerHandler())
+	front.Add(n.callerService)
 	frontDone := front.ServeBackground(callers)
 	telemetry.Logger("node").WithField("caller", n.CallerAddr()).Info("Node is up.")
 
 	<-ctx.Done()
 	telemetry.Logger("node").Info("Node leaves.")
 	n.leaving.Store(true)
-	callerService.Drain()
+	n.callerService.Drain()
 	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.profile.LeaveLimit)
 	defer cancel()
+	defer context.AfterFunc(limit, n.giveUp)()
 	n.leave(limit, stopCallers, frontDone)
 	stopParts()
 	awaitEnd(limit, backDone)
@@ -279,7 +284,8 @@
 func (n *Node) addBack(s *daemon.Supervisor) {
 	s.Add(daemon.Service{Name: "session", Run: n.session.Serve})
 	s.Add(daemon.Service{Name: "registry", Run: n.registry.Serve})
-	s.Add(daemon.NewInternalHTTPService("internal", n.internal, n.gateway.InternalHandler()))
+	n.hopService = daemon.NewInternalHTTPService("internal", n.internal, n.gateway.InternalHandler())
+	s.Add(n.hopService)
 	s.Add(daemon.NewInternalHTTPService("announce", n.announce, n.announceHandler()))
 	if n.ready != nil {
 		s.Add(daemon.NewHTTPService("readiness", n.ready, n.profile.ReadyHandler(n.isReady)))
@@ -322,6 +328,14 @@
 	}
 }
 
+// giveUp ends the requests that still run at the leave limit: their callers are told before the process ends.
+func (n *Node) giveUp() {
+	telemetry.Logger("node").WithField("requests", n.gateway.Running()).Info("Giving up the requests that still run at the leave limit.")
+	cause := errkind.New(errkind.ShuttingDown, "node is shutting down")
+	n.callerService.GiveUp(cause)
+	n.hopService.GiveUp(cause)
+}
+
 // endGrace is how long services that were told to stop may take when the leave limit has passed: the
 // process is killed soon after it.
 const endGrace = 200 * time.Millisecond
