host, control: a target that leaves while its node does not know it stays out of use

Callers: requests ran at a target that had left, up to 5 s after the acknowledgement of its leave.

Cause: a node that has restarted acknowledges the leave of a target that it does not know and keeps nothing of it. A heartbeat that the target sent before, and that arrives later, then adds it as a new one. Ruled out: the order of announcements (Sequence) and what the leader keeps of draining targets both work, but begin with a known target.

The same cause elsewhere: the product's own leave call, a target that the node has forgotten, and a second restart of the node before the delayed heartbeat arrives; for the latter nodes report departures to the leader, which keeps them.

The three new tests fail without their part of the change. host, control, session, capacity, node, api and platform pass.

Why it works: the departure is recorded by name, address and time before it is acknowledged, and applied to a target of that name when it is added, if it was started before. Its time to serve on counts from the acknowledgement.

--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -49,6 +49,12 @@
 	HotKeys []HotKey `json:"hot_keys,omitempty"`
 }
 
+// Departure says that each target at a place that was started before a time leaves for ever, whether it is known or not.
+type Departure struct {
+	Place    string
+	BeforeMs int64 // Unix milliseconds
+}
+
 // HotKey is a single key with its recent load in requests per second.
 type HotKey struct {
 	Key  string  `json:"key"`
@@ -117,6 +123,8 @@
 	PeersVersion uint64
 	Targets      []TargetReport
 	Released     []Released
+	// Departures are the recent ones; they are repeated for a while.
+	Departures []Departure
 	// Tokens holds all accounts when TokensFull is set, else those that differ from what the leader
 	// has answered.
 	Tokens     map[OrganisationID]TokenReport
--- a/capacity/spread.go
+++ b/capacity/spread.go
@@ -25,6 +25,7 @@
 
 func (idleSource) Targets() []api.TargetReport { return nil }
 func (idleSource) Released() []api.Released    { return nil }
+func (idleSource) Departures() []api.Departure { return nil }
 
 // idleTokens is an account without traffic.
 type idleTokens struct{}
--- a/control/drained.go
+++ b/control/drained.go
@@ -27,6 +27,9 @@
 		}
 		drained, known := l.drained[r.ID]
 		switch {
+		case r.State == api.TargetServing && r.StartedMs < l.departed[r.Place].beforeMs:
+			r.State = api.TargetDraining
+			l.drained[r.ID] = drainedTarget{api.FinalAnnouncement, now}
 		case r.State == api.TargetDraining:
 			l.drained[r.ID] = drainedTarget{max(r.Announced, drained.announced), now}
 		case known && r.State == api.TargetServing && r.Announced <= drained.announced:
@@ -38,11 +41,30 @@
 	}
 }
 
-// pruneDrained removes the targets that have not been reported for drainedRetention.
+// departedPlace says that the targets at a place that were started before a time have left.
+type departedPlace struct {
+	beforeMs int64 // Unix milliseconds
+	reported time.Time
+}
+
+// recordDepartures keeps what nodes report of targets that they may not know. A target whose node restarts a second
+// time before a delayed announcement arrives is known by nothing else.
+func (l *leader) recordDepartures(list []api.Departure, now time.Time) {
+	for _, d := range list {
+		l.departed[d.Place] = departedPlace{max(d.BeforeMs, l.departed[d.Place].beforeMs), now}
+	}
+}
+
+// pruneDrained removes the targets and places that have not been reported for drainedRetention.
 func (l *leader) pruneDrained(now time.Time) {
 	for id, drained := range l.drained {
 		if now.Sub(drained.reported) > drainedRetention {
 			delete(l.drained, id)
 		}
 	}
+	for place, departed := range l.departed {
+		if now.Sub(departed.reported) > drainedRetention {
+			delete(l.departed, place)
+		}
+	}
 }
--- a/control/drained_test.go
+++ b/control/drained_test.go
@@ -51,3 +51,17 @@
 	w.commit(w.tick(w.now))
 	is.Equal(len(w.drained), 0)
 }
+
+// Guards against the same for a target that left while its node did not know it, and whose node restarts once more before
+// a delayed announcement arrives.
+func TestTargetThatLeftUnknownStaysSoAfterRestartOfItsNode(t *testing.T) {
+	is := is.New(t)
+	w := newRestartCluster(t)
+	w.recordDepartures([]api.Departure{{Place: "host/10.0.0.1:80", BeforeMs: 100}}, w.now)
+	is.Equal(w.reportTarget("b", api.TargetReport{State: api.TargetServing, Announced: 5, StartedMs: 90}), api.TargetDraining)
+	is.Equal(w.reportTarget("b", api.TargetReport{State: api.TargetServing, Announced: 6, StartedMs: 90}), api.TargetDraining)
+	is.Equal(w.reportTarget("c", api.TargetReport{State: api.TargetServing, Announced: 1, StartedMs: 110}), api.TargetDraining) // the id is that of the former
+	w.now = w.now.Add(2 * drainedRetention)
+	w.commit(w.tick(w.now))
+	is.Equal(len(w.departed), 0)
+}
--- a/control/leader.go
+++ b/control/leader.go
@@ -62,6 +62,7 @@
 	speedsInUse map[api.TargetID]float64
 	nextBalance time.Time
 	drained     map[api.TargetID]drainedTarget
+	departed    map[string]departedPlace // by place
 	// firstTargetAt holds, by service without any assignment, when its first target was eligible.
 	firstTargetAt map[string]time.Time
 }
@@ -86,6 +87,7 @@
 		recentSplits:       make(map[api.PartitionRef]*recentSplit),
 		speedsInUse:        make(map[api.TargetID]float64),
 		drained:            make(map[api.TargetID]drainedTarget),
+		departed:           make(map[string]departedPlace),
 		firstTargetAt:      make(map[string]time.Time),
 		peers:              newPeerList(term),
 	}
--- a/control/session.go
+++ b/control/session.go
@@ -38,6 +38,7 @@
 	if err != nil {
 		return nil, false, err
 	}
+	l.recordDepartures(req.Departures, now)
 	l.keepDrained(req.Targets, now)
 	s.last = *req
 	s.deadline = received.Add(l.o.Lease + l.o.DriftMargin)
--- a/host/announce.go
+++ b/host/announce.go
@@ -153,6 +153,7 @@
 			previous = append(previous, old)
 		}
 	}
+	r.applyDeparture(t)
 	r.targets[t.info.ID] = t
 	r.start(t)
 	return previous, nil
@@ -175,7 +176,7 @@
 }
 
 // serveLeave drains the target and replies when it owns no partition and runs nothing, or after
-// maxLeaveWait with Left unset. An unknown instance has nothing to drain.
+// maxLeaveWait with Left unset. An unknown instance has nothing to drain; a delayed announcement does not add it.
 func (r *Registry) serveLeave(w http.ResponseWriter, req *http.Request) {
 	a, err := decodeAnnouncement(w, req)
 	if err != nil {
@@ -184,6 +185,7 @@
 	}
 	t := r.Lookup(a.ID)
 	if t == nil {
+		r.recordDeparted(a.ID, time.Now())
 		writeReply(w, api.AnnouncementReply{Accepted: true, Left: true})
 		return
 	}
--- /dev/null
+++ b/host/departure.go
@@ -0,0 +1,67 @@
+package host
+
+import (
+	"time"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/telemetry"
+)
+
+// departureRetention is how long a departure is remembered: announcements may arrive seconds late.
+const departureRetention = 30 * time.Second
+
+// departure is an acknowledged statement that an instance leaves. It holds for all targets of that name that were
+// started before it, also for one whose first announcement to this process arrives later.
+type departure struct {
+	address string
+	at      time.Time
+}
+
+// covers reports whether the departure is that of the target.
+func (d departure) covers(a api.Announcement) bool {
+	return d.address == a.Address && a.StartedMs < d.at.UnixMilli()
+}
+
+// InstanceLeaves notes that the pulling target that runs under the instance name at the address leaves for ever. The
+// target need not be known: its node may have restarted, and its last announcements may be delayed.
+func (r *Registry) InstanceLeaves(instance, address string) {
+	now := time.Now()
+	r.mu.Lock()
+	for name, d := range r.departures {
+		if now.Sub(d.at) > departureRetention {
+			delete(r.departures, name)
+		}
+	}
+	r.departures[instance] = departure{address, now}
+	r.mu.Unlock()
+	if id := r.LatestInstance(instance); id != "" {
+		r.MarkLeaving(id)
+		return
+	}
+	telemetry.Logger("host").WithField("instance", instance).Info("A target that is not known leaves.")
+	r.o.Wake()
+}
+
+// applyDeparture marks a target that is about to be added if it has left. The caller holds r.mu.
+func (r *Registry) applyDeparture(t *Target) {
+	if d, ok := r.departures[t.info.Instance]; ok && d.covers(t.info) {
+		t.draining, t.pulled.leaving, t.pulled.drainingSince = true, true, d.at
+		telemetry.Logger("host").WithField("target", t.info.ID).Info("A target that has left is announced late.")
+	}
+}
+
+// Departures returns the departures for the control leader, which keeps them over a restart of this process.
+func (r *Registry) Departures() []api.Departure {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var list []api.Departure
+	for _, d := range r.departures {
+		if time.Since(d.at) <= departureRetention {
+			list = append(list, api.Departure{Place: r.place(d.address), BeforeMs: d.at.UnixMilli()})
+		}
+	}
+	return list
+}
+
+// place names an address on this host, where only one instance runs at a time.
+func (r *Registry) place(address string) string { return r.o.Host + "/" + address }
--- /dev/null
+++ b/host/departure_test.go
@@ -0,0 +1,60 @@
+package host
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/errkind"
+)
+
+// Guards against a target that has left and is in use again: its node has restarted and does not know it when it says
+// that it leaves, and an earlier announcement of it arrives later.
+func TestLateAnnouncementAfterDepartureToRestartedNode(t *testing.T) {
+	is := is.New(t)
+	w := newPullWorldWith(t, Options{DrainAdmitLimit: 50 * time.Millisecond})
+	w.own(api.Granted, 5)
+	w.c.r.InstanceLeaves(w.a.Instance, w.a.Address)
+	is.Equal(len(w.c.r.Targets()), 0)
+	departures := w.c.r.Departures()
+	is.Equal(len(departures), 1)
+	is.Equal(departures[0].Place, "h1/"+w.a.Address)
+	is.True(departures[0].BeforeMs > w.a.StartedMs)
+	time.Sleep(60 * time.Millisecond)
+
+	w.pull(api.Pull{})
+	reports := w.c.r.Targets()
+	is.Equal(len(reports), 1)
+	is.Equal(reports[0].State, api.TargetDraining)
+	is.Equal(reports[0].Announced, uint64(api.FinalAnnouncement))
+	_, _, err := w.c.r.Lookup(w.a.ID).Begin(t.Context(), api.PartitionRef{Service: testService}, 5, "1")
+	is.Equal(errkind.Of(err), errkind.WrongOwner) // counted from the departure, not from the announcement
+	w.pull(api.Pull{})
+	is.Equal(w.c.r.Targets()[0].State, api.TargetDraining)
+
+	// The next life of the same name is a new target.
+	w.a.ID, w.a.StartedMs, w.at = "i-1@next", time.Now().Add(time.Second).UnixMilli(), 0
+	w.pull(api.Pull{})
+	is.Equal(w.c.r.Lookup(w.a.ID).lastAnnouncement(), w.at)
+}
+
+// Guards against the same for targets that announce themselves to the product's own interface.
+func TestUnknownTargetThatLeavesIsNotAddedLater(t *testing.T) {
+	is := is.New(t)
+	c, _ := newFakeControl(t, Options{})
+	send := func(path string) int {
+		body, _ := json.Marshal(api.Announcement{ID: "t9", Service: testService, Address: "127.0.0.1:9", Slots: 1})
+		w := httptest.NewRecorder()
+		c.r.AnnounceHandler().ServeHTTP(w, httptest.NewRequest(http.MethodPost, path, bytes.NewReader(body)))
+		return w.Code
+	}
+	is.Equal(send(api.PathLeave), http.StatusOK)
+	is.Equal(send(api.PathAnnounce), http.StatusConflict)
+	is.Equal(len(c.r.Targets()), 0)
+}
--- a/host/registry.go
+++ b/host/registry.go
@@ -127,6 +127,8 @@
 	// departed holds the instances that have left, so that a delayed announcement does not add one
 	// again; entries are kept for forgetAfter.
 	departed map[api.TargetID]time.Time
+	// departures holds what instances of pulling targets have said of their end, by instance name.
+	departures map[string]departure
 	// prunedFor is the map that updateReleased has processed; zero after a target was removed.
 	prunedFor  mapVersion
 	leaseUntil time.Time // of the last view
@@ -144,6 +146,8 @@
 		released: make(map[api.PartitionRef]api.Released),
 		epochs:   make(map[api.PartitionRef]api.Epoch),
 		departed: make(map[api.TargetID]time.Time),
+
+		departures: make(map[string]departure),
 	}
 }
 
--- a/host/target.go
+++ b/host/target.go
@@ -142,7 +142,7 @@
 	if !t.info.Pulls {
 		return ""
 	}
-	return t.r.o.Host + "/" + t.info.Address
+	return t.r.place(t.info.Address)
 }
 
 // wake makes the loop of the target run at once.
--- a/session/heartbeat.go
+++ b/session/heartbeat.go
@@ -38,6 +38,7 @@
 		PeersVersion:  v.PeersVersion,
 		Targets:       s.o.TargetSource.Targets(),
 		Released:      s.o.TargetSource.Released(),
+		Departures:    s.o.TargetSource.Departures(),
 		Leaving:       s.leaving.Load(),
 	}
 	s.tokens.Report(req)
--- a/session/session.go
+++ b/session/session.go
@@ -38,6 +38,7 @@
 type TargetSource interface {
 	Targets() []api.TargetReport
 	Released() []api.Released
+	Departures() []api.Departure
 }
 
 // TokenAccount is the node side of the fleet-wide token buckets; tokens.Account implements it.
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -88,6 +88,7 @@
 
 func (fakeSource) Targets() []api.TargetReport { return nil }
 func (fakeSource) Released() []api.Released    { return nil }
+func (fakeSource) Departures() []api.Departure { return nil }
 
 type fakeTokens struct{ expired, reset atomic.Int64 }
 
