gateway, node: a stopping node takes only requests that it can finish

Cause: a stopping node took each request, from its callers and from other nodes, without asking whether it could still end in time. A connection that was opened early and never used kept the node for 5 s, to its leave limit, where it was still taking requests; these were at work when the process went.

Ruled out: the drain of kept connections (the cut requests had reached their target).

Why it works: from the signal on, a request is taken if its deadline lies before the leave limit, or, in the first half of the leave, if it is expected to end before; asked on arrival and after each wait, here and over a hop. Others are told at once that they have not run, and when to return. Connections without a request are closed after 1 s, never while one is arriving.

--- a/daemon/http.go
+++ b/daemon/http.go
@@ -23,8 +23,9 @@
 	// to close the connection. Connections that are idle after it are closed, and with them requests that
 	// have arrived and are not read yet.
 	drainTime = 300 * time.Millisecond
-	// unusedGrace is how long a listener for callers waits at shutdown for the first request on a connection.
-	unusedGrace = 5 * time.Second
+	// unusedGrace is how long a listener for callers waits at shutdown for the first request on a connection. A
+	// caller that has just connected sends it at once; others turn to a new connection.
+	unusedGrace = time.Second
 	// internalUnusedGrace is unusedGrace for listeners that only processes of the system use: they dial
 	// connections ahead of need and may leave one unused.
 	internalUnusedGrace = 200 * time.Millisecond
@@ -170,7 +171,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for conn := range s.unused {
-		_ = conn.Close()
+		if c, ok := conn.(*idleConn); ok {
+			c.closeIfIdle() // a request may be arriving
+		} else {
+			_ = conn.Close()
+		}
 	}
 }
 
--- a/daemon/idleconn.go
+++ b/daemon/idleconn.go
@@ -15,7 +15,7 @@
 	if _, encrypted := conn.(*tls.Conn); err != nil || encrypted {
 		return conn, err // http.Server knows a TLS connection by its type; ListenTLS has wrapped what it reads
 	}
-	return &idleConn{Conn: conn}, nil
+	return &idleConn{Conn: conn, idle: true}, nil
 }
 
 // idleConn is a connection that can be closed while it is idle, and only then. http.Server takes a connection
@@ -25,7 +25,7 @@
 	net.Conn
 
 	mu     sync.Mutex
-	idle   bool // a response has been sent, and nothing was received after it
+	idle   bool // nothing has been received since the connection was opened or the last response was sent
 	closed bool
 }
 
--- a/gate/load.go
+++ b/gate/load.go
@@ -35,6 +35,14 @@
 	return mean + max(mean*time.Duration(over)/time.Duration(limit), g.namedRate.wait(g.now(), g.queue.Len()+1))
 }
 
+// MeanLatency returns the mean time in which the target responds once it has been sent a request; 0 before the first
+// response.
+func (g *Gate) MeanLatency() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.limiter.times.mean
+}
+
 // ServiceTime returns the mean service time of the target over its last few hundred requests; 0 when
 // there were too few.
 func (g *Gate) ServiceTime() time.Duration {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -37,6 +37,11 @@
 		return nil, errkind.From(err)
 	}
 	telemetry.Observe("gate", c.ref.Service, time.Since(began))
+	if e := g.checkStart(c.deadline, t.Gate().MeanLatency()); e != nil {
+		slot.Release(gate.Outcome{})
+		releaseBody()
+		return nil, e
+	}
 	ctx, endAttempt, err := t.Begin(ctx, c.ref, p.epoch, c.key)
 	if err != nil {
 		slot.Release(gate.Outcome{})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,6 +98,7 @@
 	departures       departures
 
 	closing     atomic.Bool
+	leaving     atomic.Pointer[leave] // nil for a process that goes on
 	inFlight    atomic.Int64
 	viewChanged atomic.Pointer[chan struct{}] // closed at the next publication of a view
 }
@@ -210,7 +211,7 @@
 		id = g.requestID(r)
 	}
 	g.requests.logRefused(r, id, c, g.view(), e)
-	g.dialect.WriteError(w, e, retryAfter(e.Kind, c))
+	g.dialect.WriteError(w, e, max(retryAfter(e.Kind, c), g.returnDelay(e.Kind)))
 }
 
 // refuseHop sends an error to another node and counts it; that node logs the request.
--- a/gateway/internal.go
+++ b/gateway/internal.go
@@ -42,6 +42,10 @@
 		g.refuseHop(w, errkind.New(errkind.WrongOwner, "target %s is not on this node", p.target))
 		return
 	}
+	if e := g.checkLeave(c.deadline, t.Gate().ExpectedLatency()); e != nil {
+		g.refuseHop(w, e)
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	stopReceipt := startReceipt(w, r, time.Duration(receiptShare*float64(g.probeInterval)))
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -40,6 +40,9 @@
 		if e := c.revalidate(v); e != nil {
 			return nil, e
 		}
+		if e := g.checkLeave(c.deadline, g.expectedLatency(c.service.Name)); e != nil {
+			return nil, e
+		}
 		owner := v.Owner(c.ref)
 		a, e := g.attemptOwner(ctx, v, c, owner)
 		if e == nil {
@@ -125,6 +128,9 @@
 		if e := c.revalidate(v); e != nil {
 			return nil, e
 		}
+		if e := g.checkLeave(c.deadline, g.expectedLatency(c.service.Name)); e != nil {
+			return nil, e
+		}
 		p, e := g.choose(v, c, tried)
 		if e != nil {
 			return nil, e
--- a/node/node.go
+++ b/node/node.go
@@ -273,6 +273,8 @@
 	n.callerService.Drain()
 	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.profile.LeaveLimit)
 	defer cancel()
+	end, _ := limit.Deadline()
+	n.gateway.Leave(end, n.profile.ReturnsAfter)
 	defer context.AfterFunc(limit, n.giveUp)()
 	n.leave(limit, stopCallers, frontDone)
 	stopParts()
--- a/node/profile.go
+++ b/node/profile.go
@@ -25,6 +25,8 @@
 	// RestartsInPlace says that a node that is stopped comes back while its target goes on: it
 	// leaves without handing its partitions over.
 	RestartsInPlace bool
+	// ReturnsAfter is the time from the end of such a node until it serves again.
+	ReturnsAfter time.Duration
 	// Notice is how long such a node goes on serving after it has said that it is not ready, so
 	// that its callers turn to others.
 	Notice time.Duration
