host: heads of the answers to orders are bounded

Report of another operator: bytes without end from a faulty endpoint filled the memory of the machine that had called it.

Found: requests and grant calls have bounds for heads and bodies; the client for orders of the product's own interface had none for heads, so that each of up to 64 targets could make its node keep 10 MB, the default of the library.

--- a/host/callclient.go
+++ b/host/callclient.go
@@ -17,7 +17,8 @@
 )
 
 const (
-	// maxCallAnswer and maxCallHead bound body and head of the response to a call, in bytes.
+	// maxCallAnswer bounds the body of the response to a call, maxCallHead the head of that to a call or an order, in
+	// bytes.
 	maxCallAnswer = 4 << 10
 	maxCallHead   = 16 << 10
 	// dialHeartbeatAge is the greatest age of the last heartbeat of a target to which a connection is
--- a/host/orders.go
+++ b/host/orders.go
@@ -46,7 +46,11 @@
 }
 
 func ordersClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost:    1,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxCallHead,
+	}}
 }
 
 // serve runs the loop of the target. It ends with ctx or when the target is removed.
