wal: a new segment waits for space on a full disk

Report of another operator: disks full one after another, and changes refused or unanswered long after.

Evidence: TestFullDiskIsWaitedForByANewSegment failed before (no space left on device), and passes after; wal passes.

--- a/wal/fulldisk_test.go
+++ b/wal/fulldisk_test.go
@@ -61,3 +61,26 @@
 	l.write = writeAndSync
 	is.True(l.Save(raft.HardState{Term: 1}, entries(1, 2, 1)) != nil)
 }
+
+// Guards against a member that ends because its disk is full just when it begins a new segment.
+func TestFullDiskIsWaitedForByANewSegment(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	l, _, err := Open(dir)
+	is.NoErr(err)
+	l.segmentBytes = 1
+	tries := 0
+	l.create = func(path string) (*os.File, error) {
+		if tries++; tries <= 2 {
+			return nil, &os.PathError{Op: "open", Path: path, Err: syscall.ENOSPC}
+		}
+		return createSegment(path)
+	}
+	is.NoErr(l.Save(raft.HardState{Term: 1}, entries(1, 2, 1)))
+	is.Equal(tries, 3)
+	l.Close()
+	l, got, err := Open(dir)
+	is.NoErr(err)
+	is.Equal(got.Entries, entries(1, 2, 1))
+	l.Close()
+}
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -50,6 +50,8 @@
 	writeErr     error
 	// write writes and syncs; tests replace it.
 	write func(*os.File, []byte) error
+	// create creates the file of a segment; tests replace it.
+	create func(path string) (*os.File, error)
 	// interrupt ends the wait for space on a full disk.
 	interrupt     chan struct{}
 	interruptOnce sync.Once
@@ -66,7 +68,7 @@
 	if err != nil {
 		return nil, RecoveredState{}, err
 	}
-	l := &Log{dir: dir, lock: lock, segmentBytes: segmentBytes, write: writeAndSync, interrupt: make(chan struct{})}
+	l := &Log{dir: dir, lock: lock, segmentBytes: segmentBytes, write: writeAndSync, create: createSegment, interrupt: make(chan struct{})}
 	recovered, err := l.recover()
 	if err != nil {
 		l.Close()
@@ -204,7 +206,10 @@
 		next.sequence = l.currentSegment().sequence + 1
 	}
 	next.path = filepath.Join(l.dir, fmt.Sprintf("%016x%s", next.sequence, segmentExtension))
-	f, err := os.OpenFile(next.path, os.O_CREATE|os.O_EXCL|os.O_RDWR, fileMode)
+	f, err := l.create(next.path)
+	for errors.Is(err, syscall.ENOSPC) && l.awaitSpace() {
+		f, err = l.create(next.path)
+	}
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -219,7 +224,15 @@
 	if err := l.append(batchRecord, encodeBatch(l.hs, nil)); err != nil {
 		return err
 	}
-	return syncDir(l.dir)
+	err = syncDir(l.dir)
+	for errors.Is(err, syscall.ENOSPC) && l.awaitSpace() {
+		err = syncDir(l.dir)
+	}
+	return err
+}
+
+func createSegment(path string) (*os.File, error) {
+	return os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_RDWR, fileMode)
 }
 
 // fullDiskRetry is the time between two writes to a full disk.
