node: fates are answered until the last hop has ended

Other nodes: a request that crosses the close of its connection by a stopping node is reported as unknown (502) though it has not run.

Cause: the port on which a node tells what became of attempts was closed at once with the stop of the services behind the callers, 0.3 s before the idle connections of hops.

Evidence: TestFatesAreAnsweredUntilTheLastHopHasEnded failed before (connection refused).

Why it works: services stop in three groups, callers, the rest, and fates 0.1 s later. All waits end with the leave limit and its margin, however many groups there are; before, each could add the margin once more.

--- a/node/node.go
+++ b/node/node.go
@@ -253,66 +253,84 @@
 // Serve runs the node until ctx ends, then leaves gracefully: its partitions move, running
 // requests are answered, and the session ends. It returns the error of ctx.
 func (n *Node) Serve(ctx context.Context) error {
-	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopParts()
-	callers, stopCallers := context.WithCancel(parts)
-	defer stopCallers()
-
-	back := daemon.NewSupervisor("node")
-	n.addBack(back)
-	backDone := back.ServeBackground(parts)
-	front := daemon.NewSupervisor("callers")
+	parts := context.WithoutCancel(ctx)
+	fates := startGroup(parts, "fates", daemon.Service{Name: "rpc", Run: func(ctx context.Context) error { return n.rpc.Serve(ctx, n.fate) }})
+	defer fates.stop()
+	back := startGroup(parts, "node", n.backServices()...)
+	defer back.stop()
 	n.callerService = daemon.NewHTTPService("caller", n.caller, n.gateway.CallerHandler())
-	front.Add(n.callerService)
-	frontDone := front.ServeBackground(callers)
+	front := startGroup(parts, "callers", n.callerService)
+	defer front.stop()
 	telemetry.Logger("node").WithField("caller", n.CallerAddr()).Info("Node is up.")
 
 	<-ctx.Done()
 	telemetry.Logger("node").Info("Node leaves.")
 	n.leaving.Store(true)
 	n.callerService.Drain()
-	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.profile.LeaveLimit)
+	limit, cancel := context.WithTimeout(parts, n.profile.LeaveLimit)
 	defer cancel()
 	end, _ := limit.Deadline()
 	n.gateway.Leave(end, n.profile.ReturnsAfter)
 	defer context.AfterFunc(limit, n.giveUp)()
-	n.leave(limit, stopCallers, frontDone)
-	stopParts()
-	awaitEnd(limit, backDone)
+	n.leave(limit, front)
+	back.end(limit)
+	// A node whose hop crossed the close of its connection asks what became of it.
+	wait.For(limit, fateLinger)
+	fates.end(limit)
 	telemetry.Logger("node").Info("Node has left.")
 	return ctx.Err()
 }
 
-func (n *Node) addBack(s *daemon.Supervisor) {
-	s.Add(daemon.Service{Name: "session", Run: n.session.Serve})
-	s.Add(daemon.Service{Name: "registry", Run: n.registry.Serve})
+// group is a set of services that stop together.
+type group struct {
+	stop context.CancelFunc
+	done <-chan error
+}
+
+func startGroup(ctx context.Context, name string, services ...daemon.NamedService) group {
+	supervisor := daemon.NewSupervisor(name)
+	for _, s := range services {
+		supervisor.Add(s)
+	}
+	ctx, stop := context.WithCancel(ctx)
+	return group{stop: stop, done: supervisor.ServeBackground(ctx)}
+}
+
+// end stops the services and waits for them as awaitEnd does.
+func (g group) end(limit context.Context) {
+	g.stop()
+	awaitEnd(limit, g.done)
+}
+
+// backServices returns the services that outlast those for callers.
+func (n *Node) backServices() []daemon.NamedService {
 	n.hopService = daemon.NewInternalHTTPService("internal", n.internal, n.gateway.InternalHandler())
-	s.Add(n.hopService)
-	s.Add(daemon.NewInternalHTTPService("announce", n.announce, n.announceHandler()))
+	services := []daemon.NamedService{
+		daemon.Service{Name: "session", Run: n.session.Serve},
+		daemon.Service{Name: "registry", Run: n.registry.Serve},
+		n.hopService,
+		daemon.NewInternalHTTPService("announce", n.announce, n.announceHandler()),
+	}
 	if n.ready != nil {
-		s.Add(daemon.NewHTTPService("readiness", n.ready, n.profile.ReadyHandler(n.isReady)))
+		services = append(services, daemon.NewHTTPService("readiness", n.ready, n.profile.ReadyHandler(n.isReady)))
 	}
-	s.Add(daemon.Service{Name: "rpc", Run: func(ctx context.Context) error { return n.rpc.Serve(ctx, n.fate) }})
 	if n.status != nil {
-		s.Add(daemon.NewHTTPService("status", n.status, telemetry.Handler()))
+		services = append(services, daemon.NewHTTPService("status", n.status, telemetry.Handler()))
 	}
+	return services
 }
 
 // leave hands the node's partitions over while callers are still served, then answers the
 // last callers, then ends the session.
-func (n *Node) leave(limit context.Context, stopCallers context.CancelFunc, frontDone <-chan error) {
+func (n *Node) leave(limit context.Context, front group) {
 	if n.profile.RestartsInPlace {
-		n.stopInPlace(limit, stopCallers, frontDone)
+		n.stopInPlace(limit, front)
 		return
 	}
 	left := make(chan error, 1)
 	go func() { left <- n.session.Leave(limit) }()
 	n.awaitHandover(limit)
-	stopCallers()
-	awaitEnd(limit, frontDone)
-	if err := n.gateway.Shutdown(limit); err != nil {
-		telemetry.Logger("node").WithError(err).Warning("Some requests were still running.")
-	}
+	n.endRequests(limit, front)
 	n.callersDone.Store(true)
 	if err := <-left; err != nil {
 		telemetry.Logger("node").WithError(err).Warning("The session ends with its lease.")
@@ -321,10 +339,15 @@
 
 // stopInPlace answers the last callers and keeps the grants: the target goes on, and the node
 // takes them up again when it is back.
-func (n *Node) stopInPlace(limit context.Context, stopCallers context.CancelFunc, frontDone <-chan error) {
+func (n *Node) stopInPlace(limit context.Context, front group) {
 	wait.For(limit, n.profile.Notice)
-	stopCallers()
-	awaitEnd(limit, frontDone)
+	n.endRequests(limit, front)
+}
+
+// endRequests accepts no more callers, and waits for the requests of those that remain and of other nodes.
+func (n *Node) endRequests(limit context.Context, front group) {
+	n.hopService.Drain()
+	front.end(limit)
 	if err := n.gateway.Shutdown(limit); err != nil {
 		telemetry.Logger("node").WithError(err).Warning("Some requests were still running.")
 	}
@@ -338,18 +361,21 @@
 	n.hopService.GiveUp(cause)
 }
 
+// fateLinger is how long queries for the fate of attempts are answered after the last hop.
+const fateLinger = 100 * time.Millisecond
+
 // endGrace is how long services that were told to stop may take when the leave limit has passed: the
 // process is killed soon after it.
 const endGrace = 200 * time.Millisecond
 
 // awaitEnd waits until services have stopped, or until the leave limit and endGrace have passed.
 func awaitEnd(limit context.Context, stopped <-chan error) {
-	ended := make(chan struct{})
-	stop := context.AfterFunc(limit, func() { time.AfterFunc(endGrace, func() { close(ended) }) })
-	defer stop()
+	deadline, _ := limit.Deadline()
+	ended := time.NewTimer(time.Until(deadline.Add(endGrace)))
+	defer ended.Stop()
 	select {
 	case <-stopped:
-	case <-ended:
+	case <-ended.C:
 		telemetry.Logger("node").Warning("Some services were still running at the end of the leave limit.")
 	}
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -1,11 +1,19 @@
 package node
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/config"
+	"github.com/zinniapier/zinniapier/rpc"
 )
 
 // Guards against a node that outlasts the time that it has to leave, and is killed with what it could
@@ -25,3 +33,38 @@
 	awaitEnd(limit, stopped)
 	is.True(time.Since(began) < endGrace)
 }
+
+// Guards against a node that stops and closes the connections of hops while it no longer tells what became of their
+// attempts: a request that crosses the close is reported as unknown though it has not run.
+func TestFatesAreAnsweredUntilTheLastHopHasEnded(t *testing.T) {
+	is := is.New(t)
+	const anyPort = "127.0.0.1:0"
+	n, err := NewWith(config.NodeSettings{
+		Name: "n", Zone: "z", CallerListen: anyPort, RPCListen: anyPort, InternalListen: anyPort, AnnounceListen: anyPort,
+		ControlMembers: []string{"127.0.0.1:1"},
+	}, Profile{RestartsInPlace: true, Notice: 20 * time.Millisecond, LeaveLimit: 2 * time.Second})
+	is.NoErr(err)
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Serve(ctx) }()
+
+	hop, err := net.Dial("tcp", n.internal.Addr().String())
+	is.NoErr(err)
+	defer hop.Close()
+	_, err = io.WriteString(hop, "GET / HTTP/1.1\r\nHost: n\r\n\r\n")
+	is.NoErr(err)
+	in := bufio.NewReader(hop)
+	resp, err := http.ReadResponse(in, nil)
+	is.NoErr(err)
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+
+	stop()
+	_, err = in.ReadByte() // until the node closes the connection
+	is.Equal(err, io.EOF)
+	var reply api.FateReply
+	client := rpc.NewClient(n.fate.Addr().String(), nil)
+	defer client.Close()
+	is.NoErr(client.Call(t.Context(), "Node.Fate", api.FateRequest{Attempt: "a", Session: "s"}, &reply))
+	<-ended
+}
