--- a/gateway/leaving.go
+++ b/gateway/leaving.go
@@ -6,7 +6,7 @@
 	"github.com/zinniapier/zinniapier/errkind"
 )
 
-// leave is the planned end of the process. The zero value of its pointer is a process that goes on.
+// leave is the planned end of the process.
 //
 // Load pattern: callers with kept connections and other nodes go on sending while the process stops, and some of the
 // requests take longer than is left.
@@ -20,8 +20,8 @@
 // expectedMargin multiplies the expected latency of requests: half of them take longer than expected.
 const expectedMargin = 1.25
 
-// fits reports whether a request that would be responded to within expected, as its target is known, ends before the
-// leave does. It is certain for those whose deadline lies before.
+// fits reports whether a request with the expected latency, 0 if that is not known, ends before the leave does. One
+// whose deadline lies before is certain to.
 func (l *leave) fits(now, deadline time.Time, expected time.Duration) bool {
 	return !deadline.After(l.end) || now.Add(time.Duration(expectedMargin*float64(expected))).Before(l.end)
 }
