--- a/wal/wal.go
+++ b/wal/wal.go
@@ -7,12 +7,10 @@
 
 import (
 	"fmt"
-	"io"
 	"os"
 	"path/filepath"
 	"sync"
 	"syscall"
-	"time"
 
 	"github.com/juju/errors"
 
@@ -206,10 +204,11 @@
 		next.sequence = l.currentSegment().sequence + 1
 	}
 	next.path = filepath.Join(l.dir, fmt.Sprintf("%016x%s", next.sequence, segmentExtension))
-	f, err := l.create(next.path)
-	for errors.Is(err, syscall.ENOSPC) && l.awaitSpace() {
+	var f *os.File
+	err := l.retryWhileFull(func() (err error) {
 		f, err = l.create(next.path)
-	}
+		return err
+	})
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -224,24 +223,9 @@
 	if err := l.append(batchRecord, encodeBatch(l.hs, nil)); err != nil {
 		return err
 	}
-	err = syncDir(l.dir)
-	for errors.Is(err, syscall.ENOSPC) && l.awaitSpace() {
-		err = syncDir(l.dir)
-	}
-	return err
+	return l.retryWhileFull(func() error { return syncDir(l.dir) })
 }
 
-func createSegment(path string) (*os.File, error) {
-	return os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_RDWR, fileMode)
-}
-
-// fullDiskRetry is the time between two writes to a full disk.
-const fullDiskRetry = 100 * time.Millisecond
-
-// Interrupt ends the wait for space on a full disk; the write then fails. It is safe to call from
-// another goroutine.
-func (l *Log) Interrupt() { l.interruptOnce.Do(func() { close(l.interrupt) }) }
-
 // append writes and syncs one record. On a full disk it waits for space: a member that ended instead
 // could not start again either. After another error the contents of the file are unknown, so every
 // later call returns the same error.
@@ -265,25 +249,6 @@
 	return nil
 }
 
-// awaitSpace waits before the next write to a full disk. It returns false if the log was interrupted.
-func (l *Log) awaitSpace() bool {
-	select {
-	case <-time.After(fullDiskRetry):
-		return true
-	case <-l.interrupt:
-		return false
-	}
-}
-
-// rewind cuts off what was written after the last complete record.
-func (l *Log) rewind() error {
-	if err := l.file.Truncate(l.size); err != nil {
-		return errors.Trace(err)
-	}
-	_, err := l.file.Seek(l.size, io.SeekStart)
-	return errors.Trace(err)
-}
-
 // Save stores and syncs the hard state and entries. The entries replace all stored entries at
 // and after the index of the first one. More than maxBatchBytes are split over several syncs.
 func (l *Log) Save(hs raft.HardState, entries []raft.Entry) error {
@@ -328,11 +293,7 @@
 
 // InstallSnapshot stores a snapshot from the leader and replaces the whole log with it.
 func (l *Log) InstallSnapshot(s raft.Snapshot) error {
-	err := l.WriteSnapshot(s)
-	for errors.Is(err, syscall.ENOSPC) && l.awaitSpace() {
-		err = l.WriteSnapshot(s)
-	}
-	if err != nil {
+	if err := l.retryWhileFull(func() error { return l.WriteSnapshot(s) }); err != nil {
 		return err
 	}
 	if err := l.append(resetRecord, encodeReset(s.Index, s.Term)); err != nil {
