host: the departure of a known target needs no clock

Found by reading the change again: a departure held for all targets of the name that were started before the node's time of day. Where that had jumped ahead, the next life of the target under the same name would have counted as left, for good.

Now it holds for starts up to that of the known target; the time of day is used only where no target is known. TestDepartureOfAKnownTargetNeedsNoClock failed before (the next life was reported as left); host, control and docs pass.

--- a/host/departure.go
+++ b/host/departure.go
@@ -15,25 +15,34 @@
 type departure struct {
 	address string
 	at      time.Time
+	// beforeMs bounds the starts that it holds for, in Unix milliseconds: that of the target that has left, or, if that is
+	// not known, the time of day of the departure.
+	beforeMs int64
 }
 
 // covers reports whether the departure is that of the target.
 func (d departure) covers(a api.Announcement) bool {
-	return d.address == a.Address && a.StartedMs < d.at.UnixMilli()
+	return d.address == a.Address && a.StartedMs < d.beforeMs
 }
 
 // InstanceLeaves notes that the pulling target that runs under the instance name at the address leaves for ever. The
 // target need not be known: its node may have restarted, and its last announcements may be delayed.
 func (r *Registry) InstanceLeaves(instance, address string) {
 	now := time.Now()
+	known := r.Lookup(r.LatestInstance(instance))
+	beforeMs := now.UnixMilli()
+	if known != nil {
+		beforeMs = known.info.StartedMs + 1
+	}
 	r.mu.Lock()
 	for name, d := range r.departures {
 		if now.Sub(d.at) > departureRetention {
 			delete(r.departures, name)
 		}
 	}
-	r.departures[instance] = departure{address, now}
+	r.departures[instance] = departure{address: address, at: now, beforeMs: beforeMs}
 	r.mu.Unlock()
+	// Looked up again: it may just have been added.
 	if id := r.LatestInstance(instance); id != "" {
 		r.MarkLeaving(id)
 		return
@@ -57,7 +66,7 @@
 	var list []api.Departure
 	for _, d := range r.departures {
 		if time.Since(d.at) <= departureRetention {
-			list = append(list, api.Departure{Place: r.place(d.address), BeforeMs: d.at.UnixMilli()})
+			list = append(list, api.Departure{Place: r.place(d.address), BeforeMs: d.beforeMs})
 		}
 	}
 	return list
--- a/host/departure_test.go
+++ b/host/departure_test.go
@@ -44,7 +44,20 @@
 	is.Equal(w.c.r.Lookup(w.a.ID).lastAnnouncement(), w.at)
 }
 
-// Guards against the same for targets that announce themselves to the product's own interface.
+// Guards against the next life of a target that counts as the one that has left because the time of day has jumped ahead.
+func TestDepartureOfAKnownTargetNeedsNoClock(t *testing.T) {
+	is := is.New(t)
+	w := newPullWorld(t)
+	w.a.ID, w.a.StartedMs = "i-1@1", time.Now().Add(-time.Hour).UnixMilli()
+	w.pull(api.Pull{})
+	w.c.r.InstanceLeaves(w.a.Instance, w.a.Address)
+	is.Equal(w.c.r.Departures()[0].BeforeMs, w.a.StartedMs+1)
+	w.a.ID, w.a.StartedMs, w.at = "i-1@2", w.a.StartedMs+1, 0
+	w.pull(api.Pull{})
+	is.Equal(w.c.r.Lookup(w.a.ID).lastAnnouncement(), w.at)
+}
+
+// Guards against a target that is added after it has left: those that announce themselves to the product's own interface.
 func TestUnknownTargetThatLeavesIsNotAddedLater(t *testing.T) {
 	is := is.New(t)
 	c, _ := newFakeControl(t, Options{})
