replica: addresses of test members are taken outside the range of outgoing connections

The harness of this package asked the system for a free port, closed it and listened on it later. 44881 lies in the range (32768 to 60999) from which the system serves every other test process and every outgoing connection in the meantime. All other packages with such addresses take them from internal/ports.

Ruled out: a member that still listens (the test starts each member once); the proxy of the test (it listens on the address from newGroup at once, and fails in startProxy if that is taken). Conclusion: the window is gone by construction; internal/ports has the test that its addresses lie outside the range.

--- a/replica/harness_test.go
+++ b/replica/harness_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/zinniapier/zinniapier/internal/ports"
 	"github.com/zinniapier/zinniapier/rpc"
 )
 
@@ -92,10 +93,9 @@
 }
 
 func freeAddress(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := ports.FreeAddress()
 	is.New(t).NoErr(err)
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 // start opens and serves the member.
