gateway, host, wal: requests of a running node compute no latency for the leave; one loop for full disks

InstanceLeaves looked the instance up outside its use, and append had its own loop beside retryWhileFull. Decisions are unchanged. Ruled out: an effect on the order of the checks; the calls stand where they stood. After: tests of gateway, host, wal and replica passed.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -37,7 +37,7 @@
 		return nil, errkind.From(err)
 	}
 	telemetry.Observe("gate", c.ref.Service, time.Since(began))
-	if e := g.checkStart(c.deadline, t.Gate().MeanLatency()); e != nil {
+	if e := g.checkStart(c.deadline, t.Gate().MeanLatency); e != nil {
 		slot.Release(gate.Outcome{})
 		releaseBody()
 		return nil, e
--- a/gateway/internal.go
+++ b/gateway/internal.go
@@ -42,7 +42,7 @@
 		g.refuseHop(w, errkind.New(errkind.WrongOwner, "target %s is not on this node", p.target))
 		return
 	}
-	if e := g.checkLeave(c.deadline, t.Gate().ExpectedLatency()); e != nil {
+	if e := g.checkLeave(c.deadline, t.Gate().ExpectedLatency); e != nil {
 		g.refuseHop(w, e)
 		return
 	}
--- a/gateway/leaving.go
+++ b/gateway/leaving.go
@@ -42,28 +42,25 @@
 	g.leaving.Store(&leave{half: now.Add(end.Sub(now) / 2), end: end, returnsAfter: returnsAfter})
 }
 
-// checkLeave refuses a request that the process cannot finish before it ends. Errors: ShuttingDown.
-func (g *Gateway) checkLeave(deadline time.Time, expected time.Duration) *errkind.Error {
-	l := g.leaving.Load()
-	if l == nil || l.admits(time.Now(), deadline, expected) {
-		return nil
+// checkLeave refuses a request that has just arrived and cannot be finished before the process ends. expected returns its
+// expected latency, 0 if that is not known. Errors: ShuttingDown.
+func (g *Gateway) checkLeave(deadline time.Time, expected func() time.Duration) *errkind.Error {
+	if l := g.leaving.Load(); l != nil && !l.admits(time.Now(), deadline, expected()) {
+		return errLeaving()
 	}
-	return errkind.New(errkind.ShuttingDown, "node ends before the request is expected to")
+	return nil
 }
 
 // checkStart is checkLeave for a request that has waited for its slot and is about to be sent.
-func (g *Gateway) checkStart(deadline time.Time, expected time.Duration) *errkind.Error {
-	l := g.leaving.Load()
-	if l == nil || l.fits(time.Now(), deadline, expected) {
-		return nil
+func (g *Gateway) checkStart(deadline time.Time, expected func() time.Duration) *errkind.Error {
+	if l := g.leaving.Load(); l != nil && !l.fits(time.Now(), deadline, expected()) {
+		return errLeaving()
 	}
-	return errkind.New(errkind.ShuttingDown, "node ends before the request is expected to")
+	return nil
 }
 
-// expectedLatency returns the time in which a request of the service is responded to; 0 while that is not known.
-func (g *Gateway) expectedLatency(service string) time.Duration {
-	s := g.latencies.get(service)
-	return max(s.p95Latency(), s.meanLatency())
+func errLeaving() *errkind.Error {
+	return errkind.New(errkind.ShuttingDown, "node ends before the request is expected to")
 }
 
 // returnDelay returns how long a caller that is refused because the process leaves should wait for its return; 0 if it
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -156,3 +156,6 @@
 
 // meanLatency returns the decaying mean; zero before the first latency.
 func (p *latencyStats) meanLatency() time.Duration { return time.Duration(p.mean.Load()) }
+
+// expected returns the time in which a request is likely responded to; zero before the first latency.
+func (p *latencyStats) expected() time.Duration { return max(p.p95Latency(), p.meanLatency()) }
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -40,7 +40,7 @@
 		if e := c.revalidate(v); e != nil {
 			return nil, e
 		}
-		if e := g.checkLeave(c.deadline, g.expectedLatency(c.service.Name)); e != nil {
+		if e := g.checkLeave(c.deadline, g.latencies.get(c.service.Name).expected); e != nil {
 			return nil, e
 		}
 		owner := v.Owner(c.ref)
@@ -128,7 +128,7 @@
 		if e := c.revalidate(v); e != nil {
 			return nil, e
 		}
-		if e := g.checkLeave(c.deadline, g.expectedLatency(c.service.Name)); e != nil {
+		if e := g.checkLeave(c.deadline, g.latencies.get(c.service.Name).expected); e != nil {
 			return nil, e
 		}
 		p, e := g.choose(v, c, tried)
--- a/host/departure.go
+++ b/host/departure.go
@@ -29,9 +29,8 @@
 // target need not be known: its node may have restarted, and its last announcements may be delayed.
 func (r *Registry) InstanceLeaves(instance, address string) {
 	now := time.Now()
-	known := r.Lookup(r.LatestInstance(instance))
 	beforeMs := now.UnixMilli()
-	if known != nil {
+	if known := r.Lookup(r.LatestInstance(instance)); known != nil {
 		beforeMs = known.info.StartedMs + 1
 	}
 	r.mu.Lock()
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -234,13 +234,16 @@
 		return l.writeErr
 	}
 	b := appendRecord(nil, typ, payload)
-	err := l.write(l.file, b)
-	for errors.Is(err, syscall.ENOSPC) && l.awaitSpace() {
-		// A part of the record may have been written.
-		if err = l.rewind(); err == nil {
-			err = l.write(l.file, b)
+	repeated := false
+	err := l.retryWhileFull(func() error {
+		if repeated { // a part of the record may have been written
+			if err := l.rewind(); err != nil {
+				return err
+			}
 		}
-	}
+		repeated = true
+		return l.write(l.file, b)
+	})
 	if err != nil {
 		l.writeErr = errors.Annotatef(err, "write %s", l.currentSegment().path)
 		return l.writeErr
