daemon: a connection stays open for 0.3 s after its last response

What callers saw: a request on a kept connection to a process that stops was cut off, right after the response to a long one. Cause: a draining listener decides at the start of a request whether its response announces the end of the connection. A request that began before the signal got a response without it, and once the drain was over the connection was closed the moment the response was out, against the caller's next request. Now each connection stays open for 300 ms after its last response, as idle ones do at the start of the drain, and the next response ends it; unless requests are given up. A header set when the response is written would need a writer that hides net/http's own, on which MaxBytesReader relies. Looked for on other hops: connections between nodes are the same service; peers that cross the close ask for the fate.

--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -120,3 +121,38 @@
 	t.Logf("%d requests served, %d cut off", served, accepted-served)
 	is.Equal(served, accepted)
 }
+
+// Guards against a caller that is cut off by the end of its connection because the last response on it, to a request that
+// began before the stop, did not announce that end.
+func TestStopAnswersTheRequestAfterALongOne(t *testing.T) {
+	for _, work := range []time.Duration{drainTime - 10*time.Millisecond, 2 * drainTime} {
+		t.Run(work.String(), func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			s := NewHTTPService("test", l, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/long" {
+					stop()
+					time.Sleep(work)
+				}
+			}))
+			ended := make(chan error, 1)
+			go func() { ended <- s.Serve(ctx) }()
+			conn, err := net.Dial("tcp", l.Addr().String())
+			is.NoErr(err)
+			defer conn.Close()
+			in := bufio.NewReader(conn)
+			for _, path := range []string{"/long", "/next"} {
+				_, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+				is.NoErr(err)
+				resp, err := http.ReadResponse(in, nil)
+				is.NoErr(err) // each request on the kept connection is answered
+				is.Equal(resp.Close, path == "/next")
+				time.Sleep(drainTime / 3)
+			}
+			<-ended
+		})
+	}
+}
--- a/daemon/http.go
+++ b/daemon/http.go
@@ -20,8 +20,8 @@
 	// shutdownTimeout bounds how long a listener waits for running requests.
 	shutdownTimeout = 12 * time.Second
 	// drainTime is how long a listener goes on serving at shutdown while each response asks its caller
-	// to close the connection. Connections that are idle after it are closed, and with them requests that
-	// have arrived and are not read yet.
+	// to close the connection, and how long a connection stays open after a response that did not. Connections
+	// that are idle after it are closed, and with them requests that have arrived and are not read yet.
 	drainTime = 300 * time.Millisecond
 	// unusedGrace is how long a listener for callers waits at shutdown for the first request on a connection. A
 	// caller that has just connected sends it at once; others turn to a new connection.
@@ -144,18 +144,28 @@
 	c.setIdle()
 	s.idle[c] = struct{}{}
 	if s.closing {
-		c.closeIfIdle()
+		s.closeOnceIdle(c)
 	}
 }
 
-// closeIdle closes the idle connections, now and later.
+// closeIdle closes the connections that are idle, now and later.
 func (s *HTTPService) closeIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closing = true
 	for c := range s.idle {
+		s.closeOnceIdle(c)
+	}
+}
+
+// closeOnceIdle closes a connection that has been idle for drainTime: the response to a request that began before the
+// drain did not announce the end of its connection, so that its caller may send the next one.
+func (s *HTTPService) closeOnceIdle(c *idleConn) {
+	if s.requests.Err() != nil {
 		c.closeIfIdle()
+		return
 	}
+	time.AfterFunc(drainTime-c.idleTime(), c.closeIfIdle)
 }
 
 // GiveUp ends the contexts of all requests, now and later, with a cause, so that their handlers respond to them
--- a/daemon/idleconn.go
+++ b/daemon/idleconn.go
@@ -4,6 +4,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"time"
 )
 
 // idleListener wraps the connections that it accepts in idleConns.
@@ -25,7 +26,8 @@
 	net.Conn
 
 	mu     sync.Mutex
-	idle   bool // nothing has been received since the connection was opened or the last response was sent
+	idle   bool      // nothing has been received since the connection was opened or the last response was sent
+	since  time.Time // of idle, once a response has been sent
 	closed bool
 }
 
@@ -48,7 +50,14 @@
 func (c *idleConn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = true
+	c.idle, c.since = true, time.Now()
+}
+
+// idleTime returns how long ago the last response was sent.
+func (c *idleConn) idleTime() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.since)
 }
 
 // closeIfIdle closes the connection unless a request is arriving or at work.
