daemon: a listener that ends serves the connections that are pending

What callers saw: 502 with an unknown outcome for requests that had not run, at a node whose neighbour stops; resets of new connections to a process that stops. Cause: while a listener drains, each response ends its connection, so that callers and other nodes open new ones all the time. Those that the system had accepted and the process had not were reset when the listener closed. A hop that was reset is asked for its fate; in a series of stops the other node still addresses the session of the process before, whose fate cannot be known. The listener now accepts what is pending and closes then. Ruled out: a port for fates that is closed too early (the fate was answered); hops that cross the close of idle connections (the connections were new and were reset, 0.3 s before the process had left, when the listener for hops closes). Not changed: TLS listeners close as before.

--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -156,3 +156,27 @@
 		})
 	}
 }
+
+// Guards against a stop that resets the connections that the system has accepted and the process has not: a request on one
+// of them is neither answered nor known not to have run.
+func TestEndOfAListenerServesPendingConnections(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	pending := &pendingListener{TCPListener: l.(*net.TCPListener)}
+	for range 20 { // nothing accepts them yet
+		conn, err := net.Dial("tcp", l.Addr().String())
+		is.NoErr(err)
+		defer conn.Close()
+	}
+	pending.end()
+	for range 20 {
+		conn, err := pending.Accept()
+		is.NoErr(err)
+		defer conn.Close()
+	}
+	_, err = pending.Accept()
+	is.True(errors.Is(err, net.ErrClosed))
+	_, err = net.Dial("tcp", l.Addr().String())
+	is.True(errors.Is(err, syscall.ECONNREFUSED))
+}
--- a/daemon/http.go
+++ b/daemon/http.go
@@ -177,6 +177,8 @@
 	s.closeUnused()
 }
 
+func (s *HTTPService) closeListener() { _ = s.listener.Close() }
+
 func (s *HTTPService) closeUnused() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -212,8 +214,13 @@
 // Serve accepts until ctx ends and callers have been drained, then refuses new connections and waits for
 // running requests.
 func (s *HTTPService) Serve(ctx context.Context) error {
+	listener, end := s.listener, s.closeListener
+	if tcp, ok := s.listener.(*net.TCPListener); ok {
+		pending := &pendingListener{TCPListener: tcp}
+		listener, end = pending, pending.end
+	}
 	done := make(chan error, 1)
-	go func() { done <- s.server.Serve(idleListener{s.listener}) }()
+	go func() { done <- s.server.Serve(idleListener{listener}) }()
 	select {
 	case err := <-done:
 		return errors.Annotatef(err, "serve %s", s.name)
@@ -222,7 +229,7 @@
 	s.awaitDrain()
 	// http.Server.Shutdown drops requests that are read after its start, so accepting ends here, and each
 	// connection that was accepted ends with a response.
-	_ = s.listener.Close()
+	end()
 	<-done
 	s.closeIdle()
 	timer := time.AfterFunc(s.unusedGrace, s.closeUnused)
