hangup, gateway: attempts that are sent after their connection has been closed are counted and logged

An attempt that is about to be sent for a closed connection is counted, apart for unread bodies, and logged with its age and its body. No logic changes: it is still sent.

--- a/daemon/http.go
+++ b/daemon/http.go
@@ -11,6 +11,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/zinniapier/zinniapier/internal/hangup"
 	"github.com/zinniapier/zinniapier/telemetry"
 )
 
@@ -74,6 +75,7 @@
 		Handler:           s.closeWhileDraining(handler),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ConnState:         s.trackConnection,
+		ConnContext:       hangup.ConnContext,
 	}
 	return s
 }
--- a/daemon/idleconn.go
+++ b/daemon/idleconn.go
@@ -46,6 +46,9 @@
 	return n, err
 }
 
+// NetConn returns the connection below, as that of a tls.Conn.
+func (c *idleConn) NetConn() net.Conn { return c.Conn }
+
 // setIdle records that a response has been sent.
 func (c *idleConn) setIdle() {
 	c.mu.Lock()
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -145,6 +145,7 @@
 	if err := checkGrant(r.gateway.view(), r.call.ref, r.dest.epoch, r.call.key); err != nil {
 		return err
 	}
+	r.gateway.observeClosed(r.call)
 	if r.fromHop {
 		if err := r.gateway.attemptTable.Start(r.id); err != nil {
 			return err
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -16,6 +16,7 @@
 	"github.com/zinniapier/zinniapier/config"
 	"github.com/zinniapier/zinniapier/errkind"
 	"github.com/zinniapier/zinniapier/gate"
+	"github.com/zinniapier/zinniapier/internal/hangup"
 	"github.com/zinniapier/zinniapier/rpc"
 )
 
@@ -86,8 +87,8 @@
 	}
 	n.now.Store(&api.View{})
 	n.Gateway = New(Options{View: n.now.Load, Targets: n, Tokens: &n.tokens, Traffic: traffic})
-	n.caller = httptest.NewServer(n.CallerHandler())
-	n.hops = httptest.NewServer(n.InternalHandler())
+	n.caller = newServer(n.CallerHandler())
+	n.hops = newServer(n.InternalHandler())
 	n.fate = serveFate(t, n.Gateway)
 	n.peer.InternalAddr = n.hops.Listener.Addr().String()
 	n.peer.CallerAddr = n.caller.Listener.Addr().String()
@@ -101,6 +102,14 @@
 	return n
 }
 
+// newServer starts a server that tells its handlers of the ends of their connections, as daemon.HTTPService does.
+func newServer(handler http.Handler) *httptest.Server {
+	s := httptest.NewUnstartedServer(handler)
+	s.Config.ConnContext = hangup.ConnContext
+	s.Start()
+	return s
+}
+
 func serveFate(t *testing.T, g *Gateway) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
