--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -33,14 +34,56 @@
 	local  *testTarget
 	now    atomic.Pointer[api.View]
 	tokens testTokens
+	// reading is locked while the node reads nothing from its callers.
+	reading sync.RWMutex
+}
+
+// pauseReading makes the node read nothing from its callers until resume is called.
+func (n *testNode) pauseReading() (resume func()) {
+	n.reading.Lock()
+	return n.reading.Unlock
+}
+
+// slowListener accepts connections of callers, whose reads return only while the node reads.
+type slowListener struct {
+	net.Listener
+	node *testNode
+}
+
+func (l slowListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return slowConn{conn, l.node}, err
+}
+
+type slowConn struct {
+	net.Conn
+	node *testNode
+}
+
+func (c slowConn) NetConn() net.Conn { return c.Conn }
+
+func (c slowConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.node.reading.RLock()
+	defer c.node.reading.RUnlock()
+	return n, err
 }
 
 // testTokens counts settled and refunded tokens.
-type testTokens struct{ settled, refunded atomic.Int64 }
+type testTokens struct {
+	settled, refunded atomic.Int64
+	none              bool // there is no token to be had
+}
 
-func (t *testTokens) Take(context.Context, api.OrganisationID) (Token, error) { return t, nil }
-func (t *testTokens) Settle()                                                 { t.settled.Add(1) }
-func (t *testTokens) Refund()                                                 { t.refunded.Add(1) }
+func (t *testTokens) Take(ctx context.Context, _ api.OrganisationID) (Token, error) {
+	if t.none {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return t, nil
+}
+func (t *testTokens) Settle() { t.settled.Add(1) }
+func (t *testTokens) Refund() { t.refunded.Add(1) }
 
 // testTarget is a local target. onBegin, if set, runs when an attempt begins.
 type testTarget struct {
@@ -87,8 +130,8 @@
 	}
 	n.now.Store(&api.View{})
 	n.Gateway = New(Options{View: n.now.Load, Targets: n, Tokens: &n.tokens, Traffic: traffic})
-	n.caller = newServer(n.CallerHandler())
-	n.hops = newServer(n.InternalHandler())
+	n.caller = n.newServer(n.CallerHandler())
+	n.hops = n.newServer(n.InternalHandler())
 	n.fate = serveFate(t, n.Gateway)
 	n.peer.InternalAddr = n.hops.Listener.Addr().String()
 	n.peer.CallerAddr = n.caller.Listener.Addr().String()
@@ -103,8 +146,9 @@
 }
 
 // newServer starts a server that tells its handlers of the ends of their connections, as daemon.HTTPService does.
-func newServer(handler http.Handler) *httptest.Server {
+func (n *testNode) newServer(handler http.Handler) *httptest.Server {
 	s := httptest.NewUnstartedServer(handler)
+	s.Listener = slowListener{s.Listener, n}
 	s.Config.ConnContext = hangup.ConnContext
 	s.Start()
 	return s
@@ -272,6 +316,11 @@
 	}
 }
 
+// closedByPeer reports whether the other end has closed the connection, also where bytes before that are unread.
+func closedByPeer(conn net.Conn) bool {
+	return hangup.Closed(hangup.ConnContext(context.Background(), conn))
+}
+
 // readHead skips the rest of a request's header.
 func readHead(in *bufio.Reader) {
 	for {
