gateway, hangup: a wait ends with its caller, also with an unread body

What callers saw: nothing; targets worked for callers that had left (GONE), while callers that stayed waited for the slots.

Cause: the HTTP server of the Go library notices the end of a connection by reading it, and reads only once the body of the request has been read to its end. Over a hop each body is streamed, at the first node those above 64 KB, so that each wait with such a body (token, owner, slot, link, epoch, 100-continue) was blind until its deadline, and was sent when its turn came.

The system knows the state of a connection without a read: one epoll set, beside that of the runtime, waits for the ends of the connections whose requests have a body (EPOLLRDHUP). Bytes that arrive wake nobody. The context of the request ends, and with it what hangs on it: the hop to the next node is closed, whose watch does the same.

Ruled out: reading ahead, since over a hop it would ask for the bodies that are held back until the link and the target have capacity for them (100-continue).

--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -7,10 +7,13 @@
 
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/internal/hangup"
 )
 
 // CallerHandler returns the handler for callers' requests.
-func (g *Gateway) CallerHandler() http.Handler { return http.HandlerFunc(g.serveCaller) }
+func (g *Gateway) CallerHandler() http.Handler {
+	return hangup.Handler(http.HandlerFunc(g.serveCaller))
+}
 
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	if !g.begin() {
--- a/gateway/internal.go
+++ b/gateway/internal.go
@@ -7,11 +7,12 @@
 
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/internal/hangup"
 )
 
 // InternalHandler returns the handler for hops from other nodes. It dispatches only to targets of
 // this node, so a request makes at most one hop.
-func (g *Gateway) InternalHandler() http.Handler { return http.HandlerFunc(g.serveHop) }
+func (g *Gateway) InternalHandler() http.Handler { return hangup.Handler(http.HandlerFunc(g.serveHop)) }
 
 func (g *Gateway) serveHop(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(api.HeaderAttempt)
