gateway: a request that is read after its caller has left is not sent

Cause: the reader that would notice the close runs beside the handler. On one processor the handler sends first: it has its turn, and the transport's writer is woken last. The request reaches its target, and is cancelled there a moment later.

The check before the first byte asks the system for the state of the connection, at each node on the way; that costs one system call an attempt and no wait. A hop reports the refusal of its check as such. A fence counts as none, since what was abandoned before it was sent may go elsewhere: TestSendOnceTellsARefusalFromAFence.

The counter caller_left_before_send takes the place of the two that told the hypotheses apart.

--- a/gateway/callerleft.go
+++ b/gateway/callerleft.go
@@ -1,28 +1,20 @@
 package gateway
 
 import (
-	"time"
-
+	"github.com/zinniapier/zinniapier/errkind"
 	"github.com/zinniapier/zinniapier/internal/hangup"
 	"github.com/zinniapier/zinniapier/telemetry"
 )
 
-// Counters of attempts whose first byte is due after the connection of their request has been closed: with a body that has
-// not been read, or without one.
-const (
-	eventClosedUnread = "closed_before_send_body_unread"
-	eventClosedRead   = "closed_before_send"
-)
+// eventCallerLeft counts the attempts that were not sent because the connection of their request had been closed.
+const eventCallerLeft = "caller_left_before_send"
 
-// observeClosed counts and logs an attempt that is about to be sent although its request's connection has been closed.
-func (g *Gateway) observeClosed(c *call) {
+// checkCaller refuses an attempt whose caller, or first node, has closed the connection of its request. It is asked immediately
+// before the first byte is sent: a process without processor time learns of the close much later. Errors: DeadlineExceeded.
+func (c *call) checkCaller() error {
 	if !hangup.Closed(c.incoming.Context()) {
-		return
-	}
-	event := eventClosedRead
-	if c.body.pending() {
-		event = eventClosedUnread
+		return nil
 	}
-	telemetry.CountEvent(event, 1)
-	g.requests.logClosed(c, time.Now())
+	telemetry.CountEvent(eventCallerLeft, 1)
+	return errkind.New(errkind.DeadlineExceeded, "request ended before it was sent: its connection has been closed")
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -140,12 +140,14 @@
 	})
 }
 
-// beforeFirstByte checks the lease and the grant a last time, against the current view.
+// beforeFirstByte checks the lease and the grant a last time, against the current view, and that the caller is there.
 func (r *localAttempt) beforeFirstByte() error {
 	if err := checkGrant(r.gateway.view(), r.call.ref, r.dest.epoch, r.call.key); err != nil {
 		return err
 	}
-	r.gateway.observeClosed(r.call)
+	if err := r.call.checkCaller(); err != nil {
+		return err
+	}
 	if r.fromHop {
 		if err := r.gateway.attemptTable.Start(r.id); err != nil {
 			return err
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -50,7 +50,7 @@
 func (g *Gateway) hop(ctx context.Context, c *call, p destination, id string) (*response, *errkind.Error) {
 	key := string(p.session) + "@" + p.peer.InternalAddr
 	h := &hop{gateway: g, call: c, dest: p, id: id, conns: g.nodeTransports.get(key, 0)}
-	h.once.check = func() error { return nil }
+	h.once.check = c.checkCaller
 	return h.do(ctx)
 }
 
@@ -208,10 +208,14 @@
 
 // failure returns the error of an attempt whose hop failed.
 func (h *hop) failure(ctx context.Context, err error) *errkind.Error {
-	if sent, _ := h.once.fence(); sent && ctx.Err() == context.Canceled {
+	sent, refusal := h.once.fence()
+	if sent && ctx.Err() == context.Canceled {
 		// The caller disconnected or another attempt was faster, so the fate does not matter.
 		return errkind.New(errkind.Unknown, "attempt was cancelled while it ran")
 	}
+	if refusal != nil {
+		return refusal
+	}
 	if !h.fence() {
 		return errkind.New(errkind.Unknown, "hop to node %s was lost: %v", h.dest.peer.Name, err)
 	}
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -139,18 +139,6 @@
 		WithFields(logrus.Fields{"kind": e.Kind, "not_run": e.NotRun, "reason": e.Message}).Warn("Attempt failed.")
 }
 
-// logClosed logs an attempt that is due after the connection of its request has been closed.
-func (l *requestLog) logClosed(c *call, now time.Time) {
-	ok, omitted := l.attempts.Allow(now)
-	if !ok {
-		return
-	}
-	l.line(omitted).WithFields(logrus.Fields{
-		"request": c.id, "service": c.ref.Service, "ms": now.Sub(c.history.began).Milliseconds(),
-		"body": c.body.length, "body_unread": c.body.pending(), "first_node": c.service != nil,
-	}).Warn("Request has lost its caller before it was sent.")
-}
-
 func (l *requestLog) line(omitted int64) *logrus.Entry {
 	if omitted > 0 {
 		return l.entry.WithField("omitted", omitted)
--- a/gateway/sendonce.go
+++ b/gateway/sendonce.go
@@ -22,7 +22,9 @@
 	mu   sync.Mutex
 	sent bool
 	err  *errkind.Error // why nothing was or will be sent
-	conn atomic.Pointer[guardedConn]
+	// refusal is err where the check returned it.
+	refusal *errkind.Error
+	conn    atomic.Pointer[guardedConn]
 	// reused is true if the connection had carried a request before.
 	reused atomic.Bool
 }
@@ -39,7 +41,8 @@
 		return errkind.New(errkind.Unknown, "attempt was already sent")
 	}
 	if err := s.check(); err != nil {
-		s.err = errkind.From(err)
+		s.refusal = errkind.From(err)
+		s.err = s.refusal
 		return s.err
 	}
 	s.sent = true
@@ -54,11 +57,10 @@
 	if s.sent {
 		return true, nil
 	}
-	refusal = s.err
 	if s.err == nil {
 		s.err = errkind.New(errkind.DeadlineExceeded, "attempt was abandoned")
 	}
-	return false, refusal
+	return false, s.refusal
 }
 
 // trace attaches the sendOnce to the connection that the transport selects.
--- a/gateway/sendonce_test.go
+++ b/gateway/sendonce_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/zinniapier/zinniapier/errkind"
 )
 
 // Guards against a transport that writes a request after it was reported as not run, or writes the
@@ -31,3 +33,18 @@
 	sent, _ = once.fence()
 	is.Equal(sent, true)
 }
+
+// Guards against an attempt that was abandoned before it was sent and counts as refused: it may be sent elsewhere.
+func TestSendOnceTellsARefusalFromAFence(t *testing.T) {
+	is := is.New(t)
+	abandoned := &sendOnce{check: func() error { return nil }}
+	_, _ = abandoned.fence()
+	_, refusal := abandoned.fence()
+	is.True(refusal == nil)
+	refused := &sendOnce{check: func() error { return errkind.New(errkind.StaleEpoch, "moved") }}
+	is.True(refused.beginSend() != nil)
+	for range 2 {
+		_, refusal = refused.fence()
+		is.Equal(refusal.Kind, errkind.StaleEpoch)
+	}
+}
