gateway: an attempt that is given up in the midst of its body resets its connection

What callers saw: nothing; targets, and the nodes before them, worked on for callers that had left, where they had not read the whole body.

Cause: the end of a connection stands behind the bytes that have been written to it. A target that does not read, or a node that waits for one, has a full window; the rest of the body and the end stay at the sender, who has given up.

A connection to a target or a node is reset when it is closed with bytes that have not arrived. Bytes that have arrived are not taken back: TestEndOvertakesUndeliveredBytes. Idle connections have none and end in order.

--- a/gateway/sendonce.go
+++ b/gateway/sendonce.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 
 	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/internal/hangup"
 )
 
 // sendOnce lets one attempt be sent at most once. Its check runs immediately before the first byte,
@@ -117,6 +118,12 @@
 	return slices.Contains(c.refused, id)
 }
 
+// Close implements net.Conn. Bytes of an attempt that have not arrived are dropped, so that its receiver learns of the end.
+func (c *guardedConn) Close() error {
+	hangup.ResetIfUndelivered(c.Conn)
+	return c.Conn.Close()
+}
+
 // Write implements net.Conn. If the attempt must not be sent, it writes nothing. Neither does it for a request that the
 // target has refused on this connection: a target may write a refusal once more.
 func (c *guardedConn) Write(p []byte) (int, error) {
--- a/internal/hangup/hangup_test.go
+++ b/internal/hangup/hangup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -68,3 +69,22 @@
 	is.True(!Closed(ConnContext(context.Background(), b)))
 	is.True(!Closed(context.Background()))
 }
+
+// Guards against a peer that does not learn of the end of a connection, since it does not read the bytes before it, and against
+// a reset that takes bytes from a peer that has them.
+func TestEndOvertakesUndeliveredBytes(t *testing.T) {
+	for _, size := range []int{0, 1000, 8_000_000} {
+		is := is.New(t)
+		client, server := connect(t)
+		is.NoErr(client.SetWriteDeadline(time.Now().Add(50 * time.Millisecond)))
+		written, _ := client.Write(make([]byte, size))
+		is.Equal(written < size, size > 1000) // the peer reads nothing
+		ResetIfUndelivered(client)
+		_ = client.Close()
+		time.Sleep(50 * time.Millisecond)
+		is.True(Closed(ConnContext(context.Background(), server)))
+		got, err := io.ReadAll(server)
+		is.Equal(err != nil, size > 1000)
+		is.Equal(len(got) == size, size <= 1000)
+	}
+}
