gateway: an upload that stalls before it is buffered is answered at its deadline

What callers saw: a request whose body of at most 64 KB stalls got no response, until its sender went on or left.

Cause: the read deadline of the connection was lifted before the refusal was written, and the HTTP server reads up to 256 KB of the rest of a body before it sends a response. It waited for bytes that did not come.

Evidence: TestStalledBodyEndsWithItsDeadline, now also with a body that is buffered, failed on (no response in 3 s) and passes. The deadline stays where the body has not arrived.

For callers: such a request ends as deadline-exceeded in place of bad-request.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -98,6 +99,9 @@
 	if errors.As(err, &tooLarge) {
 		return errkind.New(errkind.TooLarge, "body exceeds the limit of %d bytes", tooLarge.Limit)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return errkind.New(errkind.DeadlineExceeded, "request body did not arrive in time")
+	}
 	return errkind.New(errkind.BadRequest, "request body ended early: %v", err)
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -213,8 +213,11 @@
 	_ = control.SetReadDeadline(c.deadline)
 	var err error
 	c.body, err = readBody(w, c.incoming, limit)
+	if err != nil {
+		return err // the deadline stays, or the server would wait for the rest of the body before it responds
+	}
 	_ = control.SetReadDeadline(time.Time{})
-	return err
+	return nil
 }
 
 // revalidate checks again, before each attempt, what may have changed while the call waited: the
--- a/gateway/stalledbody_test.go
+++ b/gateway/stalledbody_test.go
@@ -17,6 +17,13 @@
 // Guards against slots that are held beyond the deadline, and against a target that counts as slow,
 // because the sender of a body has stalled.
 func TestStalledBodyEndsWithItsDeadline(t *testing.T) {
+	// Buffered, and streamed.
+	for _, size := range []int{maxBufferedBody, 4 * maxBufferedBody} {
+		testStalledBody(t, size)
+	}
+}
+
+func testStalledBody(t *testing.T, size int) {
 	is := is.New(t)
 	target := newTarget(t, echoOK)
 	a := newNode(t, "a", target.addr(), config.Traffic{})
@@ -26,7 +33,7 @@
 	defer conn.Close()
 	began := time.Now()
 	_, err = fmt.Fprintf(conn, "POST /orders/k HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nZinnia-Deadline-Ms: 300\r\nContent-Length: %d\r\n\r\n%s",
-		orgKey, 4*maxBufferedBody, strings.Repeat("x", 2*maxBufferedBody))
+		orgKey, size, strings.Repeat("x", size/2))
 	is.NoErr(err)
 	is.NoErr(conn.SetReadDeadline(began.Add(3 * time.Second)))
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
