gateway: uploads of up to 512 KB are read before they are routed

What callers saw: nothing; targets got uploads whose callers had left while these waited (gone-before: 32 to 40 of 40 with 80,000 and 300,000 bytes, also where the target is at the first node).

Cause: the end of a connection stands behind the bytes of the upload. Where the window is full, it stays at the caller until the node reads on; no look at the connection can show it.

Bodies above 64 KB and up to 512 KB are read at the first node as smaller ones are, as long as all of them take 16 MB at most; beyond that, and where the caller holds the body back (100-continue), they are streamed as before. Over a hop bodies are still held back until the link and the target have capacity. For callers: an upload that was refused can go to another target; a slow sender holds no slot while it sends. A target's early rejection of an upload of that size comes after the upload is in. Bodies above 64 KB are not hedged, as before.

Tests that need a streamed body are larger now (TestUploadStaysWholeWhenTheResponseBeginsEarly, TestRefusedUploadFailsOverWithoutItsBody, TestEarlyResponseToASlowUploadEndsWithItsSender); TestStalledBodyEndsWithItsDeadline has all three kinds.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -13,11 +13,18 @@
 	"github.com/zinniapier/zinniapier/errkind"
 )
 
-// maxBufferedBody is the largest request body in bytes that is read before routing, so that the
-// request can be routed again.
-const maxBufferedBody = 64 << 10
+const (
+	// maxSmallBody is the largest request body in bytes that is always read before routing, so that the request can be
+	// routed again.
+	maxSmallBody = 64 << 10
+	// maxBufferedBody is the same for larger bodies, as far as there is memory for them. The end of a connection stands
+	// behind a body that is larger than its window.
+	maxBufferedBody = 512 << 10
+	// maxBodyMemory limits the memory in bytes for bodies that are not small.
+	maxBodyMemory = 16 << 20
+)
 
-// body is the body of a caller's request. A small body is in buffer; a larger one continues in
+// body is the body of a caller's request. A buffered body is in buffer; a larger one continues in
 // stream.
 type body struct {
 	length      int64 // -1 if unknown
@@ -27,25 +34,87 @@
 	streamEnded atomic.Bool // the stream has been read to its end
 	// unblockRead ends a pending read of the stream.
 	unblock func()
+	// release returns the memory of the buffer; nil for a small body.
+	release func()
 }
 
-// readBody buffers a small body and wraps a large one as a stream. Errors: TooLarge, BadRequest.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) (*body, error) {
+// bodyMemory is the memory for bodies that are not small.
+type bodyMemory struct{ used atomic.Int64 }
+
+// reserve books memory for a body and reports whether there was enough. The returned function must be called once.
+func (m *bodyMemory) reserve(bytes int64) (release func(), ok bool) {
+	if m.used.Add(bytes) > maxBodyMemory {
+		m.used.Add(-bytes)
+		return nil, false
+	}
+	return func() { m.used.Add(-bytes) }, true
+}
+
+// readBody buffers a body that is not too large, and wraps a larger one as a stream. Errors: TooLarge, BadRequest,
+// DeadlineExceeded if it has not arrived by the read deadline of the connection.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, memory *bodyMemory) (*body, error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return &body{}, nil
 	}
 	if r.ContentLength > limit {
 		return nil, errkind.New(errkind.TooLarge, "body of %d bytes exceeds the limit of %d bytes", r.ContentLength, limit)
 	}
-	limited := http.MaxBytesReader(w, r.Body, limit)
-	if r.ContentLength > maxBufferedBody {
-		return &body{length: r.ContentLength, stream: limited, unblock: readUnblocker(w)}, nil
+	b := &body{length: r.ContentLength, stream: http.MaxBytesReader(w, r.Body, limit)}
+	if err := b.fill(maxSmallBody); err != nil {
+		return b, err
+	}
+	if b.stream == nil {
+		return b, nil
+	}
+	b.unblock = readUnblocker(w)
+	if r.Header.Get("Expect") != "" {
+		return b, nil // its sender holds it back, and its connection until then
+	}
+	needed := b.length
+	if needed < 0 {
+		needed = maxBufferedBody
+	}
+	if needed > maxBufferedBody {
+		return b, nil
+	}
+	var ok bool
+	if b.release, ok = memory.reserve(needed); !ok {
+		return b, nil
+	}
+	return b, b.fill(maxBufferedBody)
+}
+
+// fill reads the stream into the buffer, up to the size in bytes; a body of known length that is larger is left alone.
+func (b *body) fill(size int64) error {
+	if b.length > size {
+		return nil
+	}
+	if b.length >= 0 {
+		size = b.length
 	}
-	b, err := bufferBody(limited, r.ContentLength)
-	if err == nil && b.stream != nil {
-		b.unblock = readUnblocker(w)
+	have := len(b.buffer)
+	buffer := make([]byte, size)
+	copy(buffer, b.buffer)
+	n, err := io.ReadFull(b.stream, buffer[have:])
+	b.buffer = buffer[:have+n]
+	switch {
+	case err == nil && b.length < 0:
+		return nil
+	case err == nil:
+		b.stream = nil
+		return nil
+	case b.length < 0 && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)):
+		b.length, b.stream = int64(len(b.buffer)), nil
+		return nil
+	}
+	return bodyError(err)
+}
+
+// done returns the memory of the body.
+func (b *body) done() {
+	if b != nil && b.release != nil {
+		b.release()
 	}
-	return b, err
 }
 
 // readUnblocker returns a function that ends pending reads of the request body. The connection
@@ -76,24 +145,6 @@
 // partlyRead reports whether the stream has been started but not read to its end.
 func (b *body) partlyRead() bool { return b.streamRead.Load() && !b.streamEnded.Load() }
 
-func bufferBody(from io.Reader, length int64) (*body, error) {
-	size := length
-	if size < 0 {
-		size = maxBufferedBody
-	}
-	buffer := make([]byte, size)
-	n, err := io.ReadFull(from, buffer)
-	switch {
-	case err == nil && length >= 0:
-		return &body{length: length, buffer: buffer}, nil
-	case err == nil:
-		return &body{length: -1, buffer: buffer, stream: from}, nil
-	case length < 0 && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)):
-		return &body{length: int64(n), buffer: buffer[:n]}, nil
-	}
-	return nil, bodyError(err)
-}
-
 func bodyError(err error) *errkind.Error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -112,6 +163,9 @@
 // large reports whether the body is of unknown length or has at least largeBodySize bytes.
 func (b *body) large() bool { return b.length < 0 || b.length >= largeBodySize }
 
+// small reports whether the body is at hand and cheap to send twice.
+func (b *body) small() bool { return b.stream == nil && len(b.buffer) <= maxSmallBody }
+
 // replayable reports whether the body can still be sent from its start.
 func (b *body) replayable() bool { return b.stream == nil || !b.streamRead.Load() }
 
--- a/gateway/bodypacer.go
+++ b/gateway/bodypacer.go
@@ -17,7 +17,7 @@
 	// asked for. Its sender is some milliseconds away.
 	bodyRequestAdvance = 50 * time.Millisecond
 	// assumedBodySize is the length in bytes assumed for a chunked body.
-	assumedBodySize = maxBufferedBody
+	assumedBodySize = maxSmallBody
 )
 
 // bodyPacer paces the large bodies that other nodes send to this one. Otherwise as many uploads as
--- a/gateway/bodypacer_test.go
+++ b/gateway/bodypacer_test.go
@@ -22,7 +22,7 @@
 	a := newNode(t, "a", "", config.Traffic{})
 	b := newNode(t, "b", target.addr(), config.Traffic{LinkMbps: mbps})
 	connect(nil, a, b)
-	body := strings.Repeat("x", maxBufferedBody+1)
+	body := strings.Repeat("x", maxSmallBody+1)
 	began := time.Now()
 	var all sync.WaitGroup
 	for range uploads {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -100,7 +100,7 @@
 		return nil, err
 	}
 	c.header = g.requestHeader(r.Header)
-	return c, c.readBody(w, g.maxBody)
+	return c, c.readBody(w, g.maxBody, &g.bodyMemory)
 }
 
 func (c *call) authenticate(v *api.View, organisationKey string) error {
@@ -202,8 +202,8 @@
 	return nil
 }
 
-// readBody reads a small body within the deadline of the call.
-func (c *call) readBody(w http.ResponseWriter, limit int64) error {
+// readBody reads a body that is buffered within the deadline of the call.
+func (c *call) readBody(w http.ResponseWriter, limit int64, memory *bodyMemory) error {
 	if c.incoming.ContentLength == 0 {
 		c.body = &body{}
 		return nil
@@ -212,7 +212,7 @@
 	// Some writers do not support deadlines; the deadline of the call still applies later.
 	_ = control.SetReadDeadline(c.deadline)
 	var err error
-	c.body, err = readBody(w, c.incoming, limit)
+	c.body, err = readBody(w, c.incoming, limit, memory)
 	if err != nil {
 		return err // the deadline stays, or the server would wait for the rest of the body before it responds
 	}
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -28,6 +28,9 @@
 		return
 	}
 	c, err := g.newCall(w, r, v)
+	if c != nil {
+		defer c.body.done()
+	}
 	if err != nil {
 		g.refuse(w, r, nil, errkind.From(err))
 		return
--- a/gateway/callerleft_test.go
+++ b/gateway/callerleft_test.go
@@ -28,8 +28,8 @@
 }
 
 // sendAndStay sends a request with a body of the given size, or as many of its bytes as are taken, and leaves the
-// connection open. Extra header lines end in \r\n.
-func sendAndStay(t *testing.T, n *testNode, path string, size int, chunked bool, extra string) *leaver {
+// connection open. The body has a length, is chunked, or is held back until it is asked for.
+func sendAndStay(t *testing.T, n *testNode, path string, size int, form string) *leaver {
 	t.Helper()
 	conn, err := net.Dial("tcp", n.peer.CallerAddr)
 	if err != nil {
@@ -37,10 +37,13 @@
 	}
 	t.Cleanup(func() { _ = conn.Close() })
 	framing, body := fmt.Sprintf("Content-Length: %d", size), strings.Repeat("x", size)
-	if chunked {
+	switch form {
+	case "chunked":
 		framing, body = "Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", size, body)
+	case "held":
+		framing, body = framing+"\r\nExpect: 100-continue", ""
 	}
-	text := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n%s%s\r\n\r\n%s", path, orgKey, extra, framing, body)
+	text := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n%s\r\n\r\n%s", path, orgKey, framing, body)
 	go func() { _, _ = io.WriteString(conn, text) }()
 	time.Sleep(50 * time.Millisecond)
 	return &leaver{conn, t}
@@ -92,8 +95,8 @@
 }
 
 // Guards against a request that keeps its place in a queue, and then reaches its target, because the close of its caller
-// stands behind a body that nothing reads. 30,000 bytes are asked for by 100-continue over a hop, 80,000 are not
-// buffered at the first node.
+// stands behind a body that nothing reads. 30,000 bytes are asked for by 100-continue over a hop, 80,000 by the first node
+// where their caller holds them back.
 func TestWaitWithAnUnreadBodyEndsWithItsCaller(t *testing.T) {
 	withoutOwner := func(v *api.View) {
 		v.Assignments = api.NewAssignmentTable(api.Assignments{"quotes": make([]api.Assignment, 4)})
@@ -117,14 +120,17 @@
 				if name == "link" && (!viaHop || size < largeBodySize) {
 					continue // only large bodies of other nodes wait for the link
 				}
-				for _, chunked := range []bool{false, true} {
-					t.Run(fmt.Sprintf("%s/hop=%t/%d/chunked=%t", name, viaHop, size, chunked), func(t *testing.T) {
+				for _, form := range []string{"length", "chunked", "held"} {
+					if form == "held" && size <= maxSmallBody {
+						continue
+					}
+					t.Run(fmt.Sprintf("%s/hop=%t/%d/%s", name, viaHop, size, form), func(t *testing.T) {
 						t.Parallel()
 						is := is.New(t)
 						target := newTarget(t, echoOK)
 						owner, entry, nodes := newLeftNodes(t, target.addr(), viaHop, config.Traffic{})
 						c.prepare(t, owner, entry)
-						l := sendAndStay(t, entry, c.path, size, chunked, "")
+						l := sendAndStay(t, entry, c.path, size, form)
 						is.Equal(entry.Running(), int64(1))
 						l.leave(size%3 == 0)
 						awaitEnd(t, nodes...)
@@ -152,7 +158,7 @@
 				late := map[string]*testNode{"only node": owner, "first node": entry, "owner's node": owner}[late]
 				for range 40 {
 					resume := late.pauseReading()
-					l := sendAndStay(t, entry, "/quotes/k", size, false, "")
+					l := sendAndStay(t, entry, "/quotes/k", size, "length")
 					l.leave(false)
 					time.Sleep(5 * time.Millisecond)
 					resume()
@@ -196,7 +202,7 @@
 					t.Parallel()
 					target, ended := newDeafTarget(t, text)
 					_, entry, nodes := newLeftNodes(t, target.Addr().String(), viaHop, config.Traffic{})
-					l := sendAndStay(t, entry, "/quotes/k", size, false, "")
+					l := sendAndStay(t, entry, "/quotes/k", size, "length")
 					time.Sleep(100 * time.Millisecond)
 					l.leave(size >= 8_000_000)
 					select {
@@ -230,7 +236,7 @@
 	owner, entry, _ := newLeftNodes(t, "127.0.0.1:1", true, config.Traffic{})
 	owner.peer.InternalAddr = hops.Addr().String()
 	connect(owner, owner, entry)
-	l := sendAndStay(t, entry, "/quotes/k", 80_000, false, "")
+	l := sendAndStay(t, entry, "/quotes/k", 80_000, "length")
 	l.leave(false)
 	select {
 	case <-ended:
@@ -249,7 +255,7 @@
 			target := newTarget(t, echoOK)
 			owner, entry, nodes := newLeftNodes(t, target.addr(), viaHop, config.Traffic{})
 			fillGate(t, owner)
-			l := sendAndStay(t, entry, "/orders/k", 300_000, false, "")
+			l := sendAndStay(t, entry, "/orders/k", 300_000, "length")
 			l.leave(false)
 			awaitEnd(t, nodes...)
 			is.Equal(target.runs.Load(), int64(0))
@@ -259,7 +265,7 @@
 
 // Guards against uploads whose response has begun before they were in, and that run on once their senders have left.
 func TestEarlyResponseToASlowUploadEndsWithItsSender(t *testing.T) {
-	const uploads, size, piece = 60, 400_000, 8_000
+	const uploads, size, piece = 60, maxBufferedBody + 400_000, 8_000
 	for _, viaHop := range []bool{false, true} {
 		for _, chunked := range []bool{false, true} {
 			t.Run(fmt.Sprintf("hop=%t/chunked=%t", viaHop, chunked), func(t *testing.T) {
@@ -297,7 +303,7 @@
 	}
 }
 
-// sendInPieces sends an upload until its connection is closed.
+// sendInPieces sends an upload until its connection is closed, slowly from the part on that is not buffered.
 func sendInPieces(conn net.Conn, size, piece int, chunked bool) {
 	framing, format := fmt.Sprintf("Content-Length: %d", size), "%[2]s"
 	if chunked {
@@ -306,6 +312,8 @@
 	_, err := fmt.Fprintf(conn, "POST /orders/k HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n%s\r\n\r\n", orgKey, framing)
 	for at := 0; at < size && err == nil; at += piece {
 		_, err = fmt.Fprintf(conn, format, piece, strings.Repeat("x", piece))
-		time.Sleep(20 * time.Millisecond)
+		if at > maxBufferedBody {
+			time.Sleep(20 * time.Millisecond)
+		}
 	}
 }
--- a/gateway/earlyresponse_test.go
+++ b/gateway/earlyresponse_test.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	earlyUploadSize   = 220 << 10
-	earlyUploadAtOnce = 100 << 10
+	earlyUploadSize   = maxBufferedBody + 156<<10 // streamed to the target
+	earlyUploadAtOnce = maxBufferedBody + 36<<10
 	earlyUploadPiece  = 8 << 10
 	// earlyReadSize is how much of an upload the target reads before it answers.
 	earlyReadSize = 16 << 10
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,6 +95,7 @@
 	hedges           *retryBudget
 	requests         *requestLog
 	bodies           *bodyPacer
+	bodyMemory       bodyMemory
 	departures       departures
 
 	closing     atomic.Bool
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -53,7 +53,7 @@
 
 // hedgeable reports whether the call may have two attempts at once.
 func (g *Gateway) hedgeable(v *api.View, c *call) bool {
-	return c.idempotent && c.attemptsLeft > 1 && c.body.stream == nil && g.hedges.share > 0 &&
+	return c.idempotent && c.attemptsLeft > 1 && c.body.small() && g.hedges.share > 0 &&
 		len(v.Index.TargetsByService[c.service.Name]) > 1
 }
 
--- a/gateway/stalledbody_test.go
+++ b/gateway/stalledbody_test.go
@@ -17,8 +17,8 @@
 // Guards against slots that are held beyond the deadline, and against a target that counts as slow,
 // because the sender of a body has stalled.
 func TestStalledBodyEndsWithItsDeadline(t *testing.T) {
-	// Buffered, and streamed.
-	for _, size := range []int{maxBufferedBody, 4 * maxBufferedBody} {
+	// Always buffered, buffered while there is memory, and streamed.
+	for _, size := range []int{maxSmallBody, 4 * maxSmallBody, 4 * maxBufferedBody} {
 		testStalledBody(t, size)
 	}
 }
