--- a/gateway/callerleft_test.go
+++ b/gateway/callerleft_test.go
@@ -94,6 +94,15 @@
 	return slot
 }
 
+// withEpoch returns assignments of all partitions of "quotes" to the node.
+func withEpoch(owner *testNode, epoch api.Epoch) api.AssignmentTable {
+	list := make([]api.Assignment, 4)
+	for i := range list {
+		list[i] = api.Assignment{State: api.Granted, Target: owner.local.info.ID, Session: owner.peer.Session, Epoch: epoch}
+	}
+	return api.NewAssignmentTable(api.Assignments{"quotes": list})
+}
+
 // Guards against a request that keeps its place in a queue, and then reaches its target, because the close of its caller
 // stands behind a body that nothing reads. 30,000 bytes are asked for by 100-continue over a hop, 80,000 by the first node
 // where their caller holds them back.
@@ -105,10 +114,14 @@
 		path    string
 		prepare func(t *testing.T, owner, entry *testNode)
 	}{
-		"slot":  {"/quotes/k", func(t *testing.T, owner, _ *testNode) { fillGate(t, owner) }},
-		"any":   {"/orders/k", func(t *testing.T, owner, _ *testNode) { fillGate(t, owner) }},
-		"owner": {"/quotes/k", func(_ *testing.T, _, entry *testNode) { entry.change(withoutOwner) }},
-		"token": {"/quotes/k", func(_ *testing.T, _, entry *testNode) { entry.tokens.none = true }},
+		"slot":    {"/quotes/k", func(t *testing.T, owner, _ *testNode) { fillGate(t, owner) }},
+		"any":     {"/orders/k", func(t *testing.T, owner, _ *testNode) { fillGate(t, owner) }},
+		"owner":   {"/quotes/k", func(_ *testing.T, _, entry *testNode) { entry.change(withoutOwner) }},
+		"token":   {"/quotes/k", func(_ *testing.T, _, entry *testNode) { entry.tokens.none = true }},
+		"attempt": {"/quotes/k", func(_ *testing.T, owner, _ *testNode) { owner.local.info.Address = "127.0.0.1:1" }},
+		"grant": {"/quotes/k", func(_ *testing.T, owner, entry *testNode) {
+			entry.change(func(v *api.View) { v.Assignments = withEpoch(owner, 9) })
+		}},
 		"link": {"/orders/k", func(_ *testing.T, owner, _ *testNode) {
 			owner.bodies.rate = 1e6
 			owner.bodies.freeAt = time.Now().Add(1500 * time.Millisecond)
@@ -117,8 +130,8 @@
 	for name, c := range waits {
 		for _, viaHop := range []bool{false, true} {
 			for _, size := range []int{0, 1, 1000, 30_000, 80_000} {
-				if name == "link" && (!viaHop || size < largeBodySize) {
-					continue // only large bodies of other nodes wait for the link
+				if name == "link" && (!viaHop || size < largeBodySize) || name == "grant" && !viaHop {
+					continue // only hops wait for the link, with large bodies, or for a grant that the first node has seen
 				}
 				for _, form := range []string{"length", "chunked", "held"} {
 					if form == "held" && size <= maxSmallBody {
@@ -171,6 +184,37 @@
 	}
 }
 
+// Guards against the second of two attempts of a request that goes on after its caller has left.
+func TestBothAttemptsOfAHedgedRequestEndWithTheirCaller(t *testing.T) {
+	is := is.New(t)
+	var running atomic.Int64
+	work := func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		running.Add(1)
+		defer running.Add(-1)
+		<-r.Context().Done()
+	}
+	share := 1.0
+	entry := newNode(t, "a", newTarget(t, work).addr(), config.Traffic{HedgeShare: &share})
+	other := newNode(t, "b", newTarget(t, work).addr(), config.Traffic{})
+	connect(nil, entry, other)
+	for range 100 {
+		entry.latencies.get("orders").add(time.Millisecond)
+		entry.hedges.deposit()
+	}
+	conn, err := net.Dial("tcp", entry.peer.CallerAddr)
+	is.NoErr(err)
+	_, err = fmt.Fprintf(conn, "PUT /orders/k HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 3\r\n\r\nput", orgKey)
+	is.NoErr(err)
+	for begin := time.Now(); running.Load() < 2; time.Sleep(time.Millisecond) {
+		is.True(time.Since(begin) < time.Second) // both attempts are at work
+	}
+	_ = conn.Close()
+	awaitEnd(t, entry, other)
+	time.Sleep(10 * time.Millisecond)
+	is.Equal(running.Load(), int64(0))
+}
+
 // newDeafTarget returns a target that sends the text once a request has arrived, reads none of its body, and reports
 // when the connection has ended.
 func newDeafTarget(t *testing.T, text string) (*rawTarget, <-chan struct{}) {
