gateway: an upload is read on only once it has a token and is not refused for a stop

What callers saw: since uploads of up to 512 KB are read before they are routed, one that is beyond its organisation's rate, or that comes to a stopping node, had to arrive before it was refused.

Evidence: TestUploadThatCannotBeServedIsRefusedBeforeItIsIn failed (no response in 1 s to 128 of 512 KB) and passes. Bodies of at most 64 KB are read first, as before.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -17,8 +17,8 @@
 	// maxSmallBody is the largest request body in bytes that is always read before routing, so that the request can be
 	// routed again.
 	maxSmallBody = 64 << 10
-	// maxBufferedBody is the same for larger bodies, as far as there is memory for them. The end of a connection stands
-	// behind a body that is larger than its window.
+	// maxBufferedBody is the same for larger bodies of requests that have a token, as far as there is memory for them. The
+	// end of a connection stands behind a body that is larger than its window.
 	maxBufferedBody = 512 << 10
 	// maxBodyMemory limits the memory in bytes for bodies that are not small.
 	maxBodyMemory = 16 << 20
@@ -50,38 +50,34 @@
 	return func() { m.used.Add(-bytes) }, true
 }
 
-// readBody buffers a body that is not too large, and wraps a larger one as a stream. Errors: TooLarge, BadRequest,
-// DeadlineExceeded if it has not arrived by the read deadline of the connection.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, memory *bodyMemory) (*body, error) {
+// readBody buffers a small body, and wraps a larger one as a stream. Errors: TooLarge, BadRequest, DeadlineExceeded if it has
+// not arrived by the read deadline of the connection.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) (*body, error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return &body{}, nil
 	}
 	if r.ContentLength > limit {
 		return nil, errkind.New(errkind.TooLarge, "body of %d bytes exceeds the limit of %d bytes", r.ContentLength, limit)
 	}
-	b := &body{length: r.ContentLength, stream: http.MaxBytesReader(w, r.Body, limit)}
-	if err := b.fill(maxSmallBody); err != nil {
-		return b, err
-	}
-	if b.stream == nil {
-		return b, nil
-	}
-	b.unblock = readUnblocker(w)
-	if r.Header.Get("Expect") != "" {
-		return b, nil // its sender holds it back, and its connection until then
-	}
+	b := &body{length: r.ContentLength, stream: http.MaxBytesReader(w, r.Body, limit), unblock: readUnblocker(w)}
+	return b, b.fill(maxSmallBody)
+}
+
+// readOn buffers the rest of a body that is not small, as far as there is memory, and unless its sender holds it back. Errors
+// as those of readBody.
+func (b *body) readOn(r *http.Request, memory *bodyMemory) error {
 	needed := b.length
 	if needed < 0 {
 		needed = maxBufferedBody
 	}
-	if needed > maxBufferedBody {
-		return b, nil
+	if b.stream == nil || needed > maxBufferedBody || r.Header.Get("Expect") != "" {
+		return nil
 	}
 	var ok bool
 	if b.release, ok = memory.reserve(needed); !ok {
-		return b, nil
+		return nil
 	}
-	return b, b.fill(maxBufferedBody)
+	return b.fill(maxBufferedBody)
 }
 
 // fill reads the stream into the buffer, up to the size in bytes; a body of known length that is larger is left alone.
@@ -112,7 +108,7 @@
 
 // done returns the memory of the body.
 func (b *body) done() {
-	if b != nil && b.release != nil {
+	if b.release != nil {
 		b.release()
 	}
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -100,7 +100,7 @@
 		return nil, err
 	}
 	c.header = g.requestHeader(r.Header)
-	return c, c.readBody(w, g.maxBody, &g.bodyMemory)
+	return c, c.readBody(w, g.maxBody)
 }
 
 func (c *call) authenticate(v *api.View, organisationKey string) error {
@@ -202,18 +202,24 @@
 	return nil
 }
 
-// readBody reads a body that is buffered within the deadline of the call.
-func (c *call) readBody(w http.ResponseWriter, limit int64, memory *bodyMemory) error {
+// readBody reads a small body within the deadline of the call.
+func (c *call) readBody(w http.ResponseWriter, limit int64) error {
 	if c.incoming.ContentLength == 0 {
 		c.body = &body{}
 		return nil
 	}
+	return c.readInTime(w, func() (err error) {
+		c.body, err = readBody(w, c.incoming, limit)
+		return err
+	})
+}
+
+// readInTime reads the body within the deadline of the call.
+func (c *call) readInTime(w http.ResponseWriter, read func() error) error {
 	control := http.NewResponseController(w)
 	// Some writers do not support deadlines; the deadline of the call still applies later.
 	_ = control.SetReadDeadline(c.deadline)
-	var err error
-	c.body, err = readBody(w, c.incoming, limit, memory)
-	if err != nil {
+	if err := read(); err != nil {
 		return err // the deadline stays, or the server would wait for the rest of the body before it responds
 	}
 	_ = control.SetReadDeadline(time.Time{})
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -28,9 +28,6 @@
 		return
 	}
 	c, err := g.newCall(w, r, v)
-	if c != nil {
-		defer c.body.done()
-	}
 	if err != nil {
 		g.refuse(w, r, nil, errkind.From(err))
 		return
@@ -41,6 +38,12 @@
 		g.refuse(w, r, c, givenUp(ctx, e))
 		return
 	}
+	defer c.body.done()
+	if e := g.readLargerBody(w, c); e != nil {
+		c.settleOrRefundToken(e.NotRun)
+		g.refuse(w, r, c, givenUp(ctx, e))
+		return
+	}
 	g.serveCall(ctx, w, c)
 }
 
@@ -65,6 +68,22 @@
 	return e
 }
 
+// readLargerBody reads on where the body is not small, unless the process ends before the request would. Errors: TooLarge,
+// BadRequest, DeadlineExceeded, ShuttingDown.
+func (g *Gateway) readLargerBody(w http.ResponseWriter, c *call) *errkind.Error {
+	if c.body.stream == nil {
+		return nil
+	}
+	if e := g.checkLeave(c.deadline, g.latencies.get(c.service.Name).expected); e != nil {
+		return e
+	}
+	err := c.readInTime(w, func() error { return c.body.readOn(c.incoming, &g.bodyMemory) })
+	if err != nil {
+		return errkind.From(err)
+	}
+	return nil
+}
+
 func (c *call) settleOrRefundToken(notRun bool) {
 	if notRun {
 		c.token.refund()
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -73,9 +73,13 @@
 type testTokens struct {
 	settled, refunded atomic.Int64
 	none              bool // there is no token to be had
+	refuses           bool
 }
 
 func (t *testTokens) Take(ctx context.Context, _ api.OrganisationID) (Token, error) {
+	if t.refuses {
+		return nil, errkind.New(errkind.RateLimited, "beyond the rate")
+	}
 	if t.none {
 		<-ctx.Done()
 		return nil, ctx.Err()
