hangup: a request that is followed by another on its connection ends with its caller too

What callers saw: nothing; the target worked for a caller that had sent the beginning of another request and had left.

Cause: the server's own reader stops at the first byte of the next request, so that it never sees the close behind it. Found with a sender that sent more than the length of its body.

Evidence: TestRequestWithAnotherBehindItEndsWithItsCaller failed in 4 of 4 forms (without a body, here and over a hop) and passes. All requests are watched now, those without a body too: two system calls each.

--- a/gateway/callerleft_test.go
+++ b/gateway/callerleft_test.go
@@ -215,6 +215,37 @@
 	is.Equal(running.Load(), int64(0))
 }
 
+// Guards against a request that goes on because its caller had begun to send the next one before it left: the server has read
+// a byte of that and reads no further.
+func TestRequestWithAnotherBehindItEndsWithItsCaller(t *testing.T) {
+	for _, viaHop := range []bool{false, true} {
+		for _, request := range []string{"GET /quotes/k HTTP/1.1\r\n", "POST /quotes/k HTTP/1.1\r\nContent-Length: 0\r\n"} {
+			t.Run(fmt.Sprintf("hop=%t/%.4s", viaHop, request), func(t *testing.T) {
+				is := is.New(t)
+				begun, ended := make(chan struct{}, 1), make(chan struct{}, 1)
+				target := newTarget(t, func(_ http.ResponseWriter, r *http.Request) {
+					_, _ = io.ReadAll(r.Body)
+					begun <- struct{}{}
+					<-r.Context().Done()
+					ended <- struct{}{}
+				})
+				_, entry, nodes := newLeftNodes(t, target.addr(), viaHop, config.Traffic{})
+				conn, err := net.Dial("tcp", entry.peer.CallerAddr)
+				is.NoErr(err)
+				_, err = fmt.Fprintf(conn, "%sHost: x\r\nAuthorization: Bearer %s\r\n\r\n", request, orgKey)
+				is.NoErr(err)
+				<-begun
+				_, err = io.WriteString(conn, "GET /quotes/k HTTP/1.1\r\nHost: x\r\n")
+				is.NoErr(err)
+				time.Sleep(10 * time.Millisecond)
+				_ = conn.Close()
+				awaitEnd(t, nodes...)
+				<-ended
+			})
+		}
+	}
+}
+
 // newDeafTarget returns a target that sends the text once a request has arrived, reads none of its body, and reports
 // when the connection has ended.
 func newDeafTarget(t *testing.T, text string) (*rawTarget, <-chan struct{}) {
--- a/internal/hangup/watch.go
+++ b/internal/hangup/watch.go
@@ -14,12 +14,12 @@
 // ErrClosed is the cause with which the context of a request ends once its connection has been closed.
 var ErrClosed = errors.New("connection closed by its peer")
 
-// Handler ends the context of a request once the peer has closed its connection, also while the body has not been read. It
-// needs the ConnContext of this package. The server itself watches the connections of requests without a body.
+// Handler ends the context of a request once the peer has closed its connection, also while the body or the next request has
+// not been read. It needs the ConnContext of this package.
 func Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		raw, ok := r.Context().Value(contextKey{}).(syscall.RawConn)
-		if !ok || r.Body == nil || r.Body == http.NoBody {
+		if !ok {
 			next.ServeHTTP(w, r)
 			return
 		}
