--- a/gateway/callerleft_test.go
+++ b/gateway/callerleft_test.go
@@ -22,10 +22,7 @@
 const leftLimit = 500 * time.Millisecond
 
 // leaver is a caller that closes its connection while its request is under way.
-type leaver struct {
-	net.Conn
-	t *testing.T
-}
+type leaver struct{ net.Conn }
 
 // sendAndStay sends a request with a body of the given size, or as many of its bytes as are taken, and leaves the
 // connection open. The body has a length, is chunked, or is held back until it is asked for.
@@ -46,7 +43,7 @@
 	text := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n%s\r\n\r\n%s", path, orgKey, framing, body)
 	go func() { _, _ = io.WriteString(conn, text) }()
 	time.Sleep(50 * time.Millisecond)
-	return &leaver{conn, t}
+	return &leaver{conn}
 }
 
 // leave closes the connection, or resets it.
@@ -83,32 +80,12 @@
 	return owner, entry, []*testNode{owner, entry}
 }
 
-// fillGate takes the only slot of the node's target.
-func fillGate(t *testing.T, n *testNode) *gate.Slot {
-	t.Helper()
-	n.local.gate = gate.New(gate.Options{Slots: 1, NoColdStart: true})
-	slot, err := n.local.gate.Acquire(t.Context(), "busy", 1)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return slot
-}
-
-// withEpoch returns assignments of all partitions of "quotes" to the node.
-func withEpoch(owner *testNode, epoch api.Epoch) api.AssignmentTable {
-	list := make([]api.Assignment, 4)
-	for i := range list {
-		list[i] = api.Assignment{State: api.Granted, Target: owner.local.info.ID, Session: owner.peer.Session, Epoch: epoch}
-	}
-	return api.NewAssignmentTable(api.Assignments{"quotes": list})
-}
-
 // Guards against a request that keeps its place in a queue, and then reaches its target, because the close of its caller
 // stands behind a body that nothing reads. 30,000 bytes are asked for by 100-continue over a hop, 80,000 by the first node
 // where their caller holds them back.
 func TestWaitWithAnUnreadBodyEndsWithItsCaller(t *testing.T) {
 	withoutOwner := func(v *api.View) {
-		v.Assignments = api.NewAssignmentTable(api.Assignments{"quotes": make([]api.Assignment, 4)})
+		v.Assignments = ownedBy(nil, 0)
 	}
 	waits := map[string]struct {
 		path    string
@@ -120,7 +97,7 @@
 		"token":   {"/quotes/k", func(_ *testing.T, _, entry *testNode) { entry.tokens.none = true }},
 		"attempt": {"/quotes/k", func(_ *testing.T, owner, _ *testNode) { owner.local.info.Address = "127.0.0.1:1" }},
 		"grant": {"/quotes/k", func(_ *testing.T, owner, entry *testNode) {
-			entry.change(func(v *api.View) { v.Assignments = withEpoch(owner, 9) })
+			entry.change(func(v *api.View) { v.Assignments = ownedBy(owner, 9) })
 		}},
 		"link": {"/orders/k", func(_ *testing.T, owner, _ *testNode) {
 			owner.bodies.rate = 1e6
@@ -253,10 +230,7 @@
 	ended := make(chan struct{}, 1)
 	raw := newRawTarget(t, func(conn net.Conn, _ *bufio.Reader) {
 		_, _ = io.WriteString(conn, text)
-		// A read learns of the end only after the bytes before it.
-		for !closedByPeer(conn) {
-			time.Sleep(time.Millisecond)
-		}
+		awaitClosedByPeer(conn)
 		ended <- struct{}{}
 	})
 	return raw, ended
@@ -303,9 +277,7 @@
 		}
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbegun\r\n",
 			api.HeaderAttempt, req.Header.Get(api.HeaderAttempt))
-		for !closedByPeer(conn) {
-			time.Sleep(time.Millisecond)
-		}
+		awaitClosedByPeer(conn)
 		ended <- struct{}{}
 	})
 	owner, entry, _ := newLeftNodes(t, "127.0.0.1:1", true, config.Traffic{})
@@ -340,7 +312,8 @@
 
 // Guards against uploads whose response has begun before they were in, and that run on once their senders have left.
 func TestEarlyResponseToASlowUploadEndsWithItsSender(t *testing.T) {
-	const uploads, size, piece = 60, maxBufferedBody + 400_000, 8_000
+	const uploads, piece = 60, 8_000
+	upload := strings.Repeat("x", maxBufferedBody+400_000)
 	for _, viaHop := range []bool{false, true} {
 		for _, chunked := range []bool{false, true} {
 			t.Run(fmt.Sprintf("hop=%t/chunked=%t", viaHop, chunked), func(t *testing.T) {
@@ -365,7 +338,7 @@
 					if err != nil {
 						t.Fatal(err)
 					}
-					go sendInPieces(conn, size, piece, chunked)
+					go sendInPieces(conn, upload, maxBufferedBody+piece, piece, 20*time.Millisecond, chunked)
 					time.AfterFunc(300*time.Millisecond, func() { _ = conn.Close() })
 				}
 				time.Sleep(300*time.Millisecond + leftLimit)
@@ -377,18 +350,3 @@
 		}
 	}
 }
-
-// sendInPieces sends an upload until its connection is closed, slowly from the part on that is not buffered.
-func sendInPieces(conn net.Conn, size, piece int, chunked bool) {
-	framing, format := fmt.Sprintf("Content-Length: %d", size), "%[2]s"
-	if chunked {
-		framing, format = "Transfer-Encoding: chunked", "%[1]x\r\n%[2]s\r\n"
-	}
-	_, err := fmt.Fprintf(conn, "POST /orders/k HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n%s\r\n\r\n", orgKey, framing)
-	for at := 0; at < size && err == nil; at += piece {
-		_, err = fmt.Fprintf(conn, format, piece, strings.Repeat("x", piece))
-		if at > maxBufferedBody {
-			time.Sleep(20 * time.Millisecond)
-		}
-	}
-}
--- a/gateway/earlyresponse_test.go
+++ b/gateway/earlyresponse_test.go
@@ -66,37 +66,37 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	go sendInPieces(conn, upload, earlyUploadAtOnce, earlyUploadPiece, 2*time.Millisecond, chunked)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp, err
+}
+
+// sendInPieces sends an upload, a part of it at once and the rest in pieces with pauses, until it is sent or the connection is
+// closed.
+func sendInPieces(conn net.Conn, upload string, atOnce, size int, pause time.Duration, chunked bool) {
 	framing := fmt.Sprintf("Content-Length: %d", len(upload))
 	if chunked {
 		framing = "Transfer-Encoding: chunked"
 	}
-	go func() {
-		_, _ = fmt.Fprintf(conn, "POST /orders/k HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n%s\r\n\r\n", orgKey, framing)
-		for at := 0; at < len(upload); {
-			size := earlyUploadPiece
-			if at == 0 {
-				size = earlyUploadAtOnce
-			}
-			piece := upload[at:min(at+size, len(upload))]
-			at += len(piece)
-			if chunked {
-				piece = fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
-			}
-			if _, err := io.WriteString(conn, piece); err != nil {
-				return
-			}
-			time.Sleep(2 * time.Millisecond)
-		}
+	_, _ = fmt.Fprintf(conn, "POST /orders/k HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n%s\r\n\r\n", orgKey, framing)
+	for at, next := 0, atOnce; at < len(upload); next = size {
+		piece := upload[at:min(at+next, len(upload))]
+		at += len(piece)
 		if chunked {
-			_, _ = io.WriteString(conn, "0\r\n\r\n")
+			piece = fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
 		}
-	}()
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		return nil, err
+		if _, err := io.WriteString(conn, piece); err != nil {
+			return
+		}
+		time.Sleep(pause)
+	}
+	if chunked {
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
 	}
-	_, err = io.Copy(io.Discard, resp.Body)
-	return resp, err
 }
 
 // Guards against uploads that reach a target with parts missing because it has begun to respond before they were in.
--- a/gateway/giveup_test.go
+++ b/gateway/giveup_test.go
@@ -14,7 +14,6 @@
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/config"
 	"github.com/zinniapier/zinniapier/errkind"
-	"github.com/zinniapier/zinniapier/gate"
 )
 
 // Guards against requests that a process that ends drops without a response, or reports as not run although their
@@ -24,10 +23,6 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 	}
-	fill := func(n *testNode) {
-		n.local.gate = gate.New(gate.Options{Slots: 1, NoColdStart: true})
-		_, _ = n.local.gate.Acquire(t.Context(), "busy", 1)
-	}
 	cases := map[string]struct {
 		prepare func(owner, entry *testNode)
 		viaHop  bool
@@ -35,10 +30,10 @@
 	}{
 		"waits for an owner": {func(_, entry *testNode) {
 			entry.change(func(v *api.View) {
-				v.Assignments = api.NewAssignmentTable(api.Assignments{"quotes": make([]api.Assignment, 4)})
+				v.Assignments = ownedBy(nil, 0)
 			})
 		}, true, errkind.ShuttingDown},
-		"waits for a slot":             {func(owner, _ *testNode) { fill(owner) }, false, errkind.ShuttingDown},
+		"waits for a slot":             {func(owner, _ *testNode) { fillGate(t, owner) }, false, errkind.ShuttingDown},
 		"at the target":                {func(_, _ *testNode) {}, false, errkind.Unknown},
 		"at the target of another one": {func(_, _ *testNode) {}, true, errkind.Unknown},
 	}
@@ -70,9 +65,7 @@
 	is := is.New(t)
 	owner := newNode(t, "a", newTarget(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }).addr(), config.Traffic{})
 	connect(owner, owner)
-	owner.local.gate = gate.New(gate.Options{Slots: 1, NoColdStart: true})
-	_, err := owner.local.gate.Acquire(t.Context(), "busy", 1)
-	is.NoErr(err)
+	fillGate(t, owner)
 	ctx, giveUp := context.WithCancelCause(t.Context())
 	r := httptest.NewRequestWithContext(ctx, "POST", "/quotes/k", http.NoBody)
 	v := owner.now.Load()
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -191,21 +191,35 @@
 	for _, n := range nodes {
 		peers = append(peers, n.peer)
 	}
-	list := make([]api.Assignment, 4)
-	for i := range list {
-		if owner != nil {
-			list[i] = api.Assignment{State: api.Granted, Target: owner.local.info.ID, Session: owner.peer.Session, Epoch: 7}
-		}
-	}
 	for _, n := range nodes {
 		v := &api.View{Session: n.peer.Session, LeaseUntil: time.Now().Add(time.Hour), Configuration: c,
-			MapVersion: 3, Assignments: api.NewAssignmentTable(api.Assignments{"quotes": list}), Peers: peers}
+			MapVersion: 3, Assignments: ownedBy(owner, 7), Peers: peers}
 		v.Index = api.NewViewIndex(v)
 		n.now.Store(v)
 		n.ViewChanged(v)
 	}
 }
 
+// ownedBy returns assignments of all partitions of "quotes" to the node's target; nil for no owner.
+func ownedBy(owner *testNode, epoch api.Epoch) api.AssignmentTable {
+	list := make([]api.Assignment, 4)
+	for i := range list {
+		if owner != nil {
+			list[i] = api.Assignment{State: api.Granted, Target: owner.local.info.ID, Session: owner.peer.Session, Epoch: epoch}
+		}
+	}
+	return api.NewAssignmentTable(api.Assignments{"quotes": list})
+}
+
+// fillGate gives the node's target a single slot and takes it.
+func fillGate(t *testing.T, n *testNode) {
+	t.Helper()
+	n.local.gate = gate.New(gate.Options{Slots: 1, NoColdStart: true})
+	if _, err := n.local.gate.Acquire(t.Context(), "busy", 1); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // change publishes a changed copy of the node's view.
 func (n *testNode) change(f func(v *api.View)) {
 	v := *n.now.Load()
@@ -325,6 +339,13 @@
 	return hangup.Closed(hangup.ConnContext(context.Background(), conn))
 }
 
+// awaitClosedByPeer waits for the close. A read learns of it only after the bytes before it.
+func awaitClosedByPeer(conn net.Conn) {
+	for !closedByPeer(conn) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // readHead skips the rest of a request's header.
 func readHead(in *bufio.Reader) {
 	for {
