--- a/api/control.go
+++ b/api/control.go
@@ -61,6 +61,8 @@
 	ZonesOut        []string          `json:"zones_out"`
 	TargetsOut      []TargetID        `json:"targets_out"`
 	Overrides       []Override        `json:"overrides"`
+	// Rollouts holds the last roll-out of each service that has had one.
+	Rollouts []Rollout `json:"rollouts,omitempty"`
 	// Label is the operators' own number of the configuration, for those who replace it whole.
 	Label uint64 `json:"label,omitempty"`
 	// Document is the text that the configuration was replaced by, as the operator sent it. It
@@ -85,6 +87,9 @@
 	// Sessions are the open sessions in ascending order. A session is in the log before its node
 	// gets a lease or a token, so a new leader knows whom it has to hear from.
 	Sessions []SessionID `json:"sessions,omitempty"`
+	// RolloutElapsed holds the time in milliseconds since the order of each running roll-out, by its id. It is committed
+	// about once a second and does not raise the version of the configuration.
+	RolloutElapsed map[string]int64 `json:"rollout_elapsed,omitempty"`
 }
 
 // Division is how the keys of a ranged service are divided.
--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -22,8 +22,10 @@
 
 // TargetReport describes a target in a heartbeat.
 type TargetReport struct {
-	ID      TargetID    `json:"id"`
-	Service string      `json:"service"`
+	ID      TargetID `json:"id"`
+	Service string   `json:"service"`
+	// Version is that of the software of the target; empty when it states none.
+	Version string      `json:"version,omitempty"`
 	Zone    string      `json:"zone"`
 	Slots   int         `json:"slots"`
 	State   TargetState `json:"state"`
@@ -33,6 +35,10 @@
 	Load float64 `json:"load"`
 	// ServiceMs is the mean service time in milliseconds; 0 when it is not known.
 	ServiceMs int64 `json:"service_ms,omitempty"`
+	// Running is the number of requests that run or wait at the target.
+	Running int `json:"running,omitempty"`
+	// Capacity is the learned number of requests that the target runs well at once; 0 when it is not known.
+	Capacity float64 `json:"capacity,omitempty"`
 	// RateLimit is the number of requests per second that the target takes; 0 when it names no limit.
 	RateLimit float64 `json:"rate_limit,omitempty"`
 	// Place names the address on a host where only one target can run at a time: another target
@@ -131,6 +137,8 @@
 	TokensFull bool
 	// Answered is the sequence of the last heartbeat of the session whose reply the node has taken in; 0 is none.
 	Answered uint64
+	// Outcomes are the counts of local targets whose service has a running roll-out.
+	Outcomes []TargetOutcomes
 	// Leaving says that the node is shutting down: its targets get no new grants and
 	// its session ends with the first heartbeat that carries Final.
 	Leaving bool
@@ -153,6 +161,7 @@
 type PeerTarget struct {
 	ID      TargetID
 	Service string
+	Version string
 	Slots   int
 	State   TargetState
 	// Out says that operators took the target or its zone out.
--- a/api/hop.go
+++ b/api/hop.go
@@ -11,7 +11,9 @@
 // Hop is what the first node tells the owner's node about an attempt, beside the request itself. It is the value
 // of one header: most hops cross availability zones, and separate headers take twice the bytes.
 type Hop struct {
-	Service      string
+	Service string
+	// Route is the name of the route that the request matched; empty where the owner's node has no use for it.
+	Route        string
 	Partition    int // -1 for a service that is not partitioned
 	Epoch        Epoch
 	Target       TargetID
@@ -27,13 +29,14 @@
 
 const (
 	hopSeparator = ";"
-	hopFields    = 11
+	hopFields    = 12
 )
 
 // String returns the value of HeaderHop.
 func (h Hop) String() string {
 	return strings.Join([]string{
 		url.QueryEscape(h.Service),
+		url.QueryEscape(h.Route),
 		strconv.Itoa(h.Partition),
 		strconv.FormatUint(uint64(h.Epoch), 10),
 		url.QueryEscape(string(h.Target)),
@@ -55,6 +58,7 @@
 	}
 	h := Hop{
 		Service:      r.text(),
+		Route:        r.text(),
 		Partition:    int(r.number()),
 		Epoch:        Epoch(r.unsigned()),
 		Target:       TargetID(r.text()),
--- a/api/hop_test.go
+++ b/api/hop_test.go
@@ -13,7 +13,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		text := func(name string) string { return rapid.String().Draw(t, name) }
 		sent := Hop{
-			Service: text("service"), Partition: rapid.Int().Draw(t, "partition"), Epoch: Epoch(rapid.Uint64().Draw(t, "epoch")),
+			Service: text("service"), Route: text("route"), Partition: rapid.Int().Draw(t, "partition"), Epoch: Epoch(rapid.Uint64().Draw(t, "epoch")),
 			Target: TargetID(text("target")), Key: text("key"), Organisation: OrganisationID(text("organisation")), Origin: text("origin"),
 			Priority: rapid.Int().Draw(t, "priority"), Idempotent: rapid.Bool().Draw(t, "idempotent"),
 			DeadlineMs: rapid.Int64().Draw(t, "deadline"), ObjectiveMs: rapid.Int64().Draw(t, "objective"),
--- a/api/peerupdates.go
+++ b/api/peerupdates.go
@@ -34,7 +34,7 @@
 		}
 		rows = binary.AppendUvarint(rows, uint64(len(p.Targets)))
 		for _, t := range p.Targets {
-			for _, s := range []string{string(t.ID), t.Service, string(t.State)} {
+			for _, s := range []string{string(t.ID), t.Service, t.Version, string(t.State)} {
 				text(s)
 			}
 			rows = binary.AppendVarint(rows, int64(t.Slots))
@@ -56,7 +56,7 @@
 		p.Session, p.Name, p.Zone = SessionID(r.entry()), r.entry(), r.entry()
 		p.InternalAddr, p.FateAddr, p.CallerAddr = r.entry(), r.entry(), r.entry()
 		for range r.count() {
-			t := PeerTarget{ID: TargetID(r.entry()), Service: r.entry(), State: TargetState(r.entry())}
+			t := PeerTarget{ID: TargetID(r.entry()), Service: r.entry(), Version: r.entry(), State: TargetState(r.entry())}
 			t.Slots, t.Out = int(r.signed()), r.number() == 1
 			p.Targets = append(p.Targets, t)
 		}
--- a/api/target.go
+++ b/api/target.go
@@ -36,6 +36,8 @@
 type Announcement struct {
 	ID      TargetID `json:"id"`
 	Service string   `json:"service"`
+	// Version is that of the software of the target.
+	Version string `json:"version,omitempty"`
 	// Address is host:port of the target's HTTP listener.
 	Address string `json:"address"`
 	Slots   int    `json:"slots"`
--- a/api/updates_test.go
+++ b/api/updates_test.go
@@ -58,7 +58,7 @@
 		nodes = append(nodes, Peer{
 			Session: SessionID(fmt.Sprintf("%016x%016x", random.Uint64(), random.Uint64())), Name: fmt.Sprintf("sidecar-wien-a-%d", i), Zone: "wien-a",
 			InternalAddr: address + ":7780", FateAddr: address + ":7781", CallerAddr: address + ":8365",
-			Targets: []PeerTarget{{ID: TargetID(fmt.Sprintf("i-%010x@17906364%05d", random.Uint32(), i)), Service: "quotes", Slots: 16, State: TargetServing, Out: i%7 == 0}},
+			Targets: []PeerTarget{{ID: TargetID(fmt.Sprintf("i-%010x@17906364%05d", random.Uint32(), i)), Service: "quotes", Version: "v1", Slots: 16, State: TargetServing, Out: i%7 == 0}},
 		})
 	}
 	return nodes
--- a/control/session.go
+++ b/control/session.go
@@ -182,7 +182,7 @@
 		if req.Leaving && state == api.TargetServing {
 			state = api.TargetDraining
 		}
-		p.Targets = append(p.Targets, api.PeerTarget{ID: t.ID, Service: t.Service, Slots: t.Slots, State: state})
+		p.Targets = append(p.Targets, api.PeerTarget{ID: t.ID, Service: t.Service, Version: t.Version, Slots: t.Slots, State: state})
 	}
 	return p
 }
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -129,6 +129,9 @@
 		DeadlineMs:   remainingMs(hopDeadline(c.deadline)),
 		ObjectiveMs:  -1,
 	}
+	if r := h.gateway.view().Configuration.FindRollout(c.ref.Service); r != nil && !r.Phase.Ended() {
+		d.Route = c.routeName
+	}
 	if !c.objective.IsZero() {
 		d.ObjectiveMs = max(time.Until(c.objective), 0).Milliseconds()
 	}
--- a/gateway/internal.go
+++ b/gateway/internal.go
@@ -123,6 +123,7 @@
 		org:        d.Organisation,
 		key:        d.Key,
 		origin:     d.Origin,
+		routeName:  d.Route,
 		priority:   d.Priority,
 		ref:        api.PartitionRef{Service: d.Service, Partition: d.Partition},
 		deadline:   time.Now().Add(time.Duration(d.DeadlineMs) * time.Millisecond),
--- a/host/target.go
+++ b/host/target.go
@@ -112,6 +112,7 @@
 	return api.TargetReport{
 		ID:            t.info.ID,
 		Service:       t.info.Service,
+		Version:       t.info.Version,
 		Zone:          t.r.o.Zone,
 		Slots:         t.info.Slots,
 		State:         t.state(),
