gateway, session, host, api: choice of targets by version, outcomes of roll-outs in heartbeats

A node chooses canary targets for their share of the first attempts, leaves out versions that a roll-out does not admit, counts how requests end at its own targets by route, and reports the counts that have changed since the last reply. Targets of the product's own protocol announce a version.

--- a/api/rollout.go
+++ b/api/rollout.go
@@ -76,8 +76,11 @@
 	return false
 }
 
-// FindRollout returns the last roll-out of the service, or nil.
+// FindRollout returns the last roll-out of the service, or nil. A nil configuration has none.
 func (c *Configuration) FindRollout(service string) *Rollout {
+	if c == nil {
+		return nil
+	}
 	for i := range c.Rollouts {
 		if c.Rollouts[i].Service == service {
 			return &c.Rollouts[i]
--- a/api/view.go
+++ b/api/view.go
@@ -35,8 +35,20 @@
 	Peers         map[SessionID]*Peer
 	// Overrides maps service and key to the partition of a single hot key.
 	Overrides map[string]map[string]int
-	// TargetsByService lists the targets that may receive requests, those in the zone of the node first.
+	// TargetsByService lists the targets that may receive requests, those in the zone of the node first. It leaves
+	// out targets whose version the last roll-out of the service does not admit, and those in Canaries.
 	TargetsByService map[string][]TargetAt
+	// Canaries holds the canary targets of services that are not partitioned, while there are any.
+	Canaries map[string]*CanaryTargets
+}
+
+// CanaryTargets are the targets that get a share of the requests of a service during a roll-out.
+type CanaryTargets struct {
+	// Share is the share of the requests, from 0 to 1. It is that of the roll-out times the proportion of its canary
+	// targets in Targets, so that the loss of some does not overload the others.
+	Share float64
+	// Targets are those in the zone of the node first.
+	Targets []TargetAt
 }
 
 // TargetAt is a target and the node that it is reached through.
@@ -69,7 +81,7 @@
 	if configurationChanged {
 		next.indexOverrides(v.Configuration)
 	}
-	if peersChanged {
+	if peersChanged || configurationChanged {
 		next.indexPeers(v)
 	}
 	return &next
@@ -105,23 +117,47 @@
 func (x *ViewIndex) indexPeers(v *View) {
 	x.Peers = make(map[SessionID]*Peer, len(v.Peers))
 	x.TargetsByService = make(map[string][]TargetAt)
+	x.Canaries = make(map[string]*CanaryTargets)
 	for _, sameZone := range []bool{true, false} {
 		for i := range v.Peers {
 			if p := &v.Peers[i]; (p.Zone == v.Zone) == sameZone {
-				x.addPeer(p)
+				x.addPeer(v.Configuration, p)
 			}
 		}
 	}
+	for service, canaries := range x.Canaries {
+		r := v.Configuration.FindRollout(service)
+		canaries.Share = r.Share * float64(len(canaries.Targets)) / float64(len(r.Canary))
+	}
 }
 
-func (x *ViewIndex) addPeer(p *Peer) {
+func (x *ViewIndex) addPeer(c *Configuration, p *Peer) {
 	x.Peers[p.Session] = p
 	for _, t := range p.Targets {
 		if t.Out || t.State != TargetServing {
 			continue
 		}
-		x.TargetsByService[t.Service] = append(x.TargetsByService[t.Service], TargetAt{Target: t, Peer: p})
+		x.addTarget(c, TargetAt{Target: t, Peer: p})
+	}
+}
+
+// addTarget adds a target that its node reports as serving, unless a roll-out keeps requests from it.
+func (x *ViewIndex) addTarget(c *Configuration, at TargetAt) {
+	service := at.Target.Service
+	if r := c.FindRollout(service); r != nil {
+		if !r.Admits(at.Target.ID, at.Target.Version) {
+			return
+		}
+		s := c.Services.Find(service)
+		if r.IsCanary(at.Target.ID) && s != nil && !s.Divided() {
+			if x.Canaries[service] == nil {
+				x.Canaries[service] = new(CanaryTargets)
+			}
+			x.Canaries[service].Targets = append(x.Canaries[service].Targets, at)
+			return
+		}
 	}
+	x.TargetsByService[service] = append(x.TargetsByService[service], at)
 }
 
 // Partition returns the partition of a key of a service divided by key.
--- a/config/check.go
+++ b/config/check.go
@@ -69,12 +69,18 @@
 	return p.err()
 }
 
+// maxVersionLength is the maximum length of a version in bytes, as in announcements of targets.
+const maxVersionLength = 128
+
 // Check fills in defaults and checks the settings. The error is Invalid and names every wrong field.
 func (s *TargetSettings) Check() error {
 	s.fill()
 	p := &problems{}
 	p.name("service", s.Service)
 	p.name("availability_zone", s.Zone)
+	if len(s.Version) > maxVersionLength {
+		p.add("version", "%d bytes are not between 0 and %d", len(s.Version), maxVersionLength)
+	}
 	p.listener(listener{"listen", s.Listen, "advertise", s.Advertise})
 	p.loopback("node_announce", s.NodeAnnounce)
 	if s.Listen != "" && s.Listen == s.NodeAnnounce {
--- a/config/settings.go
+++ b/config/settings.go
@@ -109,6 +109,8 @@
 // TargetSettings are the settings of zinnia-target, the sample target.
 type TargetSettings struct {
 	Service string `json:"service"`
+	// Version is that of the software of the target, which roll-outs tell targets apart by. Default none.
+	Version string `json:"version,omitempty"`
 	Zone    string `json:"availability_zone"`
 	Listen  string `json:"listen"`
 	// Advertise is the address that the node reaches the target under. Default Listen.
--- a/gate/load.go
+++ b/gate/load.go
@@ -63,3 +63,10 @@
 	g.limiter.advance(now)
 	return g.load.advance(now, g.running), g.limiter.cold
 }
+
+// Requests returns the number of requests that run or wait.
+func (g *Gate) Requests() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.running + g.queue.Len()
+}
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -32,6 +32,8 @@
 	stream      io.Reader // nil if the buffer is the whole body
 	streamRead  atomic.Bool
 	streamEnded atomic.Bool // the stream has been read to its end
+	// streamFailed is set if a read of the stream failed for a reason on the side of its sender.
+	streamFailed atomic.Bool
 	// unblockRead ends a pending read of the stream.
 	unblock func()
 	// release returns the memory of the buffer; nil for a small body.
@@ -200,6 +202,9 @@
 		// The server may have discarded bytes before these.
 		return 0, io.ErrClosedPipe
 	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		a.body.streamFailed.Store(true)
+	}
 	return n, err
 }
 
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -94,7 +94,10 @@
 	sentInfo AttemptInfo // what the target is sent about the attempt
 	cancel   context.CancelFunc
 	began    time.Time // when the first byte was about to be sent
+	cold     bool      // the target was in its cold start then
 	outcome  gate.Outcome
+	// ended counts the response for a roll-out once it has been read; nil without one that counts.
+	ended func()
 }
 
 func (r *localAttempt) do(ctx context.Context) (*response, *errkind.Error) {
@@ -123,6 +126,7 @@
 		a.finish()
 		return nil, e
 	}
+	r.trackBody(ctx, resp)
 	if e := a.readSmallBody(r.call.incoming.Method); e != nil {
 		return nil, e
 	}
@@ -154,11 +158,15 @@
 		}
 	}
 	r.call.token.settle()
+	_, r.cold = r.target.Gate().Load()
 	r.began = time.Now()
 	return nil
 }
 
 func (r *localAttempt) end() {
+	if r.ended != nil {
+		r.ended()
+	}
 	r.cancel()
 	r.endAttempt()
 	if !r.call.body.asked() {
@@ -240,6 +248,7 @@
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		r.outcome = gate.Outcome{Failed: true, TimedOutAfter: time.Since(r.began)}
+		r.countOutcome(true)
 		return errkind.New(errkind.TargetTimeout, "target %s did not respond in time", r.dest.target)
 	}
 	if ctx.Err() != nil {
@@ -251,6 +260,9 @@
 		return e
 	}
 	r.outcome = gate.Outcome{Failed: true}
+	if !r.call.body.streamFailed.Load() {
+		r.countOutcome(true)
+	}
 	return errkind.New(errkind.Unknown, "target %s: %v", r.dest.target, err)
 }
 
@@ -259,10 +271,12 @@
 func (r *localAttempt) checkResponse(info api.Announcement, resp *http.Response) *errkind.Error {
 	parsed := r.gateway.dialect.ParseResponse(resp, r.sentInfo)
 	if parsed.WrongAttempt {
+		r.countOutcome(true)
 		r.once.closeConn()
 		return errkind.New(errkind.CrossedAnswer, "target %s sent the response to another attempt", info.ID)
 	}
 	if resp.StatusCode == http.StatusSwitchingProtocols {
+		r.countOutcome(true)
 		r.once.closeConn()
 		return errkind.New(errkind.Unknown, "target %s switched protocols", info.ID)
 	}
@@ -281,6 +295,7 @@
 	}
 	r.outcome.Latency = time.Since(r.began)
 	if !endIsDetectable(r.call.incoming.Method, resp) {
+		r.countOutcome(true)
 		return errkind.New(errkind.ShortAnswer, "response of target %s has neither a length nor chunks", info.ID)
 	}
 	return nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,6 +97,7 @@
 	bodies           *bodyPacer
 	bodyMemory       bodyMemory
 	departures       departures
+	outcomes         outcomeCounts
 
 	closing     atomic.Bool
 	leaving     atomic.Pointer[leave] // nil for a process that goes on
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -24,11 +24,12 @@
 
 // attemptHedged makes an attempt and, for an idempotent request, a second one at another target
 // once the first takes longer than the 95th percentile. It returns the first response and cancels
-// the other attempt. used are the targets tried.
+// the other attempt. used are the targets tried. An attempt at a canary target is not hedged: it would be cancelled,
+// and a slow version would show no slow responses.
 func (g *Gateway) attemptHedged(ctx context.Context, v *api.View, c *call, p destination, tried []api.TargetID) (a *response, used []api.TargetID, e *errkind.Error) {
 	used = []api.TargetID{p.target}
 	p95 := g.latencies.get(c.service.Name).p95Latency()
-	if p95 == 0 || !g.hedgeable(v, c) {
+	if p95 == 0 || !g.hedgeable(v, c) || isCanary(v.Index, c.service.Name, p.target) {
 		a, e = g.attempt(ctx, v, c, p)
 		return a, used, e
 	}
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -176,9 +177,9 @@
 // choose selects a target by the service's policy, an untried one if possible. Errors: NoTarget,
 // Internal.
 func (g *Gateway) choose(v *api.View, c *call, tried []api.TargetID) (destination, *errkind.Error) {
-	targets := v.Index.TargetsByService[c.service.Name]
+	targets := versionTargets(v.Index, c.service.Name, len(tried) == 0, rand.Float64())
 	if len(targets) == 0 {
-		return destination{}, errkind.New(errkind.NoTarget, "%s has no serving target", c.service.Name)
+		return destination{}, noTarget(v, c.service.Name)
 	}
 	policy, err := targetChoice(cmp.Or(c.service.TargetChoice, g.targetChoice))
 	if err != nil {
--- a/host/announce.go
+++ b/host/announce.go
@@ -72,6 +72,9 @@
 	if !validName(string(a.ID)) || !validName(a.Service) {
 		return errkind.New(errkind.Invalid, "id and service must have 1 to %d bytes", maxNameLength)
 	}
+	if len(a.Version) > maxNameLength {
+		return errkind.New(errkind.Invalid, "version must have at most %d bytes", maxNameLength)
+	}
 	if err := checkAddress(a.Address); err != nil {
 		return err
 	}
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -32,6 +32,7 @@
 
 func (fakeGate) SetNamedRate(float64) {}
 
+func (fakeGate) Requests() int      { return 0 }
 func (fakeGate) NamedRate() float64 { return 0 }
 
 // fakeControl replaces the session and the leader: it renews the lease and publishes assignments.
--- a/host/target.go
+++ b/host/target.go
@@ -118,6 +118,7 @@
 		State:         t.state(),
 		Cold:          cold,
 		Load:          roundLoad(load),
+		Running:       t.gate.Requests(),
 		ServiceMs:     t.gate.ServiceTime().Milliseconds(),
 		RateLimit:     t.gate.NamedRate(),
 		PartitionLoad: partitions,
--- a/node/node.go
+++ b/node/node.go
@@ -178,6 +178,7 @@
 		TLS:          n.tls.Client,
 		TargetSource: n.registry,
 		Tokens:       n.account,
+		Outcomes:     n.gateway.Outcomes,
 		Idle:         func() bool { return n.callersDone.Load() && n.registry.Idle() },
 		Heartbeat:    milliseconds(s.Timing.HeartbeatMs),
 
--- a/session/heartbeat.go
+++ b/session/heartbeat.go
@@ -39,6 +39,7 @@
 		Targets:       s.o.TargetSource.Targets(),
 		Released:      s.o.TargetSource.Released(),
 		Departures:    s.o.TargetSource.Departures(),
+		Outcomes:      s.outcomes.changed(s.o.Outcomes()),
 		Leaving:       s.leaving.Load(),
 	}
 	s.tokens.Report(req)
@@ -136,6 +137,7 @@
 	s.sequence = 0
 	s.o.Tokens.Reset()
 	s.tokens.Reset()
+	s.outcomes.reset()
 	s.publish(&v)
 }
 
@@ -152,12 +154,26 @@
 		log.WithField("configuration", configVersion(next)).WithField("former", configVersion(old)).
 			WithField("label", next.Configuration.Label).WithField("zones_out", next.Configuration.ZonesOut).
 			Info("Configuration applied.")
+		logRollouts(old.Configuration, next.Configuration)
 	}
 	if next.PeersVersion != old.PeersVersion {
 		log.WithField("nodes", len(next.Peers)).WithField("version", next.PeersVersion).Info("List of nodes changed.")
 	}
 }
 
+// logRollouts logs the roll-outs whose phase the node has learned.
+func logRollouts(old, next *api.Configuration) {
+	for i := range next.Rollouts {
+		r := &next.Rollouts[i]
+		if former := old.FindRollout(r.Service); former != nil && former.ID == r.ID && former.Phase == r.Phase {
+			continue
+		}
+		telemetry.Logger("rollout").WithField("service", r.Service).WithField("rollout", r.ID).WithField("version", r.Version).
+			WithField("phase", r.Phase).WithField("canaries", len(r.Canary)).WithField("share", r.Share).
+			WithField("reason", r.Reason).Info("Phase of a roll-out applied.")
+	}
+}
+
 // acceptReply validates the reply and publishes the resulting view. A rejected reply changes nothing.
 func (s *Session) acceptReply(req *api.HeartbeatRequest, reply *api.HeartbeatReply, sent time.Time, sentBoot time.Duration) error {
 	old := s.view.Load()
@@ -182,6 +198,7 @@
 	s.recordLeaseExpiry(time.Now())
 	s.leaseExpired = !next.LeaseValid(time.Now())
 	s.tokens.Apply(req, reply)
+	s.outcomes.acknowledge(req.Outcomes, reply.Term)
 	if reply.Issues {
 		s.o.Tokens.RecordLeaderContact(sent)
 	}
--- a/session/session.go
+++ b/session/session.go
@@ -67,6 +67,8 @@
 	TLS          *tls.Config
 	TargetSource TargetSource
 	Tokens       TokenAccount
+	// Outcomes returns the counts of the roll-outs that are running. Default none.
+	Outcomes func() []api.TargetOutcomes
 	// Idle reports whether no request is in flight on the node and no target holds a grant. Leave
 	// waits for it. Default always true.
 	Idle func() bool
@@ -105,6 +107,7 @@
 	leaseExpired bool // the lease has expired and Tokens.Expire was called, or no lease was obtained yet
 	members      *members
 	tokens       *tokens.NodeSync
+	outcomes     outcomeSync
 }
 
 // finishRequest asks for the end of the session, with a final heartbeat if final is set.
@@ -132,6 +135,9 @@
 	if o.Idle == nil {
 		o.Idle = func() bool { return true }
 	}
+	if o.Outcomes == nil {
+		o.Outcomes = func() []api.TargetOutcomes { return nil }
+	}
 	s := &Session{
 		o:            o,
 		wakeCh:       make(chan struct{}, 1),
--- a/target/behaviour.go
+++ b/target/behaviour.go
@@ -26,6 +26,8 @@
 	// StraggleMs is added to the share StraggleShare of the requests.
 	StraggleMs    float64 `json:"straggle_ms"`
 	StraggleShare float64 `json:"straggle_share"`
+	// FailShare is the share of the requests that are answered with status 500 after their work.
+	FailShare float64 `json:"fail_share"`
 	// Shed refuses every request with 503 and Zinnia-Shed.
 	Shed bool `json:"shed"`
 	// BecomeCold starts the cold state anew, once.
@@ -48,6 +50,9 @@
 	if b.StraggleShare < 0 || b.StraggleShare > 1 {
 		return errkind.New(errkind.Invalid, "straggle_share is outside 0..1")
 	}
+	if b.FailShare < 0 || b.FailShare > 1 {
+		return errkind.New(errkind.Invalid, "fail_share is outside 0..1")
+	}
 	for _, ms := range []float64{b.WorkMs, b.StraggleMs, b.LateAnswerMs, b.FreezeMs, b.LoadLagMs} {
 		if ms < 0 || ms > float64(time.Hour.Milliseconds()) {
 			return errkind.New(errkind.Invalid, "a time is outside 0..1 h")
--- a/target/sample.go
+++ b/target/sample.go
@@ -31,6 +31,8 @@
 	Zone string
 	// Service is the service that the target belongs to.
 	Service string
+	// Version is that of the software; empty for none.
+	Version string
 	// Listen is host:port. Default 127.0.0.1:0.
 	Listen string
 	// Advertise is the address that the node reaches the target under. Default: the listener's.
@@ -155,6 +157,7 @@
 	return api.Announcement{
 		ID:            s.o.ID,
 		Service:       s.o.Service,
+		Version:       s.o.Version,
 		Address:       s.advertised(),
 		Slots:         s.o.Slots,
 		ColdSlots:     s.o.ColdSlots,
--- a/target/settings.go
+++ b/target/settings.go
@@ -12,6 +12,7 @@
 		Name:         s.Listen,
 		Zone:         s.Zone,
 		Service:      s.Service,
+		Version:      s.Version,
 		Listen:       s.Listen,
 		Advertise:    s.Advertise,
 		Node:         s.NodeAnnounce,
--- a/target/work.go
+++ b/target/work.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -26,6 +27,7 @@
 	Name         string       `json:"name"`
 	Zone         string       `json:"zone"`
 	Service      string       `json:"service"`
+	Version      string       `json:"version,omitempty"`
 	Organisation string       `json:"organisation"`
 	Method       string       `json:"method"`
 	Path         string       `json:"path"`
@@ -81,6 +83,10 @@
 	s.counters.completed(job.requestID)
 	// A late answer ignores cancellation on purpose.
 	time.Sleep(milliseconds(b.LateAnswerMs))
+	if rand.Float64() < b.FailShare {
+		http.Error(w, "failed on request", http.StatusInternalServerError)
+		return
+	}
 	s.answer(w, r, job, runs, b)
 }
 
@@ -163,6 +169,7 @@
 		Name:         s.o.Name,
 		Zone:         s.o.Zone,
 		Service:      s.o.Service,
+		Version:      s.o.Version,
 		Organisation: r.Header.Get(api.HeaderOrganisation),
 		Method:       r.Method,
 		Path:         r.URL.Path,
