--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -31,6 +31,9 @@
 	State   TargetState `json:"state"`
 	// Cold says that the target is still in its cold-start ramp.
 	Cold bool `json:"cold"`
+	// Warming says that the target is in its cold-start ramp or in a cold start that it has stated. Placement goes by
+	// Cold, since the stated one bounds the rate of requests at the gate.
+	Warming bool `json:"warming,omitempty"`
 	// Load is the moving average of requests in progress at the gate.
 	Load float64 `json:"load"`
 	// ServiceMs is the mean service time in milliseconds; 0 when it is not known.
--- a/gate/load.go
+++ b/gate/load.go
@@ -64,6 +64,15 @@
 	return g.load.advance(now, g.running), g.limiter.cold
 }
 
+// ColdStart reports whether the target is in its cold-start ramp, or in a cold start that it has stated.
+func (g *Gate) ColdStart() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	g.limiter.advance(now)
+	return g.limiter.cold || now.Before(g.startRate.until)
+}
+
 // Requests returns the number of requests that run or wait.
 func (g *Gate) Requests() int {
 	g.mu.Lock()
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -158,7 +158,7 @@
 		}
 	}
 	r.call.token.settle()
-	_, r.cold = r.target.Gate().Load()
+	r.cold = r.target.Gate().ColdStart()
 	r.began = time.Now()
 	return nil
 }
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -32,6 +32,7 @@
 
 func (fakeGate) SetNamedRate(float64) {}
 
+func (fakeGate) ColdStart() bool    { return false }
 func (fakeGate) Requests() int      { return 0 }
 func (fakeGate) NamedRate() float64 { return 0 }
 
--- a/host/registry.go
+++ b/host/registry.go
@@ -34,6 +34,8 @@
 	// Load returns the moving average of running requests, and reports whether the target is in its
 	// cold-start ramp.
 	Load() (load float64, cold bool)
+	// ColdStart reports whether the target is in its cold-start ramp, or in a cold start that it has stated.
+	ColdStart() bool
 	// Requests returns the number of requests that run or wait.
 	Requests() int
 	// ServiceTime returns the mean service time; 0 when it is not known.
--- a/host/target.go
+++ b/host/target.go
@@ -117,6 +117,7 @@
 		Slots:         t.info.Slots,
 		State:         t.state(),
 		Cold:          cold,
+		Warming:       t.gate.ColdStart(),
 		Load:          roundLoad(load),
 		Running:       t.gate.Requests(),
 		ServiceMs:     t.gate.ServiceTime().Milliseconds(),
