--- a/api/control.go
+++ b/api/control.go
@@ -88,7 +88,8 @@
 	// gets a lease or a token, so a new leader knows whom it has to hear from.
 	Sessions []SessionID `json:"sessions,omitempty"`
 	// RolloutElapsed holds the time in milliseconds since the order of each running roll-out, by its id. It is committed
-	// about once a second and does not raise the version of the configuration.
+	// about once a second and does not raise the version of the configuration. The entry of an ended roll-out stays for
+	// the time in which the order may be sent again.
 	RolloutElapsed map[string]int64 `json:"rollout_elapsed,omitempty"`
 }
 
@@ -116,8 +117,18 @@
 	// Replace replaces services, organisations and organisation keys as a whole. It is based on
 	// a label: Replacement.BaseLabel takes the place of BaseVersion.
 	Replace ChangeKind = "replace" // Replacement
+	// StartRollout is accepted whatever its BaseVersion, since it changes nothing that another change sets.
+	StartRollout ChangeKind = "start-rollout" // Rollout
 )
 
+// RolloutOrder moves the requests of a service to targets of another version.
+type RolloutOrder struct {
+	Service string `json:"service"`
+	Version string `json:"version"`
+	// DurationMs is the time until the deadline in milliseconds.
+	DurationMs int64 `json:"duration_ms"`
+}
+
 // Replacement is a whole configuration under the operators' own number.
 type Replacement struct {
 	Label         uint64            `json:"label"`
@@ -141,6 +152,7 @@
 	Key          *OrganisationKey `json:"key,omitempty"`
 	Override     *Override        `json:"override,omitempty"`
 	Replacement  *Replacement     `json:"replacement,omitempty"`
+	Rollout      *RolloutOrder    `json:"rollout,omitempty"`
 	// Unconditional changes of a zone ignore BaseVersion and succeed when there is nothing to change.
 	Unconditional bool `json:"unconditional,omitempty"`
 }
@@ -181,6 +193,14 @@
 	ZonesOut      []string          `json:"zones_out"`
 	Services      []ServiceStatus   `json:"services"`
 	Organisations []OrgTokensStatus `json:"organisations"`
+	Rollouts      []RolloutStatus   `json:"rollouts,omitempty"`
+}
+
+// RolloutStatus describes the last roll-out of a service.
+type RolloutStatus struct {
+	Rollout
+	// ElapsedMs is the time since the order as last committed; 0 once the roll-out has ended.
+	ElapsedMs int64 `json:"elapsed_ms,omitempty"`
 }
 
 // MemberStatus describes one control member.
--- a/api/rollout.go
+++ b/api/rollout.go
@@ -24,7 +24,7 @@
 
 // Rollout moves the requests of a service to targets of another version.
 type Rollout struct {
-	// ID is that of the change that ordered the roll-out.
+	// ID is unique: the log index of the order, as text.
 	ID      string `json:"id"`
 	Service string `json:"service"`
 	// Version is the version of the targets that the requests are to move to.
@@ -36,7 +36,8 @@
 	Share float64 `json:"share,omitempty"`
 	// Canary are the targets that get requests in the phase RolloutCanary.
 	Canary []TargetID `json:"canary,omitempty"`
-	// Retired are the versions that the targets had before; set in the phase RolloutCompleted.
+	// Retired are versions that get no requests: those that earlier roll-outs moved the requests away from or rolled
+	// back, and in the phase RolloutCompleted the versions that the targets had before.
 	Retired []string `json:"retired,omitempty"`
 	// Reason says why the roll-out was rolled back.
 	Reason string `json:"reason,omitempty"`
@@ -49,17 +50,13 @@
 // share.
 func (r *Rollout) Admits(id TargetID, version string) bool {
 	isNew := version == r.Version
-	switch r.Phase {
-	case RolloutStarting, RolloutRolledBack:
-		return !isNew
-	case RolloutCanary:
-		return !isNew || r.IsCanary(id)
-	case RolloutSwitching:
-		return isNew
-	case RolloutCompleted:
-		return isNew || !contains(r.Retired, version)
+	switch {
+	case !isNew:
+		return r.Phase != RolloutSwitching && !contains(r.Retired, version)
+	case r.Phase == RolloutCanary:
+		return r.IsCanary(id)
 	}
-	return true
+	return r.Phase == RolloutSwitching || r.Phase == RolloutCompleted
 }
 
 // IsCanary reports whether the target gets the canary share.
@@ -88,9 +85,10 @@
 
 // Latency histogram of a RouteOutcome.
 const (
-	// LatencyBuckets is the number of buckets; the last one has no upper bound.
-	LatencyBuckets = 12
-	// firstLatencyBound is the upper bound of the first bucket; the others are latencyBoundFactor apart, up to 865 ms.
+	// LatencyBuckets is the number of buckets; the last one has no upper bound. With 12, up to 577 ms, three times the
+	// median of a route of 290 ms would lie beyond the last bound.
+	LatencyBuckets = 16
+	// firstLatencyBound is the upper bound of the first bucket; the others are latencyBoundFactor apart, up to 2.9 s.
 	firstLatencyBound  = 10 * time.Millisecond
 	latencyBoundFactor = 1.5
 )
--- a/control/control.go
+++ b/control/control.go
@@ -14,6 +14,7 @@
 
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/rollout"
 	"github.com/zinniapier/zinniapier/rpc"
 	"github.com/zinniapier/zinniapier/state"
 	"github.com/zinniapier/zinniapier/telemetry"
@@ -76,6 +77,8 @@
 	RateTolerance tokens.Tolerance
 	// BalanceInterval is the time between two plans by measured load. Default 1 s.
 	BalanceInterval time.Duration
+	// RolloutLimits bound what a bad version may get during a roll-out. Default: those of package rollout.
+	RolloutLimits rollout.Limits
 }
 
 func (o *Options) setDefaults() error {
@@ -88,6 +91,7 @@
 	setDefault(&o.PlanDelay, o.Lease+o.DriftMargin)
 	setDefault(&o.MovesPerTarget, defaultMovesPerTarget)
 	setDefault(&o.BalanceInterval, defaultBalanceInterval)
+	o.RolloutLimits = o.RolloutLimits.OrDefault()
 	return nil
 }
 
@@ -109,6 +113,8 @@
 	wakeCh          chan struct{}
 	leader          *leader // nil on a follower
 	leaderRPC       leaderClient
+	// rolloutClock is used on the control loop only; followers keep it, too.
+	rolloutClock *rolloutClock
 }
 
 // proposalResult reports to the control loop how its proposal ended.
@@ -132,6 +138,7 @@
 		loopCalls:       make(chan func()),
 		proposalResults: make(chan proposalResult),
 		wakeCh:          make(chan struct{}, 1),
+		rolloutClock:    newRolloutClock(),
 	}, nil
 }
 
@@ -165,6 +172,7 @@
 		case <-c.wakeCh:
 		case <-ticker.C:
 		}
+		c.rolloutClock.observe(c.o.Machine.View(), time.Now())
 		if plan {
 			c.startProposal(ctx)
 		}
@@ -202,6 +210,7 @@
 	}
 	c.log.WithField("term", change.Term).Info("Leadership gained.")
 	c.leader = newLeader(&c.o, c.log, change.Term, time.Now())
+	c.leader.rolloutClock = c.rolloutClock
 }
 
 // applyLeadershipChanges applies all leadership changes that are pending, without waiting.
@@ -266,6 +275,7 @@
 		telemetry.CountEvent("assignment_revokes", int64(len(batch.Revokes)))
 		telemetry.CountEvent("assignment_grants", int64(len(batch.Grants)))
 		telemetry.CountEvent("overrides", int64(len(batch.Overrides)))
+		logRolloutSteps(batch, r)
 		return nil
 	case *errkind.Error:
 		return r
@@ -275,7 +285,7 @@
 
 // logBatch logs the steps of a committed batch, grouped by service or target.
 func (c *Control) logBatch(b *state.Batch) {
-	if b.Empty() {
+	if b.Len() == len(b.Rollouts) {
 		return
 	}
 	line := c.log.WithField("term", b.Term)
--- a/control/leader.go
+++ b/control/leader.go
@@ -65,6 +65,9 @@
 	departed    map[string]departedPlace // by place
 	// firstTargetAt holds, by service without any assignment, when its first target was eligible.
 	firstTargetAt map[string]time.Time
+	rolloutClock  *rolloutClock
+	rollouts      map[string]*activeRollout // by id; the running ones, and ended ones that may be ordered again
+	nextRollouts  time.Time
 }
 
 func newLeader(o *Options, log *logrus.Entry, term uint64, now time.Time) *leader {
@@ -90,6 +93,8 @@
 		departed:           make(map[string]departedPlace),
 		firstTargetAt:      make(map[string]time.Time),
 		peers:              newPeerList(term),
+		rolloutClock:       newRolloutClock(),
+		rollouts:           make(map[string]*activeRollout),
 	}
 }
 
@@ -113,6 +118,7 @@
 		l.nextPlan = now.Add(untilNextPlan(time.Since(began)))
 	}
 	l.planSessions(view, now, batch)
+	l.planRollouts(view, now, batch)
 	return batch
 }
 
--- a/control/plan.go
+++ b/control/plan.go
@@ -16,7 +16,9 @@
 // targetInfo is a target of a live session.
 type targetInfo struct {
 	api.TargetReport
-	session  api.SessionID
+	session api.SessionID
+	// serving says that the target takes requests; eligible that it may also own partitions by its version.
+	serving  bool
 	eligible bool
 	zone     string
 }
@@ -64,8 +66,10 @@
 			if zone == "" {
 				zone = s.last.Zone
 			}
-			eligible := t.State == api.TargetServing && !s.last.Leaving && !isOut(c, t.ID, zone, s.last.Zone)
-			targets[t.ID] = &targetInfo{TargetReport: t, session: id, eligible: eligible, zone: zone}
+			serving := t.State == api.TargetServing && !s.last.Leaving && !isOut(c, t.ID, zone, s.last.Zone)
+			r := c.FindRollout(t.Service)
+			eligible := serving && (r == nil || r.Admits(t.ID, t.Version))
+			targets[t.ID] = &targetInfo{TargetReport: t, session: id, serving: serving, eligible: eligible, zone: zone}
 		}
 	}
 	return targets
@@ -135,7 +139,7 @@
 	p.incomingMoves = make(map[api.TargetID]int)
 	service := p.view.Configuration.Services.Find(p.name)
 	p.service = service
-	if p.updateRecentSplits(service) {
+	if p.updateRecentSplits(service) || p.canariesNeedPartitions() {
 		p.balance = true
 	}
 	for i, a := range p.view.Assignments[p.name] {
@@ -313,7 +317,7 @@
 	}
 	slices.SortFunc(list, func(x, y placement.Target) int { return compareTargetIDs(x.ID, y.ID) })
 	p.scaleCapacityBySpeed(list)
-	return list
+	return p.limitCanaries(list)
 }
 
 // partitionLoad returns the load of a partition in requests per second: as reported by its owner, or
--- a/control/session.go
+++ b/control/session.go
@@ -40,6 +40,7 @@
 	}
 	l.recordDepartures(req.Departures, now)
 	l.keepDrained(req.Targets, now)
+	l.recordOutcomes(view, req, now)
 	s.last = *req
 	s.deadline = received.Add(l.o.Lease + l.o.DriftMargin)
 	var replies map[api.OrganisationID]api.TokenReply
--- a/control/status.go
+++ b/control/status.go
@@ -22,6 +22,13 @@
 		Members:       c.members(),
 		ZonesOut:      view.Configuration.ZonesOut,
 	}
+	for _, r := range view.Configuration.Rollouts {
+		status := api.RolloutStatus{Rollout: r}
+		if !r.Phase.Ended() {
+			status.ElapsedMs = view.RolloutElapsed[r.ID]
+		}
+		s.Rollouts = append(s.Rollouts, status)
+	}
 	for _, name := range serviceNames(view) {
 		s.Services = append(s.Services, serviceStatus(name, view.Assignments[name]))
 	}
--- a/control/submit.go
+++ b/control/submit.go
@@ -39,6 +39,20 @@
 	return configuration, nil
 }
 
+// CurrentRollout returns the last roll-out of the service as committed, from the leader if another member leads.
+// Errors: NotFound if there is none; NotLeader, NoQuorum or Unknown when the leader cannot be reached or cannot confirm
+// that it leads.
+func (c *Control) CurrentRollout(ctx context.Context, service string) (*api.Rollout, *errkind.Error) {
+	if _, _, self := c.o.Log.Leader(); self {
+		return c.leaderRollout(ctx, service)
+	}
+	found := new(api.Rollout)
+	if err := c.callLeader(ctx, "Control.Rollout", service, found); err != nil {
+		return nil, err
+	}
+	return found, nil
+}
+
 // Empty is the argument of RPC methods without parameters.
 type Empty struct{}
 
@@ -68,6 +82,34 @@
 	return nil
 }
 
+// Rollout serves a CurrentRollout that another member forwarded.
+func (s *rpcService) Rollout(service string, reply *api.Rollout) error {
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	found, err := s.c.leaderRollout(ctx, service)
+	if err != nil {
+		return err
+	}
+	*reply = *found
+	return nil
+}
+
+// leaderRollout returns NoQuorum until the first entry of the term is applied: before, acknowledged orders of an earlier
+// term may be missing.
+func (c *Control) leaderRollout(ctx context.Context, service string) (*api.Rollout, *errkind.Error) {
+	if err := c.checkLeadership(); err != nil {
+		return nil, err
+	}
+	ready, _ := runOnLoop(ctx, c, func() bool { return c.leader != nil && c.leader.ready })
+	if !ready {
+		return nil, errkind.New(errkind.NoQuorum, "the leader is not ready")
+	}
+	if found := c.o.Machine.View().Configuration.FindRollout(service); found != nil {
+		return found, nil
+	}
+	return nil, errkind.New(errkind.NotFound, "no roll-out of service %q", service)
+}
+
 func (c *Control) leaderConfiguration() (*api.Configuration, *errkind.Error) {
 	if err := c.checkLeadership(); err != nil {
 		return nil, err
@@ -80,6 +122,9 @@
 	if err := c.checkVoters(change); err != nil {
 		return nil, err
 	}
+	if err := c.checkRolloutOrder(ctx, change); err != nil {
+		return &api.ChangeResult{Version: c.o.Machine.View().Configuration.Version, Error: err}, nil
+	}
 	data, err := state.EncodeChange(c.setRangeCounts(ctx, change))
 	if err != nil {
 		return nil, errkind.From(err)
@@ -98,7 +143,7 @@
 			line.WithError(r.Error).Info("Change refused.")
 		} else {
 			line.Info("Change accepted.")
-			c.awaitNodes(ctx, r.Version)
+			c.awaitNodes(ctx, change.Kind, r.Version)
 		}
 		return r, nil
 	case *errkind.Error:
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -126,6 +126,7 @@
 	a.fileCommands(k)
 	a.statusCommand(k)
 	a.placeCommands(k)
+	a.rolloutCommands(k)
 	a.organisationCommands(k)
 	a.keyCommands(k)
 	a.memberCommands(k)
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -31,6 +31,8 @@
 	switch r.URL.Path {
 	case operator.PathStatus:
 		_ = json.NewEncoder(w).Encode(api.Status{Member: "control-a", Leader: "control-a",
+			Rollouts: []api.RolloutStatus{{Rollout: api.Rollout{Service: "quotes", Version: "v2", Phase: api.RolloutRolledBack,
+				DurationMs: 12000, Reason: "failures on all routes"}}},
 			Members: []api.MemberStatus{{Name: "control-a", ID: 11}},
 			Nodes:   []api.NodeStatus{{Name: "host-a1", Targets: []api.TargetReport{{ID: "t1", State: api.TargetServing, Cold: true}}}}})
 	case operator.PathConfiguration:
@@ -72,6 +74,8 @@
 		"target in t1":            {Kind: api.TargetIn, Name: "t1"},
 		"organisation remove lw":  {Kind: api.RemoveOrganisation, Name: "lw"},
 		"key withdraw k1":         {Kind: api.WithdrawKey, Name: "k1"},
+		"rollout start quotes v2 --duration=12s": {Kind: api.StartRollout,
+			Rollout: &api.RolloutOrder{Service: "quotes", Version: "v2", DurationMs: 12000}},
 		"organisation add lw --rate=5 --weight=2": {Kind: api.PutOrganisation,
 			Organisation: &api.Organisation{ID: "lw", Rate: 5, Burst: 5, Weight: 2}},
 	} {
@@ -125,22 +129,26 @@
 func TestExitCodes(t *testing.T) {
 	_, control := start(t)
 	for line, want := range map[string]int{
-		control + " status":                                   ExitOK,
-		"check ../examples/services.json":                     ExitOK,
-		"check --kind=node ../examples/node.json":             ExitOK,
-		"check --kind=target ../examples/node.json":           ExitRefused,
-		control + " --base-version=4 availability-zone out a": ExitRefused,
-		control + " --base-version=0 availability-zone out a": ExitRefused,
-		control + " organisation add lw --rate=-1":            ExitRefused,
-		control + " organisation show nobody":                 ExitRefused,
-		control + " key grant lw --id=-":                      ExitRefused,
-		"":                                                    ExitUsage,
-		"unknown":                                             ExitUsage,
-		"check":                                               ExitUsage,
-		"check --kind=other f":                                ExitUsage,
-		control + " organisation add lw":                      ExitUsage,
-		"--control=here status":                               ExitUsage,
-		"--control=127.0.0.1:1 --timeout=200ms status":        ExitNoAnswer,
+		control + " status":                                             ExitOK,
+		"check ../examples/services.json":                               ExitOK,
+		"check --kind=node ../examples/node.json":                       ExitOK,
+		"check --kind=target ../examples/node.json":                     ExitRefused,
+		control + " --base-version=4 availability-zone out a":           ExitRefused,
+		control + " --base-version=0 availability-zone out a":           ExitRefused,
+		control + " organisation add lw --rate=-1":                      ExitRefused,
+		control + " organisation show nobody":                           ExitRefused,
+		control + " key grant lw --id=-":                                ExitRefused,
+		control + " rollout start quotes v2 --duration=-1s":             ExitRefused,
+		control + " rollout status quotes":                              ExitOK,
+		control + " rollout status nobody":                              ExitRefused,
+		control + " rollout start quotes v2":                            ExitUsage,
+		"":                                                              ExitUsage,
+		"unknown":                                                       ExitUsage,
+		"check":                                                         ExitUsage,
+		"check --kind=other f":                                          ExitUsage,
+		control + " organisation add lw":                                ExitUsage,
+		"--control=here status":                                         ExitUsage,
+		"--control=127.0.0.1:1 --timeout=200ms status":                  ExitNoAnswer,
 		"--control=127.0.0.1:1 --timeout=200ms availability-zone out a": ExitNoAnswer,
 	} {
 		t.Run(line, func(t *testing.T) {
@@ -156,7 +164,7 @@
 func TestEveryCommandHasHelp(t *testing.T) {
 	for _, command := range []string{"", "check", "apply", "status", "availability-zone", "availability-zone out",
 		"availability-zone in", "target out", "target in", "organisation add", "organisation show",
-		"organisation remove", "key grant", "key withdraw", "member list", "member add", "member remove"} {
+		"organisation remove", "rollout start", "rollout status", "key grant", "key withdraw", "member list", "member add", "member remove"} {
 		is := is.New(t)
 		code, out, _ := run(append(strings.Fields(command), "--help")...)
 		is.Equal(code, ExitOK)
@@ -176,6 +184,8 @@
 	is.True(strings.Contains(out, "k1") && !strings.Contains(out, "d1d2"))
 	_, out, _ = run(control, "--json", "organisation", "show", "lw")
 	is.True(json.Valid([]byte(out)) && !strings.Contains(out, "d1d2"))
+	_, out, _ = run(control, "rollout", "status")
+	is.True(strings.Contains(out, "rolled_back") && strings.Contains(out, "failures on all routes"))
 	code, _, _ := run(control, "member", "add", "control-b", "127.0.0.1:9")
 	is.Equal(code, ExitOK)
 	is.Equal(s.member, api.MemberChange{Action: api.AddMember, Name: "control-b", Address: "127.0.0.1:9"})
--- a/ctl/docs_test.go
+++ b/ctl/docs_test.go
@@ -32,7 +32,7 @@
 // capitals stand for values.
 func documentedCommands(page string) []string {
 	var commands []string
-	values := strings.NewReplacer("node|control|target|services", "node", "OLD-ID", "1")
+	values := strings.NewReplacer("node|control|target|services", "node", "OLD-ID", "1", "[SERVICE]", "SERVICE")
 	for _, part := range strings.FieldsFunc(page, func(r rune) bool { return r == '\n' || r == '`' }) {
 		_, arguments, found := strings.Cut(part, "zinniactl ")
 		call := strings.HasPrefix(part, "zinniactl ") || strings.HasPrefix(part, "go run ./cmd/zinniactl ")
--- a/member/member.go
+++ b/member/member.go
@@ -114,6 +114,7 @@
 		BalanceInterval:   m.profile.BalanceInterval,
 		MinVoters:         m.profile.Voters,
 		RateTolerance:     m.profile.RateTolerance,
+		RolloutLimits:     m.profile.RolloutLimits,
 	})
 	if err != nil {
 		return errors.Trace(err)
--- a/member/profile.go
+++ b/member/profile.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/zinniapier/zinniapier/control"
+	"github.com/zinniapier/zinniapier/rollout"
 	"github.com/zinniapier/zinniapier/tokens"
 )
 
@@ -25,6 +26,8 @@
 	AckWait time.Duration
 	// RateTolerance is that of control.Options.
 	RateTolerance tokens.Tolerance
+	// RolloutLimits are those of control.Options.
+	RolloutLimits rollout.Limits
 }
 
 // Spans of a control member on a fraction of a core, for targets that pull their grants.
--- a/state/batch.go
+++ b/state/batch.go
@@ -154,6 +154,13 @@
 	for _, s := range b.Splits {
 		record(s.PartitionRef, e.split(s))
 	}
+	for _, s := range b.Rollouts {
+		if err := e.stepRollout(s); err != nil {
+			result.Rejected = append(result.Rejected, Rejection{api.PartitionRef{Service: s.Service}, err})
+			continue
+		}
+		result.Applied++
+	}
 	result.Applied += e.updateSessions(b.Opens, b.Closes)
 	pruned := e.pruneRemovedServices()
 	m.recordMapChanges(e, pruned)
--- a/state/change.go
+++ b/state/change.go
@@ -14,6 +14,9 @@
 		err := errkind.New(errkind.Invalid, "change without id")
 		return &api.ChangeResult{Version: next.Configuration.Version, Error: err}
 	}
+	if c.Kind == api.StartRollout {
+		return m.startRollout(next, c.Rollout)
+	}
 	if first, ok := m.results.byID[c.ID]; ok {
 		return first
 	}
--- a/state/command.go
+++ b/state/command.go
@@ -29,7 +29,7 @@
 }
 
 // Batch holds steps of a leader on many partitions. They are applied in the order releases, revokes,
-// rebinds, grants, overrides, splits; sessions come last. Each step is applied or rejected
+// rebinds, grants, overrides, splits, roll-outs; sessions come last. Each step is applied or rejected
 // independently. An empty batch marks the start of a leader's term.
 type Batch struct {
 	// Term is the Raft term of the leader that made the batch. A batch of a lower term than one
@@ -43,6 +43,8 @@
 	Rebinds []Grant `json:"rebinds,omitempty"`
 	// Splits split busy partitions.
 	Splits []SplitRange `json:"splits,omitempty"`
+	// Rollouts are steps of roll-outs.
+	Rollouts []RolloutStep `json:"rollouts,omitempty"`
 	// Opens and Closes list the sessions of nodes to open and to close.
 	Opens  []api.SessionID `json:"opens,omitempty"`
 	Closes []api.SessionID `json:"closes,omitempty"`
@@ -54,7 +56,7 @@
 // Len returns the number of steps, including sessions to open and close.
 func (b *Batch) Len() int {
 	return len(b.Releases) + len(b.Revokes) + len(b.Grants) + len(b.Overrides) + len(b.Rebinds) +
-		len(b.Splits) + len(b.Opens) + len(b.Closes)
+		len(b.Splits) + len(b.Rollouts) + len(b.Opens) + len(b.Closes)
 }
 
 // Step names a partition to change and the epoch that its assignment must still have.
--- a/state/services.go
+++ b/state/services.go
@@ -44,6 +44,7 @@
 	old := e.state.Configuration.Services
 	e.state.Configuration.Services = services
 	e.dropOrphanedOverrides()
+	e.dropOrphanedRollouts()
 	for _, v := range services.Services {
 		if _, exists := e.state.Assignments[v.Name]; old.Find(v.Name) == nil && v.Divided() && !exists {
 			e.createAssignments(v)
