--- a/control/rollout.go
+++ b/control/rollout.go
@@ -190,7 +190,7 @@
 		}
 		silent := now.Sub(l.lastHeartbeat(l.sessions[t.session]))
 		x := rollout.Target{
-			ID: id, Zone: t.zone, Version: t.Version, Slots: t.Slots, Cold: t.Cold, Partitions: owned[id],
+			ID: id, Zone: t.zone, Version: t.Version, Slots: t.Slots, Cold: t.Cold || t.Warming, Partitions: owned[id],
 			Serving: t.serving && silent < rolloutContact,
 		}
 		if silent < contactTimeout {
