--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -17,6 +17,8 @@
 	Zone string
 	// Targets are the services of the targets on the host, one target for each entry.
 	Targets []string
+	// Later leaves the start of the targets to the test.
+	Later bool
 }
 
 // Options describe a deployment.
@@ -111,7 +113,7 @@
 	c.t.Helper()
 	var wg sync.WaitGroup
 	for _, p := range c.processes() {
-		if p.Program != program {
+		if p.Program != program || p.later {
 			continue
 		}
 		wg.Go(func() {
--- a/internal/cluster/declare.go
+++ b/internal/cluster/declare.go
@@ -101,11 +101,11 @@
 	c.write(n.Name, &n.Settings)
 	c.Nodes = append(c.Nodes, n)
 	for _, service := range h.Targets {
-		c.addTarget(n, service, announce, o)
+		c.addTarget(n, service, announce, o).later = h.Later
 	}
 }
 
-func (c *Cluster) addTarget(n *Node, service string, announce *endpoint, o Options) {
+func (c *Cluster) addTarget(n *Node, service string, announce *endpoint, o Options) *Target {
 	c.t.Helper()
 	i := len(c.Targets)
 	t := &Target{Process: c.process(fmt.Sprintf("target-%d", i+1), ProgramTarget), Node: n}
@@ -121,6 +121,7 @@
 	}
 	c.write(t.Name, &t.Settings)
 	c.Targets = append(c.Targets, t)
+	return t
 }
 
 // FreeAddress returns a loopback address that nothing listens on.
--- a/internal/cluster/process.go
+++ b/internal/cluster/process.go
@@ -33,6 +33,7 @@
 	logFile   string
 	listeners []string
 	endpoints []*endpoint
+	later     bool // Cluster.Start leaves it out
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
