--- a/rollout/phase_test.go
+++ b/rollout/phase_test.go
@@ -102,7 +102,9 @@
 		{"canary phase began late", func(in *Input) { in.InPhase = second }, 11 * second, false},
 		{"canary phase began very late", func(in *Input) { in.InPhase = second }, 12600 * time.Millisecond, true},
 		{"too few new targets", func(in *Input) { in.Targets = in.Targets[:35] }, 12 * second, false},
-		{"cold new targets", func(in *Input) { in.Targets[25].Cold, in.Targets[26].Cold, in.Targets[27].Cold, in.Targets[28].Cold, in.Targets[29].Cold = true, true, true, true, true }, 12 * second, false},
+		{"cold new targets", func(in *Input) {
+			in.Targets[25].Cold, in.Targets[26].Cold, in.Targets[27].Cold, in.Targets[28].Cold, in.Targets[29].Cold = true, true, true, true, true
+		}, 12 * second, false},
 		{"zone out for old and new", func(in *Input) {
 			for i := range in.Targets {
 				in.Targets[i].Serving = in.Targets[i].Zone != "z1"
