--- a/control/rollout.go
+++ b/control/rollout.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// rolloutInterval is the time between two decisions on running roll-outs.
-	rolloutInterval = 100 * time.Millisecond
+	// rolloutInterval is the time between two decisions on running roll-outs. A judgement of 122 targets with five routes
+	// takes 2 ms.
+	rolloutInterval = 200 * time.Millisecond
 	// elapsedInterval is the time between two commits of the elapsed time. A member that restarts loses as much at
 	// most.
 	elapsedInterval = time.Second
@@ -265,16 +266,17 @@
 	return nil
 }
 
-// allHaveVersion reports whether the service has targets and all of them have the version, without an earlier roll-out
-// to it.
+// allHaveVersion reports whether the service has targets that may get requests and all of them have the version, without
+// an earlier roll-out to it.
 func (l *leader) allHaveVersion(o *api.RolloutOrder, now time.Time) bool {
 	c := &l.o.Machine.View().Configuration
-	if last := c.FindRollout(o.Service); last != nil && last.Version == o.Version || now.Before(l.firstPlanAt) {
+	last := c.FindRollout(o.Service)
+	if last != nil && last.Version == o.Version || now.Before(l.firstPlanAt) {
 		return false
 	}
 	found := false
 	for _, t := range l.targets(c) {
-		if t.Service != o.Service {
+		if t.Service != o.Service || last != nil && !last.Admits(t.ID, t.Version) {
 			continue
 		}
 		if t.Version != o.Version {
--- a/control/rollout_test.go
+++ b/control/rollout_test.go
@@ -240,6 +240,11 @@
 		failures += n.outcome.Failures
 	}
 	is.True(failures <= 50)
+
+	// Targets of the bad version still drain. A roll-out to the version in force would leave the service without targets.
+	is.True(w.allHaveVersion(&api.RolloutOrder{Service: "quotes", Version: "v1"}, w.now))
+	is.True(!w.allHaveVersion(&api.RolloutOrder{Service: "quotes", Version: "v2"}, w.now))
+	is.True(!w.allHaveVersion(&api.RolloutOrder{Service: "quotes", Version: "v3"}, w.now))
 }
 
 // Guards against canary targets that own more or much less than their share of the keys, against partitions of other new
