egress: large responses are paced to the link and read ahead of their transfer

Responses above 32 KiB that leave over the host's link go in chunks of 16 KiB in the order of priority, objective and size; small responses, refusals, requests and uploads are counted, so that large ones yield to them. The target's slot is released once the response is in memory. A caller or node that takes nothing for 5 s is cut off.

--- a/config/settings.go
+++ b/config/settings.go
@@ -75,7 +75,8 @@
 	// MaxBodyBytes bounds a request body. Default 64 MiB.
 	MaxBodyBytes int64 `json:"max_body_bytes,omitempty"`
 	// LinkMbps is the speed of the host's network link in Mbit/s. Large bodies that other nodes send
-	// to this one are spaced so that they leave a quarter of it. Default 0: they are not spaced.
+	// to this one are spaced so that they leave a quarter of it, and large responses that leave over it are paced.
+	// Default 0: neither is done.
 	LinkMbps float64 `json:"link_mbps,omitempty"`
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -34,6 +34,7 @@
 	objectiveAfter time.Duration // latency objective, counted from the caller's first request
 	attemptsLeft   int           // attempts left, including the next one
 	token          heldToken
+	offHost        bool // the response leaves over the link of the host
 }
 
 // destination is the target of an attempt and the node that it is on.
@@ -85,7 +86,7 @@
 	c := &call{
 		incoming: r, id: info.ID, service: matched.pick(), open: matched.open,
 		idempotent: matched.idempotent(r.Method), priority: matched.priority, origin: g.origin,
-		routeName: matched.name,
+		routeName: matched.name, offHost: !fromThisHost(r),
 	}
 	c.history.began = began
 	if err := c.authenticate(v, info.OrganisationKey); err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,6 +96,7 @@
 	requests         *requestLog
 	bodies           *bodyPacer
 	bodyMemory       bodyMemory
+	egress           *pacedLink // nil without a link speed
 	departures       departures
 
 	closing     atomic.Bool
@@ -126,6 +127,7 @@
 		hedges:       newBudget(shareOr(t.HedgeShare, defaultHedgeShare), 0),
 		requests:     newRequestLog(),
 		bodies:       newBodyPacer(t.LinkMbps),
+		egress:       newPacedLink(t.LinkMbps),
 		departures:   departures{admitFor: o.AdmitLeaving},
 	}
 	if g.dialect == nil {
@@ -218,6 +220,7 @@
 // refuseHop sends an error to another node and counts it; that node logs the request.
 func (g *Gateway) refuseHop(w http.ResponseWriter, e *errkind.Error) {
 	telemetry.CountRefusal(e.Kind)
+	g.egress.count(messageOverhead)
 	errkind.WriteHTTP(w, e)
 }
 
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -58,6 +58,7 @@
 	outer := ctx
 	ctx, h.cancel = context.WithCancel(ctx)
 	req := newOutgoingRequest(httptrace.WithClientTrace(ctx, h.trace()), h.call, h.scheme(), h.dest.peer.InternalAddr, h.header())
+	h.gateway.egress.countRequest(req)
 	h.startProbing(ctx)
 	began := time.Now()
 	resp, err := h.conns.roundTrip(req, h.call.body)
--- a/gateway/internal.go
+++ b/gateway/internal.go
@@ -127,6 +127,7 @@
 		priority:   d.Priority,
 		ref:        api.PartitionRef{Service: d.Service, Partition: d.Partition},
 		deadline:   time.Now().Add(time.Duration(d.DeadlineMs) * time.Millisecond),
+		offHost:    true,
 	}
 	c.history.began = time.Now()
 	if d.ObjectiveMs >= 0 {
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -103,7 +103,7 @@
 	if !hasBody(method, a.resp.StatusCode) {
 		return
 	}
-	readErr, writeErr := copyBody(w, a.body, a.resp.ContentLength < 0)
+	readErr, writeErr := g.sendBody(w, c, a)
 	if readErr != nil {
 		e := errkind.New(errkind.ShortAnswer, "response body ended early: %v", readErr)
 		telemetry.CountRefusal(e.Kind)
