egress, gateway: large responses are refused before they run where their link could not deliver in time

Sizes are learned by route, at first nodes and at the nodes of targets; hops carry the route only where its responses are large. The target choice near adds the reported wait for the link.

--- a/api/hop.go
+++ b/api/hop.go
@@ -25,16 +25,20 @@
 	DeadlineMs   int64 // time left
 	// ObjectiveMs is the time left to the latency objective, 0 when it has passed and -1 without one.
 	ObjectiveMs int64
+	// Late is true if the response may miss the objective, since no other target is left to try. It is sent only if it
+	// is true.
+	Late bool
 }
 
 const (
 	hopSeparator = ";"
 	hopFields    = 12
+	hopLate      = "late" // an optional field after the others
 )
 
 // String returns the value of HeaderHop.
 func (h Hop) String() string {
-	return strings.Join([]string{
+	fields := []string{
 		url.QueryEscape(h.Service),
 		url.QueryEscape(h.Route),
 		strconv.Itoa(h.Partition),
@@ -47,13 +51,18 @@
 		strconv.FormatBool(h.Idempotent),
 		strconv.FormatInt(h.DeadlineMs, 10),
 		strconv.FormatInt(h.ObjectiveMs, 10),
-	}, hopSeparator)
+	}
+	if h.Late {
+		fields = append(fields, hopLate)
+	}
+	return strings.Join(fields, hopSeparator)
 }
 
 // ParseHop parses the value of HeaderHop. It fails for a value that String does not return.
 func ParseHop(value string) (Hop, error) {
 	r := hopReader{fields: strings.Split(value, hopSeparator)}
-	if len(r.fields) != hopFields {
+	late := len(r.fields) == hopFields+1 && r.fields[hopFields] == hopLate
+	if len(r.fields) != hopFields && !late {
 		return Hop{}, errors.Errorf("%d fields in the description of a hop, want %d", len(r.fields), hopFields)
 	}
 	h := Hop{
@@ -69,6 +78,7 @@
 		Idempotent:   r.next() == "true",
 		DeadlineMs:   r.number(),
 		ObjectiveMs:  r.number(),
+		Late:         late,
 	}
 	return h, errors.Annotate(r.err, "malformed description of a hop")
 }
--- a/api/hop_test.go
+++ b/api/hop_test.go
@@ -16,7 +16,7 @@
 			Service: text("service"), Route: text("route"), Partition: rapid.Int().Draw(t, "partition"), Epoch: Epoch(rapid.Uint64().Draw(t, "epoch")),
 			Target: TargetID(text("target")), Key: text("key"), Organisation: OrganisationID(text("organisation")), Origin: text("origin"),
 			Priority: rapid.Int().Draw(t, "priority"), Idempotent: rapid.Bool().Draw(t, "idempotent"),
-			DeadlineMs: rapid.Int64().Draw(t, "deadline"), ObjectiveMs: rapid.Int64().Draw(t, "objective"),
+			DeadlineMs: rapid.Int64().Draw(t, "deadline"), ObjectiveMs: rapid.Int64().Draw(t, "objective"), Late: rapid.Bool().Draw(t, "late"),
 		}
 		value := sent.String()
 		for _, r := range value {
@@ -44,7 +44,7 @@
 // Guards against a hop that is run with defaults in place of parameters that were damaged.
 func TestDamagedHopIsRefused(t *testing.T) {
 	value := Hop{Service: "quotes", Partition: 3, Epoch: 7, Target: "t", DeadlineMs: 5, ObjectiveMs: -1}.String()
-	for i, damaged := range []string{"", "1", value + ";1", value[2:] + ";x", "%zz" + value, value[:len(value)-2] + "x"} {
+	for i, damaged := range []string{"", "1", value + ";1", value + ";late;late", value[2:] + ";x", "%zz" + value, value[:len(value)-2] + "x"} {
 		if _, err := ParseHop(damaged); err == nil {
 			t.Errorf("%d: %q is accepted", i, damaged)
 		}
--- a/api/target.go
+++ b/api/target.go
@@ -19,12 +19,13 @@
 	HeaderService      = "Zinnia-Service"
 	HeaderDeadlineMs   = "Zinnia-Deadline-Ms"
 	HeaderAttemptsLeft = "Zinnia-Attempts-Left"
-	// HeaderHop carries a Hop, HeaderExpected and HeaderBodyWaitMs the response to it: the time in which the
-	// target would respond to one more request, and the time until the link of its node is free for a large
-	// body, in milliseconds.
+	// HeaderHop carries a Hop, HeaderExpected, HeaderBodyWaitMs and HeaderLinkWaitMs the response to it: the time
+	// in which the target would respond to one more request, and the times until the link of its node is free for a
+	// large body and for a large response, in milliseconds.
 	HeaderHop        = "Zinnia-Hop"
 	HeaderExpected   = "Zinnia-Expected-Ms"
 	HeaderBodyWaitMs = "Zinnia-Body-Wait-Ms"
+	HeaderLinkWaitMs = "Zinnia-Link-Wait-Ms"
 	HeaderCold       = "Zinnia-Cold"
 	HeaderShed       = "Zinnia-Shed"
 )
--- a/egress/link.go
+++ b/egress/link.go
@@ -84,6 +84,29 @@
 	return ctx.Err()
 }
 
+// Reserve books the link for a response that is about to be processed, and returns when it is expected to have been sent.
+// If that is too late, nothing is booked; otherwise release must be called once, when its transfer is open or will not be.
+func (l *Link) Reserve(d Demand) (took time.Duration, release func(), ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	took, ok = l.scheduler.Reserve(time.Now(), d)
+	if !ok {
+		return took, nil, false
+	}
+	return took, sync.OnceFunc(func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.scheduler.Release(d)
+	}), true
+}
+
+// LargeWait returns how long one more large response would wait for the link.
+func (l *Link) LargeWait() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.scheduler.Wait(time.Now(), math.MaxInt)
+}
+
 // Count records bytes of other traffic that are sent over the link.
 func (l *Link) Count(bytes int64) {
 	l.mu.Lock()
--- a/egress/scheduler.go
+++ b/egress/scheduler.go
@@ -62,34 +62,44 @@
 	waiting  []*Transfer
 	chunks   int
 	backlog  int64 // bytes of open transfers that have not been granted
+	// expected holds, by priority, the bytes that have not been granted, with those reserved.
+	expected map[int]int64
 }
 
 // NewScheduler returns a scheduler for a link of the speed in Mbit/s, which must be positive.
 func NewScheduler(linkMbps float64) *Scheduler {
 	bytesPerSecond := linkMbps * 1e6 / 8
-	return &Scheduler{rate: bytesPerSecond * linkShare, minRate: bytesPerSecond * minShare}
+	return &Scheduler{rate: bytesPerSecond * linkShare, minRate: bytesPerSecond * minShare, expected: make(map[int]int64)}
 }
 
 // Open registers a transfer of the given length in bytes, negative if unknown.
 func (s *Scheduler) Open(t *Transfer, length int64) {
-	t.remaining = max(length, 0)
-	s.backlog += t.remaining
+	s.grow(t, max(length, 0))
+}
+
+// grow adds bytes to what remains of a transfer; a negative number takes them off.
+func (s *Scheduler) grow(t *Transfer, bytes int64) {
+	t.remaining += bytes
+	s.backlog += bytes
+	s.expect(t.Priority, bytes)
+}
+
+func (s *Scheduler) expect(priority int, bytes int64) {
+	if s.expected[priority] += bytes; s.expected[priority] == 0 {
+		delete(s.expected, priority)
+	}
 }
 
 // Close removes a transfer, sent or not.
 func (s *Scheduler) Close(t *Transfer) {
 	s.Withdraw(t)
-	s.backlog -= t.remaining
-	t.remaining = 0
+	s.grow(t, -t.remaining)
 }
 
 // Request registers that the transfer has a chunk of the given length to send.
 func (s *Scheduler) Request(now time.Time, t *Transfer, chunk int64) {
 	s.settle(now)
-	if t.remaining < chunk {
-		s.backlog += chunk - t.remaining
-		t.remaining = chunk
-	}
+	s.grow(t, max(chunk-t.remaining, 0))
 	t.chunk, t.waitingSince = chunk, now
 	s.waiting = append(s.waiting, t)
 }
@@ -126,8 +136,7 @@
 	s.chunks++
 	s.freeAt = s.freeAt.Add(duration(t.chunk, s.rate))
 	s.latestAt = now.Add(duration(t.chunk, s.minRate))
-	t.remaining -= t.chunk
-	s.backlog -= t.chunk
+	s.grow(t, -t.chunk)
 	return t, 0
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -43,6 +43,7 @@
 	session api.SessionID
 	epoch   api.Epoch
 	peer    *api.Peer // nil if the target is on this node
+	late    bool      // a large response may miss the objective, since no other target is left
 }
 
 // heldToken is the rate-limit token of a call. The zero value holds none.
--- a/gateway/choice.go
+++ b/gateway/choice.go
@@ -25,6 +25,8 @@
 	zone string
 	// large is true if the request has a large body.
 	large bool
+	// largeResponse is true if the response is expected to be large.
+	largeResponse bool
 	// serviceLatency is the mean latency of the service at this node; zero if unknown.
 	serviceLatency time.Duration
 }
@@ -44,12 +46,16 @@
 	if !c.large {
 		s.bodyWait = 0
 	}
+	if !c.largeResponse {
+		s.linkWait = 0
+	}
 	return Candidate{
 		Endpoint:        c.targets[i],
 		Outstanding:     l.outstanding.Load(),
 		Latency:         l.decayedLatency(c.now),
 		ReportedLatency: s.expected,
 		BodyWait:        s.bodyWait,
+		LinkWait:        s.linkWait,
 		ServiceLatency:  c.serviceLatency,
 		SameZone:        c.targets[i].Peer.Zone == c.zone,
 	}
@@ -68,6 +74,9 @@
 	// BodyWait is how long a body waits for the link of the target's node, as reported by that node
 	// within loadReportMaxAge; zero for a small body.
 	BodyWait time.Duration
+	// LinkWait is how long a large response waits for the link of the target's node, as BodyWait; zero if the response is
+	// not expected to be large.
+	LinkWait time.Duration
 	// ServiceLatency is the mean latency of the service at this node; zero if unknown.
 	ServiceLatency time.Duration
 	// SameZone is true if the target is in the availability zone of this node.
--- a/gateway/egress.go
+++ b/gateway/egress.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/egress"
 	"github.com/zinniapier/zinniapier/errkind"
 	"github.com/zinniapier/zinniapier/telemetry"
@@ -33,6 +34,7 @@
 	eventPaced      = "egress_paced"       // large responses sent over the link
 	eventPacedBytes = "egress_paced_bytes" // their bytes
 	eventUnread     = "egress_unread"      // cut off since their caller or node did not read
+	eventLinkBusy   = "egress_refused"     // refused before they ran, since the link is taken for too long
 )
 
 // pacedLink is the link of this host, over which large responses are paced. Its methods do nothing on nil, which stands
@@ -104,7 +106,17 @@
 // writeErr means that the caller has disconnected or was cut off.
 func (g *Gateway) sendBody(w http.ResponseWriter, c *call, a *response) (readErr, writeErr error) {
 	length := a.resp.ContentLength
-	if g.egress == nil || !c.offHost {
+	if g.egress == nil {
+		return copyBody(w, a.body, length < 0)
+	}
+	size := &sizeReader{Reader: a.body}
+	a.body = size
+	defer func() {
+		if readErr == nil && writeErr == nil {
+			g.observeSize(c, a, size.bytes)
+		}
+	}()
+	if !c.offHost {
 		return copyBody(w, a.body, length < 0)
 	}
 	if length >= 0 && length <= egress.LargeSize {
@@ -119,6 +131,99 @@
 	return readErr, writeErr
 }
 
+// sizeReader counts the bytes of a response.
+type sizeReader struct {
+	io.Reader
+	bytes int64
+}
+
+// Read implements io.Reader.
+func (r *sizeReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.bytes += int64(n)
+	return n, err
+}
+
+// observeSize learns the size of a complete response. Those of errors say nothing about the others of their route.
+func (g *Gateway) observeSize(c *call, a *response, bytes int64) {
+	if c.routeName != "" && a.resp.StatusCode < http.StatusMultipleChoices {
+		g.sizes.Observe(c.ref.Service, c.routeName, bytes)
+	}
+}
+
+// largeResponse reports whether the response to a call is expected to be large.
+func (g *Gateway) largeResponse(c *call) bool {
+	return g.egress != nil && c.routeName != "" && g.sizes.Large(c.ref.Service, c.routeName)
+}
+
+// reserveLink books the link of this host for the response to a call. release may be called more than once. Errors:
+// Overloaded if the response would come too late.
+func (g *Gateway) reserveLink(c *call, p destination, t LocalTarget) (release func(), e *errkind.Error) {
+	now := time.Now()
+	mean, _ := g.sizes.Expected(c.ref.Service, c.routeName)
+	d := egress.Demand{Priority: c.priority, Bytes: mean, Processing: t.Gate().ExpectedLatency(), Latest: c.deadline}
+	if c.objective.After(now) && !p.late {
+		d.Latest = c.objective
+	}
+	took, release, ok := g.egress.Reserve(d)
+	if !ok {
+		telemetry.CountEvent(eventLinkBusy, 1)
+		t.CountRefusal(c.ref, c.key)
+		return nil, errkind.New(errkind.Overloaded, "response would have left over the link after %v, but must within %v",
+			took, d.Latest.Sub(now))
+	}
+	return release, nil
+}
+
+// dispatchReserved is dispatch for a call whose response may need the link of this host. It refuses one that is expected to
+// be large and to leave too late.
+func (g *Gateway) dispatchReserved(ctx context.Context, v *api.View, c *call, p destination, t LocalTarget, id string, fromHop bool) (
+	*response, *errkind.Error) {
+	if !c.offHost || !g.largeResponse(c) {
+		return g.dispatch(ctx, v, c, p, t, id, fromHop)
+	}
+	// Another owner may have a link that is free.
+	if err := checkGrant(v, c.ref, p.epoch, c.key); err != nil {
+		return nil, errkind.From(err)
+	}
+	release, e := g.reserveLink(c, p, t)
+	if e != nil {
+		return nil, e
+	}
+	a, e := g.dispatch(ctx, v, c, p, t, id, fromHop)
+	if e != nil {
+		release()
+		return nil, e
+	}
+	a.releaseLink = release
+	a.onFinish(release)
+	return a, nil
+}
+
+// lastTarget reports whether a call that is refused at its next target will not be tried at another one. A response
+// that is late is then better than none.
+func lastTarget(v *api.View, c *call, tried []api.TargetID) bool {
+	return len(tried) >= maxFailovers || len(untried(v.Index.TargetsByService[c.service.Name], tried)) <= 1
+}
+
+// returnRefusedHedge gives an attempt back to a call whose second attempt was refused before its target saw it, as where
+// the link of that target could not deliver the response in time.
+func (r *race) returnRefusedHedge(got raceResult) {
+	if !got.first && got.err.NotRun && !got.err.Sent {
+		r.call.attemptsLeft++
+	}
+}
+
+// reportWait tells another node how long a large response waits for the link of this host.
+func (l *pacedLink) reportWait(h http.Header) {
+	if l == nil {
+		return
+	}
+	if wait := l.LargeWait(); wait >= time.Millisecond {
+		setHeader(h, api.HeaderLinkWaitMs, formatMilliseconds(wait))
+	}
+}
+
 // send reads a large response, or one of unknown length, into memory and sends it in chunks when the link is free for
 // it. The target is done with the response once it has been read, however slowly it is sent.
 func (l *pacedLink) send(w http.ResponseWriter, c *call, a *response) (readErr, writeErr error) {
@@ -131,6 +236,9 @@
 	transfer := &egress.Transfer{Priority: c.priority, Objective: c.objective, Deadline: c.deadline}
 	l.Open(transfer, length)
 	defer l.Close(transfer)
+	if a.releaseLink != nil {
+		a.releaseLink()
+	}
 	spool := egress.NewSpool(a.body, length, l.Memory(), a.finish)
 	defer spool.Close(func() { _ = a.resp.Body.Close() })
 	unpaced := int64(0) // bytes that go before a response of unknown length counts as large
--- a/gateway/egress_test.go
+++ b/gateway/egress_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/config"
 	"github.com/zinniapier/zinniapier/egress"
 	"github.com/zinniapier/zinniapier/errkind"
@@ -151,3 +152,126 @@
 		is.Equal(fromThisHost(r), want)
 	}
 }
+
+// nameRoute names the route of the service "orders" and gives it an objective.
+func nameRoute(n *testNode) {
+	r := &n.now.Load().Configuration.Services.Services[1].Routes[0]
+	r.Name, r.ObjectiveMs = "order", 600
+}
+
+// Guards against owners' nodes that do not learn which responses are large, and against the name of the route in the hops
+// of small ones.
+func TestOwnerLearnsLargeRoutes(t *testing.T) {
+	for size, withLength := range map[int]bool{100: true, 100_000: true, 90_000: false} {
+		is := is.New(t)
+		a, b := newEgressNodes(t, 1000, sendBytes(make([]byte, size), withLength))
+		nameRoute(a)
+		for range 12 {
+			is.Equal(a.call(t, "GET", "/orders/k", "").status, http.StatusOK)
+		}
+		mean, _ := b.sizes.Expected("orders", "order")
+		if size > egress.LargeSize {
+			is.Equal(mean, int64(size))
+		} else {
+			is.Equal(mean, int64(0))
+		}
+	}
+}
+
+// Guards against large responses that wait for a busy link while another target's link is free, against attempts that
+// refusals for the link cost, and against a link wait that first nodes do not learn of.
+func TestBusyLinkIsRefusedBeforeTheRequestRuns(t *testing.T) {
+	is := is.New(t)
+	none := 0.0
+	traffic := config.Traffic{Attempts: 1, RetryShare: &none, HedgeShare: &none, LinkMbps: 100}
+	target := newTarget(t, sendBytes(make([]byte, 100_000), true))
+	other := newTarget(t, sendBytes(make([]byte, 100_000), true))
+	a := newNode(t, "a", "", traffic)
+	b := newNode(t, "b", target.addr(), traffic)
+	c := newNode(t, "c", other.addr(), traffic)
+	connect(nil, a, b, c)
+	nameRoute(a)
+	for _, n := range []*testNode{a, b, c} {
+		for range 8 {
+			n.sizes.Observe("orders", "order", 100_000)
+		}
+	}
+	_, release, ok := b.egress.Reserve(egress.Demand{Bytes: 1 << 30})
+	is.True(ok)
+	refused := telemetry.Events(eventLinkBusy)
+	for range 20 {
+		is.Equal(a.call(t, "GET", "/orders/k", "").status, http.StatusOK)
+	}
+	is.Equal(target.runs.Load(), int64(0))
+	is.Equal(other.runs.Load(), int64(20))
+	is.True(telemetry.Events(eventLinkBusy) > refused)
+	is.True(a.loads.get("t-b").last.linkWait > time.Second)
+	_, releaseOther, _ := c.egress.Reserve(egress.Demand{Bytes: 1 << 30})
+	got := a.call(t, "GET", "/orders/k", "")
+	is.Equal(got.kind, errkind.Overloaded)
+	is.Equal(got.notRun, "true")
+	release()
+	releaseOther()
+	is.Equal(a.call(t, "GET", "/orders/k", "").status, http.StatusOK)
+	is.Equal(b.egress.LargeWait() < time.Second && c.egress.LargeWait() < time.Second, true) // nothing stays booked
+}
+
+// Guards against a refusal of a response that would miss its objective only, where no other target is left.
+func TestLastTargetMayBeLate(t *testing.T) {
+	is := is.New(t)
+	a, b := newEgressNodes(t, 100, sendBytes(make([]byte, 100_000), true))
+	nameRoute(a)
+	for _, n := range []*testNode{a, b} {
+		for range 8 {
+			n.sizes.Observe("orders", "order", 100_000)
+		}
+	}
+	_, release, _ := b.egress.Reserve(egress.Demand{Bytes: 100e6 / 8}) // more than a second
+	defer release()
+	is.Equal(a.call(t, "GET", "/orders/k", "").status, http.StatusOK)
+	e := func(late bool) *errkind.Error {
+		c := &call{offHost: true, routeName: "order", deadline: time.Now().Add(10 * time.Second), objective: time.Now().Add(time.Second / 2)}
+		c.ref.Service = "orders"
+		release, e := b.reserveLink(c, destination{late: late}, b.local)
+		if e == nil {
+			release()
+		}
+		return e
+	}
+	is.Equal(e(true), nil)
+	is.Equal(e(false).Kind, errkind.Overloaded)
+	is.True(e(false).NotRun)
+}
+
+// Guards against large responses that are asked of a target whose link is busy, and against small ones that avoid it.
+func TestNearChoiceAddsTheLinkWait(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	loads := &loadTable{}
+	loads.get("busy").recordReport(loadReport{expected: 50 * time.Millisecond, linkWait: time.Second, at: now})
+	loads.get("free").recordReport(loadReport{expected: 80 * time.Millisecond, at: now})
+	at := func(id string) api.TargetAt {
+		return api.TargetAt{Target: api.PeerTarget{ID: api.TargetID(id), Slots: 10}, Peer: &api.Peer{Zone: "a"}}
+	}
+	for large, want := range map[bool]int{false: 0, true: 1} {
+		c := Candidates{targets: []api.TargetAt{at("busy"), at("free")}, loads: loads, now: now, zone: "a", largeResponse: large}
+		is.Equal(nearChoice{}.Choose(c), want)
+	}
+}
+
+// Guards against a second attempt that costs one although the link of its target refused it.
+func TestRefusedHedgeCostsNoAttempt(t *testing.T) {
+	is := is.New(t)
+	c := &call{attemptsLeft: 1}
+	r := newRace(nil, nil, c)
+	refusal := errkind.New(errkind.Overloaded, "link is taken")
+	r.cancels = [2]context.CancelFunc{func() {}, func() {}}
+	_, _ = r.finishAttempt(raceResult{err: refusal, first: true})
+	is.Equal(c.attemptsLeft, 1)
+	_, _ = r.finishAttempt(raceResult{err: refusal})
+	is.Equal(c.attemptsLeft, 2)
+	sent := errkind.New(errkind.Overloaded, "target sheds load")
+	sent.Sent = true
+	_, _ = r.finishAttempt(raceResult{err: sent})
+	is.Equal(c.attemptsLeft, 2)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/config"
+	"github.com/zinniapier/zinniapier/egress"
 	"github.com/zinniapier/zinniapier/errkind"
 	"github.com/zinniapier/zinniapier/gate"
 	"github.com/zinniapier/zinniapier/telemetry"
@@ -97,6 +98,7 @@
 	bodies           *bodyPacer
 	bodyMemory       bodyMemory
 	egress           *pacedLink // nil without a link speed
+	sizes            egress.Sizes
 	departures       departures
 
 	closing     atomic.Bool
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -129,6 +129,7 @@
 func (r *race) finishAttempt(got raceResult) (*response, *errkind.Error) {
 	cancel := r.cancels[cancelIndex(got.first)]
 	if got.err != nil {
+		r.returnRefusedHedge(got)
 		cancel()
 		return nil, got.err
 	}
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -133,6 +133,10 @@
 	if r := h.gateway.view().Configuration.FindRollout(c.ref.Service); r != nil && !r.Phase.Ended() {
 		d.Route = c.routeName
 	}
+	if h.gateway.largeResponse(c) {
+		d.Route = c.routeName // the owner's node learns its size
+		d.Late = h.dest.late
+	}
 	if !c.objective.IsZero() {
 		d.ObjectiveMs = max(time.Until(c.objective), 0).Milliseconds()
 	}
@@ -239,7 +243,9 @@
 	if expected, ok := parseMilliseconds(resp.Header, api.HeaderExpected); ok {
 		// A node whose link speed is not configured reports no wait.
 		wait, _ := parseMilliseconds(resp.Header, api.HeaderBodyWaitMs)
-		h.gateway.loads.get(h.dest.target).recordReport(loadReport{expected: expected, bodyWait: wait, at: time.Now()})
+		linkWait, _ := parseMilliseconds(resp.Header, api.HeaderLinkWaitMs)
+		h.gateway.loads.get(h.dest.target).recordReport(
+			loadReport{expected: expected, bodyWait: wait, linkWait: linkWait, at: time.Now()})
 	}
 	if kind := resp.Header.Get(errkind.HeaderKind); kind != "" {
 		return readRefusal(errkind.Kind(kind), resp)
--- a/gateway/internal.go
+++ b/gateway/internal.go
@@ -50,10 +50,11 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	stopReceipt := startReceipt(w, r, time.Duration(receiptShare*float64(g.probeInterval)))
-	a, e := g.dispatch(ctx, g.awaitEpoch(ctx, v, c.ref, p.epoch), c, p, t, id, true)
+	a, e := g.dispatchReserved(ctx, g.awaitEpoch(ctx, v, c.ref, p.epoch), c, p, t, id, true)
 	stopReceipt()
 	setHeader(w.Header(), api.HeaderExpected, formatMilliseconds(t.Gate().ExpectedLatency()))
 	setHeader(w.Header(), api.HeaderBodyWaitMs, formatMilliseconds(g.bodies.wait(time.Now())))
+	g.egress.reportWait(w.Header())
 	g.requests.logAttempt(c, p, id, v, e)
 	if e != nil {
 		g.refuseHop(w, givenUp(ctx, e))
@@ -140,7 +141,7 @@
 	if org := v.Index.Organisations[c.org]; org != nil {
 		c.weight = org.Weight
 	}
-	return c, destination{target: d.Target, epoch: d.Epoch}, checkService(v, c.ref)
+	return c, destination{target: d.Target, epoch: d.Epoch, late: d.Late}, checkService(v, c.ref)
 }
 
 // requestID returns the caller's ID of the request, for logs.
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -38,6 +38,7 @@
 type loadReport struct {
 	expected time.Duration // of one more request
 	bodyWait time.Duration // until the node's link is free for a large body
+	linkWait time.Duration // until the node's link is free for a large response
 	at       time.Time     // when it arrived
 }
 
--- a/gateway/near.go
+++ b/gateway/near.go
@@ -65,7 +65,8 @@
 	if base == 0 {
 		base = assumedLatency
 	}
-	t := base.Seconds()*(1+float64(c.Outstanding)/float64(max(c.Endpoint.Target.Slots, 1))) + c.BodyWait.Seconds()
+	t := base.Seconds()*(1+float64(c.Outstanding)/float64(max(c.Endpoint.Target.Slots, 1))) +
+		c.BodyWait.Seconds() + c.LinkWait.Seconds()
 	if !c.SameZone {
 		t *= penalty
 	}
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -29,6 +29,8 @@
 	body     io.Reader
 	cleanups []func()
 	done     bool
+	// releaseLink returns the booking of the link of this host; nil for none. It may be called more than once.
+	releaseLink func()
 }
 
 // onFinish registers a function to run when the response is finished; it runs at once if finish was
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -62,7 +62,7 @@
 	if !owner.Serves() {
 		return nil, errkind.New(errkind.NoOwner, "partition %d of %s has no owner", c.ref.Partition, c.ref.Service)
 	}
-	p := destination{target: owner.Target, session: owner.Session, epoch: owner.Epoch}
+	p := destination{target: owner.Target, session: owner.Session, epoch: owner.Epoch, late: true}
 	if owner.Session != v.Session {
 		p.peer = v.Index.Peers[owner.Session]
 		if p.peer == nil {
@@ -135,6 +135,7 @@
 		if e != nil {
 			return nil, e
 		}
+		p.late = lastTarget(v, c, tried)
 		a, used, e := g.attemptHedged(ctx, v, c, p, tried)
 		if e == nil {
 			return a, nil
@@ -189,7 +190,7 @@
 	}
 	i := policy.Choose(Candidates{
 		targets: targets, loads: &g.loads, now: time.Now(), zone: v.Zone,
-		large: c.body.large(), serviceLatency: g.latencies.get(c.service.Name).meanLatency(),
+		large: c.body.large(), largeResponse: g.largeResponse(c), serviceLatency: g.latencies.get(c.service.Name).meanLatency(),
 	})
 	return destinationOf(v, targets[i]), nil
 }
@@ -256,5 +257,5 @@
 	defer func() {
 		g.loads.get(p.target).recordReport(loadReport{expected: t.Gate().ExpectedLatency(), at: time.Now()})
 	}()
-	return g.dispatch(ctx, v, c, p, t, id, false)
+	return g.dispatchReserved(ctx, v, c, p, t, id, false)
 }
