--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/config"
+	"github.com/zinniapier/zinniapier/egress"
 	"github.com/zinniapier/zinniapier/errkind"
 	"github.com/zinniapier/zinniapier/gate"
 	"github.com/zinniapier/zinniapier/telemetry"
@@ -96,6 +97,8 @@
 	requests         *requestLog
 	bodies           *bodyPacer
 	bodyMemory       bodyMemory
+	egress           *pacedLink // nil without a link speed
+	sizes            egress.Sizes
 	departures       departures
 	outcomes         outcomeCounts
 
@@ -127,6 +130,7 @@
 		hedges:       newBudget(shareOr(t.HedgeShare, defaultHedgeShare), 0),
 		requests:     newRequestLog(),
 		bodies:       newBodyPacer(t.LinkMbps),
+		egress:       newPacedLink(t.LinkMbps),
 		departures:   departures{admitFor: o.AdmitLeaving},
 	}
 	if g.dialect == nil {
@@ -219,6 +223,7 @@
 // refuseHop sends an error to another node and counts it; that node logs the request.
 func (g *Gateway) refuseHop(w http.ResponseWriter, e *errkind.Error) {
 	telemetry.CountRefusal(e.Kind)
+	g.egress.count(messageOverhead)
 	errkind.WriteHTTP(w, e)
 }
 
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -29,6 +29,8 @@
 	body     io.Reader
 	cleanups []func()
 	done     bool
+	// releaseLink returns the booking of the link of this host; nil for none. It may be called more than once.
+	releaseLink func()
 }
 
 // onFinish registers a function to run when the response is finished; it runs at once if finish was
@@ -103,7 +105,7 @@
 	if !hasBody(method, a.resp.StatusCode) {
 		return
 	}
-	readErr, writeErr := copyBody(w, a.body, a.resp.ContentLength < 0)
+	readErr, writeErr := g.sendBody(w, c, a)
 	if readErr != nil {
 		e := errkind.New(errkind.ShortAnswer, "response body ended early: %v", readErr)
 		telemetry.CountRefusal(e.Kind)
