--- a/state/rollout.go
+++ b/state/rollout.go
@@ -81,7 +81,8 @@
 	next.RolloutElapsed[added.ID] = 0
 	cfg.Rollouts = slices.DeleteFunc(slices.Clone(cfg.Rollouts), func(r api.Rollout) bool { return r.Service == o.Service })
 	cfg.Rollouts = append(cfg.Rollouts, added)
-	cfg.Version, cfg.OperatorVersion = next.Index, next.Index
+	// OperatorVersion stays: an order conflicts with no other change.
+	cfg.Version = next.Index
 	return &api.ChangeResult{Version: next.Index}
 }
 
