gateway: resets are no ends of responses, statuses that are none are refused

A response without a length that ends with a regular close is delivered. Statuses outside of 200 to 599 end as 502 with unknown, from targets and from other nodes.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -254,18 +254,17 @@
 	return errkind.New(errkind.Unknown, "target %s: %v", r.dest.target, err)
 }
 
-// checkResponse checks the header of a response. Errors: CrossedAnswer, ShortAnswer, Unknown, and
-// the target's refusal.
+// checkResponse checks the header of a response. Errors: CrossedAnswer, Unknown, and the target's refusal.
 func (r *localAttempt) checkResponse(info api.Announcement, resp *http.Response) *errkind.Error {
+	if !isFinalStatus(resp.StatusCode) {
+		r.once.closeConn()
+		return errkind.New(errkind.Unknown, "target %s sent the status %03d, with which no response ends", info.ID, resp.StatusCode)
+	}
 	parsed := r.gateway.dialect.ParseResponse(resp, r.sentInfo)
 	if parsed.WrongAttempt {
 		r.once.closeConn()
 		return errkind.New(errkind.CrossedAnswer, "target %s sent the response to another attempt", info.ID)
 	}
-	if resp.StatusCode == http.StatusSwitchingProtocols {
-		r.once.closeConn()
-		return errkind.New(errkind.Unknown, "target %s switched protocols", info.ID)
-	}
 	statement := r.gateway.dialect.ParseStatement(resp.Header)
 	r.target.ReportStatement(statement.RateLimit, statement.Leaving)
 	if parsed.ColdRemaining >= 0 {
@@ -280,8 +279,5 @@
 		return parsed.Refusal
 	}
 	r.outcome.Latency = time.Since(r.began)
-	if !endIsDetectable(r.call.incoming.Method, resp) {
-		return errkind.New(errkind.ShortAnswer, "response of target %s has neither a length nor chunks", info.ID)
-	}
 	return nil
 }
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -229,12 +229,16 @@
 }
 
 // checkResponse checks that the response belongs to this attempt and converts a refusal by the
-// owner's node into an error. Errors: CrossedAnswer, ShortAnswer, and the refusal.
+// owner's node into an error. Errors: CrossedAnswer, ShortAnswer, Unknown, and the refusal.
 func (h *hop) checkResponse(resp *http.Response) *errkind.Error {
 	if resp.Header.Get(api.HeaderAttempt) != h.id {
 		h.once.closeConn()
 		return errkind.New(errkind.CrossedAnswer, "node %s sent the response to another attempt", h.dest.peer.Name)
 	}
+	if !isFinalStatus(resp.StatusCode) {
+		h.once.closeConn()
+		return errkind.New(errkind.Unknown, "node %s sent the status %03d, with which no response ends", h.dest.peer.Name, resp.StatusCode)
+	}
 	if expected, ok := parseMilliseconds(resp.Header, api.HeaderExpected); ok {
 		// A node whose link speed is not configured reports no wait.
 		wait, _ := parseMilliseconds(resp.Header, api.HeaderBodyWaitMs)
@@ -246,7 +250,7 @@
 	if h.gateway.dialect.ParseStatement(resp.Header).Leaving {
 		h.gateway.departures.record(h.dest.target, time.Now())
 	}
-	if !endIsDetectable(h.call.incoming.Method, resp) {
+	if endsWithConnection(h.call.incoming.Method, resp) {
 		return errkind.New(errkind.ShortAnswer, "response of node %s has neither a length nor chunks", h.dest.peer.Name)
 	}
 	return nil
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -59,11 +59,6 @@
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-// endIsDetectable reports whether a complete body can be told from a broken connection.
-func endIsDetectable(method string, resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || !hasBody(method, resp.StatusCode)
-}
-
 // readSmallBody reads a body of at most copyBufferSize bytes to its end, which frees the slot and
 // the connection before a slow caller has received it. Errors: ShortAnswer.
 func (a *response) readSmallBody(method string) *errkind.Error {
@@ -73,6 +68,9 @@
 		a.finish()
 		return nil
 	}
+	if endsWithConnection(method, a.resp) {
+		return a.readFirstPart()
+	}
 	if length < 0 || length > copyBufferSize {
 		a.body = a.resp.Body
 		return nil
@@ -110,7 +108,7 @@
 		g.requests.logRefused(c.incoming, c.id, c, g.view(), e)
 	}
 	if readErr != nil || writeErr != nil {
-		panic(http.ErrAbortHandler)
+		abortResponse(c.incoming)
 	}
 }
 
