--- /dev/null
+++ b/gate/capacity.go
@@ -0,0 +1,434 @@
+package gate
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// minCapacity is the lowest capacity that is learned.
+	minCapacity = 2
+	// downShare and upShare are the other limit of a trial, relative to the present one. A smaller difference
+	// needs more responses than a target gives in a few seconds.
+	downShare, upShare = 0.6, 1.4
+	// minConcurrencyRatio is the ratio of the mean concurrencies below which a trial decides nothing.
+	minConcurrencyRatio = 1.2
+	// busyShare is the mean share of the limit that must be in use for a trial.
+	busyShare = 0.7
+	// busyWindow is the time over which that mean is taken.
+	busyWindow = 500 * time.Millisecond
+	// A block of a trial lasts blockLatencies times the latency within these bounds. Requests that start in the last part of
+	// a block, of guardShare, do not count, since they would run in the next one.
+	blockLatencies     = 3
+	guardShare         = 1.0 / 3
+	minBlock, maxBlock = 250 * time.Millisecond, 1500 * time.Millisecond
+	// blockJitter is the greatest relative deviation of a block from that time, so that periodic slowness of a
+	// target does not coincide with one of the limits.
+	blockJitter = 0.3
+	// minPairs and maxPairs are the numbers of pairs of blocks in a trial.
+	minPairs, maxPairs = 2, 8
+	// minBlockSamples is the number of responses that a block must have to count.
+	minBlockSamples = 2
+	// learnerSamples is the number of latencies whose median tells a change of latency.
+	learnerSamples = 64
+	// Trials that change nothing follow each other after these intervals, which double each time.
+	minDownInterval, maxDownInterval = time.Second, 32 * time.Second
+	minUpInterval, maxUpInterval     = time.Second, 4 * time.Second
+	// shiftFactor is the change of latency after which trials begin again at their shortest intervals, at most
+	// every minShiftInterval.
+	shiftFactor      = 1.5
+	minShiftInterval = 5 * time.Second
+)
+
+// Rules of decision. The growth of a trial is the growth of latency from the low to the high limit, relative to that of the
+// concurrency, both as logarithms: 0 for a constant latency, 1 for a constant throughput.
+const (
+	// lowerGrowth is the growth above which a limit is lowered: at most an eighth more responses for 1.8 times the concurrency.
+	lowerGrowth = 0.8
+	// provenGrowth is the growth that must be exceeded by lowerErrors standard errors as well, since trials are many.
+	provenGrowth, lowerErrors = 0.35, 3
+	// raiseGrowth is the growth below which a limit is raised, if that of a constant throughput is raiseErrors standard errors away.
+	raiseGrowth, raiseErrors = 0.4, 2
+	// A trial ends early if its growth is a standard error beyond evenGrowth on the side that changes nothing.
+	evenGrowth = 0.5
+)
+
+// capacityLearner learns how many requests a target runs well at once: the concurrency beyond which latency grows without more
+// responses per second. It alternates between two limits and compares the responses of both, so that slowness which does
+// not depend on the limit has no effect.
+//
+// Load pattern: a busy target that slows down before all its slots are in use. Slow inner calls, slow periods and a slow link
+// look the same to any rule that compares latency with an earlier one.
+//
+// The caller serialises all calls.
+type capacityLearner struct {
+	slots int
+	limit int
+	known bool // a trial has decided
+	rng   *rand.Rand
+
+	last     time.Time
+	integral float64 // of the running requests over time, in seconds
+
+	windowStart    time.Time
+	windowIntegral float64
+	busy           bool // in the last window
+
+	trial     *capacityTrial
+	down, up  trialSchedule
+	recent    [learnerSamples]time.Duration
+	count     int
+	reference time.Duration // recent latency at the end of the last trial
+	lastShift time.Time
+	suspended bool
+	lowered   int // limits lowered and raised since the gate was made
+	raised    int
+}
+
+// trialSchedule is when the next trial in one direction may start.
+type trialSchedule struct {
+	interval, shortest, longest time.Duration
+	next                        time.Time
+}
+
+func (s *trialSchedule) restart(now time.Time) {
+	s.interval = s.shortest
+	s.next = now.Add(s.interval)
+}
+
+func (s *trialSchedule) backOff(now time.Time) {
+	s.next = now.Add(s.interval)
+	s.interval = min(2*s.interval, s.longest)
+}
+
+// capacityTrial compares two limits, the low one first in limits.
+type capacityTrial struct {
+	limits      [2]int
+	upward      bool
+	first       int // limit of the first block
+	block       int
+	blockEnd    time.Time
+	guard       time.Time // requests that start later do not count
+	blockLength time.Duration
+	blocks      [2 * maxPairs]trialBlock
+}
+
+// trialBlock sums up the responses to requests that started in one block.
+type trialBlock struct {
+	count       int
+	log, square float64 // sums of the logarithms of the latencies, and of their squares
+	concurrency float64
+}
+
+// startMark is what a request that started notes for its end.
+type startMark struct {
+	at       time.Time
+	integral float64
+	trial    *capacityTrial // nil if the request does not count for one
+	block    int
+}
+
+// newCapacityLearner returns nil if the target has too few slots for anything to be learned.
+func newCapacityLearner(slots int, seed uint64) *capacityLearner {
+	if slots <= minCapacity {
+		return nil
+	}
+	l := &capacityLearner{slots: slots, limit: slots, rng: rand.New(rand.NewPCG(seed, uint64(slots)))}
+	l.down = trialSchedule{interval: minDownInterval, shortest: minDownInterval, longest: maxDownInterval}
+	l.up = trialSchedule{interval: minUpInterval, shortest: minUpInterval, longest: maxUpInterval}
+	return l
+}
+
+// allowed returns the number of requests that may run now. A nil learner has no limit.
+func (l *capacityLearner) allowed() int {
+	switch {
+	case l == nil:
+		return math.MaxInt
+	case l.trial != nil:
+		return l.trial.limits[l.trial.arm(l.trial.block)]
+	}
+	return l.limit
+}
+
+// settled returns the learned limit, without that of a running trial.
+func (l *capacityLearner) settled() int {
+	if l == nil {
+		return math.MaxInt
+	}
+	return l.limit
+}
+
+// capacity returns the learned capacity; 0 when it is not known.
+func (l *capacityLearner) capacity() float64 {
+	if l == nil || !l.known {
+		return 0
+	}
+	return float64(l.limit)
+}
+
+// arm returns the limit of a block, 0 for the low one.
+func (t *capacityTrial) arm(block int) int { return (t.first + block) % 2 }
+
+// advance notes that running requests ran until now. suspended says that something else limits the target.
+func (l *capacityLearner) advance(now time.Time, running int, suspended bool) {
+	if l == nil {
+		return
+	}
+	if l.last.IsZero() {
+		l.windowStart = now
+		l.down.next, l.up.next = now.Add(l.jitter(l.down.interval)), now.Add(l.jitter(l.up.interval))
+	} else {
+		l.integral += float64(running) * now.Sub(l.last).Seconds()
+	}
+	l.last, l.suspended = now, suspended
+	if suspended && l.trial != nil {
+		l.trial = nil
+		l.down.restart(now)
+		l.up.restart(now)
+	}
+	l.measureLoad(now)
+	if l.trial != nil {
+		l.advanceTrial(now)
+		return
+	}
+	l.startTrial(now)
+}
+
+// measureLoad tells at the end of each window whether the target was busy in it.
+func (l *capacityLearner) measureLoad(now time.Time) {
+	span := now.Sub(l.windowStart)
+	if span < busyWindow {
+		return
+	}
+	mean := (l.integral - l.windowIntegral) / span.Seconds()
+	l.busy = mean >= busyShare*float64(l.limit)
+	l.windowStart, l.windowIntegral = now, l.integral
+}
+
+func (l *capacityLearner) startTrial(now time.Time) {
+	if !l.busy || l.suspended || l.count < learnerSamples {
+		return
+	}
+	l.noteShift(now)
+	switch {
+	case l.limit < l.slots && !now.Before(l.up.next):
+		high := int(math.Round(upShare * float64(l.limit)))
+		l.begin(now, l.limit, min(max(high, l.limit+1), l.slots), true)
+	case l.limit > minCapacity && !now.Before(l.down.next):
+		low := int(math.Round(downShare * float64(l.limit)))
+		l.begin(now, max(low, minCapacity), l.limit, false)
+	}
+}
+
+func (l *capacityLearner) begin(now time.Time, low, high int, upward bool) {
+	length := min(max(blockLatencies*l.recentLatency(), minBlock), maxBlock)
+	l.trial = &capacityTrial{limits: [2]int{low, high}, upward: upward, first: l.rng.IntN(2), blockLength: length}
+	l.beginBlock(now)
+}
+
+func (l *capacityLearner) beginBlock(now time.Time) {
+	t := l.trial
+	length := l.jitter(t.blockLength)
+	t.blockEnd = now.Add(length)
+	t.guard = t.blockEnd.Add(-time.Duration(guardShare * float64(t.blockLength)))
+}
+
+func (l *capacityLearner) jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + blockJitter*(2*l.rng.Float64()-1)))
+}
+
+// noteShift lets trials begin again after the latency has changed.
+func (l *capacityLearner) noteShift(now time.Time) {
+	recent := l.recentLatency()
+	if l.reference == 0 || now.Sub(l.lastShift) < minShiftInterval {
+		return
+	}
+	if ratio := recent.Seconds() / l.reference.Seconds(); ratio > shiftFactor || ratio < 1/shiftFactor {
+		l.lastShift, l.reference = now, recent
+		l.down.restart(now)
+		l.up.restart(now)
+	}
+}
+
+// recentLatency returns the median of the latest latencies.
+func (l *capacityLearner) recentLatency() time.Duration {
+	return median(l.recent[:min(l.count, learnerSamples)])
+}
+
+func (l *capacityLearner) advanceTrial(now time.Time) {
+	t := l.trial
+	if now.Before(t.blockEnd) {
+		return
+	}
+	t.block++
+	// Requests of the last pair may still run, so the pair before it is judged.
+	if done := t.block/2 - 1; t.block%2 == 0 && done >= minPairs {
+		if verdict, decided := t.judge(done); decided || done == maxPairs-1 {
+			l.conclude(now, verdict, decided)
+			return
+		}
+	}
+	l.beginBlock(now)
+}
+
+// start returns the mark of a request that starts now, after advance.
+func (l *capacityLearner) start(now time.Time) startMark {
+	if l == nil {
+		return startMark{}
+	}
+	m := startMark{at: now, integral: l.integral}
+	if t := l.trial; t != nil && now.Before(t.guard) {
+		m.trial, m.block = t, t.block
+	}
+	return m
+}
+
+// end notes the end of a request, after advance. A latency of 0 does not count.
+func (l *capacityLearner) end(now time.Time, m startMark, latency time.Duration) {
+	if l == nil || latency <= 0 {
+		return
+	}
+	l.recent[l.count%learnerSamples] = latency
+	l.count++
+	span := now.Sub(m.at).Seconds()
+	if m.trial == nil || m.trial != l.trial || span <= 0 {
+		return
+	}
+	b := &m.trial.blocks[m.block]
+	x := math.Log(latency.Seconds())
+	b.count++
+	b.log += x
+	b.square += x * x
+	b.concurrency += (l.integral - m.integral) / span
+}
+
+// conclude ends the trial. change says that the other limit is the better one.
+func (l *capacityLearner) conclude(now time.Time, change, decided bool) {
+	t := l.trial
+	l.trial = nil
+	l.known = l.known || decided
+	switch {
+	case change && t.upward:
+		l.limit = t.limits[1]
+		l.raised++
+		l.reference = 0
+		l.down.restart(now)
+		l.up.restart(now)
+		l.up.next = now
+	case change:
+		l.limit = t.limits[0]
+		l.lowered++
+		l.reference = 0
+		l.down.restart(now)
+		l.up.restart(now)
+	default:
+		l.reference = l.recentLatency()
+		if t.upward {
+			l.up.backOff(now)
+		} else {
+			l.down.backOff(now)
+		}
+	}
+}
+
+// judge tells by the first pairs of blocks whether the limit is to change, and whether the trial has decided.
+func (t *capacityTrial) judge(pairs int) (change, decided bool) {
+	growth, deviation, ok := t.growth(pairs)
+	switch {
+	case !ok:
+		return false, false
+	case t.upward:
+		if growth < raiseGrowth && growth+raiseErrors*deviation < 1 {
+			return true, true
+		}
+		return false, growth-deviation > evenGrowth
+	}
+	if growth > lowerGrowth && growth-lowerErrors*deviation > provenGrowth {
+		return true, true
+	}
+	return false, growth+deviation < evenGrowth
+}
+
+// growth returns the growth of latency over the first pairs of blocks, its standard error, and whether there is enough to tell.
+// The error is the greater one of that by responses and that by pairs: slow periods of a target affect whole blocks.
+func (t *capacityTrial) growth(pairs int) (growth, deviation float64, ok bool) {
+	var arms [2]trialBlock
+	var differences []float64
+	for i := range pairs {
+		low, high := &t.blocks[2*i], &t.blocks[2*i+1]
+		if t.first == 1 {
+			low, high = high, low
+		}
+		if low.count < minBlockSamples || high.count < minBlockSamples {
+			continue
+		}
+		differences = append(differences, high.log/float64(high.count)-low.log/float64(low.count))
+		arms[0].add(low)
+		arms[1].add(high)
+	}
+	if len(differences) < minPairs {
+		return 0, 0, false
+	}
+	ratio := (arms[1].concurrency / float64(arms[1].count)) / (arms[0].concurrency / float64(arms[0].count))
+	if ratio < minConcurrencyRatio {
+		return 0, 0, false
+	}
+	scale := math.Log(ratio)
+	mean := arms[1].log/float64(arms[1].count) - arms[0].log/float64(arms[0].count)
+	byResponse := arms[0].variance()/float64(arms[0].count) + arms[1].variance()/float64(arms[1].count)
+	byPair := variance(differences) / float64(len(differences))
+	return mean / scale, math.Sqrt(max(byResponse, byPair)) / scale, true
+}
+
+func (b *trialBlock) add(other *trialBlock) {
+	b.count += other.count
+	b.log += other.log
+	b.square += other.square
+	b.concurrency += other.concurrency
+}
+
+func (b *trialBlock) variance() float64 {
+	n := float64(b.count)
+	return max(b.square-b.log*b.log/n, 0) / (n - 1)
+}
+
+// variance returns the variance of at least two values.
+func variance(values []float64) float64 {
+	var b trialBlock
+	for _, x := range values {
+		b.add(&trialBlock{count: 1, log: x, square: x * x})
+	}
+	return b.variance()
+}
+
+// advanceLearner lets the learner know the time and the running requests. The caller holds the lock.
+func (g *Gate) advanceLearner(now time.Time) {
+	g.learner.advance(now, g.running, g.limiter.limit() < g.limiter.slots || g.limiter.paused)
+}
+
+// allows reports whether that many requests may run at once. The caller holds the lock.
+func (g *Gate) allows(running int) bool {
+	return g.limiter.allows(running) && running <= g.learner.allowed()
+}
+
+// settledLimit returns the limit of running requests, without that of a trial. The caller holds the lock.
+func (g *Gate) settledLimit() int { return min(g.limiter.limit(), g.learner.settled()) }
+
+// Capacity returns the learned number of requests that the target runs well at once; 0 when it is not known.
+func (g *Gate) Capacity() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.learner.capacity()
+}
+
+// workTime returns the time that the target took for a request, as far as the outcome shows it; else zero.
+func (o Outcome) workTime() time.Duration {
+	switch {
+	case o.Shed || o.Cold || o.BodyAwaited:
+		return 0
+	case o.Failed:
+		return o.TimedOutAfter
+	}
+	return o.Latency
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -41,6 +42,9 @@
 	FirstSlots int
 	// FixedLimit disables the adaptive limit: the target may run as many requests as it has slots.
 	FixedLimit bool
+	// LearnCapacity limits the running requests to the number beyond which the target does not respond to more of
+	// them per second, as far as that is known.
+	LearnCapacity bool
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -55,6 +59,8 @@
 	Failed  bool // the target timed out or broke the connection
 	// TimedOutAfter is the time that the target had to respond when it timed out, else zero.
 	TimedOutAfter time.Duration
+	// BodyAwaited says that the latency contains the arrival of the request body, which is no work of the target.
+	BodyAwaited bool
 }
 
 // Stats describes a gate at one moment.
@@ -67,6 +73,8 @@
 	// those reported by a refusal of the target.
 	ColdStartsDetected int
 	ColdStartsReported int
+	// Capacity is the learned number of requests that the target runs well at once; 0 when it is not known.
+	Capacity float64
 }
 
 // Gate admits requests to one target. It is safe for concurrent use.
@@ -81,6 +89,7 @@
 	load      loadAverage
 	startRate startRateLimiter
 	namedRate namedRateLimiter
+	learner   *capacityLearner // nil when no capacity is learned
 	// startTimer admits waiting requests again at startTimerAt, for the limits on starts; zero when it is not
 	// pending.
 	startTimer   *time.Timer
@@ -107,6 +116,9 @@
 		firstSlots: o.FirstSlots,
 	}
 	g.limiter.startCold(g.now())
+	if o.LearnCapacity {
+		g.learner = newCapacityLearner(o.Slots, rand.Uint64())
+	}
 	return g
 }
 
@@ -141,8 +153,9 @@
 
 // Slot is the permission to run one request at the target. It must be released.
 type Slot struct {
-	gate *Gate
-	once sync.Once
+	gate    *Gate
+	once    sync.Once
+	started startMark
 }
 
 // Acquire waits for a slot until ctx ends. A weight that is not positive counts as 1.
@@ -160,35 +173,33 @@
 	if r.Weight <= 0 {
 		r.Weight = 1
 	}
-	w, err := g.admit(ctx, r)
-	if err != nil {
-		return nil, err
+	s, w, err := g.admit(ctx, r)
+	if err != nil || s != nil {
+		return s, err
 	}
-	if w != nil {
-		ctx, cancel := withLatestStart(ctx, w.mean, w.latestStart)
-		defer cancel()
-		if err := g.wait(ctx, w); err != nil {
-			return nil, err
-		}
+	ctx, cancel := withLatestStart(ctx, w.mean, w.latestStart)
+	defer cancel()
+	if err := g.wait(ctx, w); err != nil {
+		return nil, err
 	}
-	return &Slot{gate: g}, nil
+	return &Slot{gate: g, started: w.started}, nil
 }
 
-// admit takes a slot at once and returns nil, or returns the queued waiter.
-func (g *Gate) admit(ctx context.Context, r Request) (*Waiter, error) {
+// admit takes a slot at once, or returns the queued waiter.
+func (g *Gate) admit(ctx context.Context, r Request) (*Slot, *Waiter, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
 	g.limiter.advance(now)
-	if g.queue.Len() == 0 && g.limiter.allows(g.running+1) && g.startWait(now) == 0 {
-		g.start(now)
-		return nil, nil
+	g.advanceLearner(now)
+	if g.queue.Len() == 0 && g.allows(g.running+1) && g.startWait(now) == 0 {
+		return &Slot{gate: g, started: g.start(now)}, nil, nil
 	}
 	if err := g.checkDeadline(ctx, now, r); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if err := g.ensureQueueSpace(r); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	w := &Waiter{Request: r, ready: make(chan struct{}), mean: g.limiter.times.mean}
 	if latestStart := r.LatestStart(now, w.mean); !latestStart.IsZero() {
@@ -198,7 +209,7 @@
 	}
 	g.queue.Push(w)
 	g.admitWaiting()
-	return w, nil
+	return nil, w, nil
 }
 
 // ensureQueueSpace evicts a waiter when the queue is full, or returns Overloaded. The caller holds
@@ -232,14 +243,14 @@
 		if w.err != nil {
 			return w.err
 		}
-		g.release(Outcome{})
+		g.release(w.started, Outcome{})
 	}
 	return errkind.New(errkind.DeadlineExceeded, "request ended in the queue: %v", ctx.Err())
 }
 
 // admitWaiting gives free slots to waiting requests. The caller holds the lock.
 func (g *Gate) admitWaiting() {
-	for g.limiter.allows(g.running + 1) {
+	for g.allows(g.running + 1) {
 		now := g.now()
 		if wait := g.startWait(now); wait > 0 && g.queue.Len() > 0 {
 			g.admitWaitingAfter(wait)
@@ -249,17 +260,19 @@
 		if w == nil {
 			return
 		}
-		g.start(now)
+		w.started = g.start(now)
 		close(w.ready)
 	}
 }
 
 // start counts a request as running. The caller holds the lock.
-func (g *Gate) start(now time.Time) {
+func (g *Gate) start(now time.Time) startMark {
 	g.load.advance(now, g.running)
+	g.advanceLearner(now)
 	g.running++
 	g.startRate.record(now)
 	g.namedRate.record(now)
+	return g.learner.start(now)
 }
 
 // startWait returns how long the limits on starts delay the next one. The caller holds the lock.
@@ -269,16 +282,18 @@
 
 // Release returns the slot and records how the request ended. Only the first call has an effect.
 func (s *Slot) Release(o Outcome) {
-	s.once.Do(func() { s.gate.release(o) })
+	s.once.Do(func() { s.gate.release(s.started, o) })
 }
 
-func (g *Gate) release(o Outcome) {
+func (g *Gate) release(m startMark, o Outcome) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
 	g.limiter.observe(now, o, g.running)
 	g.limiter.advance(now)
 	g.load.advance(now, g.running)
+	g.advanceLearner(now)
+	g.learner.end(now, m, o.workTime())
 	g.running--
 	if o.Cold {
 		g.pauseAdmission()
@@ -306,6 +321,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.limiter.startCold(g.now())
+	if g.learner != nil {
+		g.learner = newCapacityLearner(g.limiter.slots, rand.Uint64())
+	}
 }
 
 // Snapshot returns the present state of the gate.
@@ -317,10 +335,12 @@
 	return Stats{
 		Running: g.running,
 		Queued:  g.queue.Len(),
-		Limit:   g.limiter.limit(),
+		Limit:   g.settledLimit(),
 		Cold:    g.limiter.cold,
 
 		ColdStartsDetected: g.limiter.coldDetected,
 		ColdStartsReported: g.limiter.coldReported,
+
+		Capacity: g.learner.capacity(),
 	}
 }
--- a/gate/load.go
+++ b/gate/load.go
@@ -30,7 +30,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	mean := g.limiter.times.mean
-	limit := g.limiter.limit()
+	limit := g.settledLimit()
 	over := max(g.running+g.queue.Len()+1-limit, 0)
 	return mean + max(mean*time.Duration(over)/time.Duration(limit), g.namedRate.wait(g.now(), g.queue.Len()+1))
 }
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -16,6 +16,7 @@
 	mean  time.Duration // service time of the target when the waiter was queued
 	// latestStart is when the wait ends; zero means that only the context ends it.
 	latestStart time.Time
+	started     startMark // set before ready is closed with a slot
 }
 
 // Queue orders the waiting requests of one target. The gate serialises all calls.
--- a/gate/request.go
+++ b/gate/request.go
@@ -43,17 +43,17 @@
 		return nil
 	}
 	position := g.queue.Ahead(r) + 1
-	wait := max(mean*time.Duration(position)/time.Duration(g.limiter.limit()), g.namedRate.wait(now, position))
+	wait := max(mean*time.Duration(position)/time.Duration(g.settledLimit()), g.namedRate.wait(now, position))
 	if latest := r.LatestStart(now, mean); !latest.IsZero() && now.Add(wait).After(latest) {
 		return errkind.New(errkind.Overloaded, "estimated queue wait %v exceeds the remaining %v; %d of %d slots in use",
-			wait, latest.Sub(now), g.running, g.limiter.limit())
+			wait, latest.Sub(now), g.running, g.settledLimit())
 	}
 	required := wait + mean
 	if deadline.Sub(now) >= required {
 		return nil
 	}
 	return errkind.New(errkind.DeadlineExceeded, "estimated response time %v exceeds the deadline in %v; %d of %d slots in use",
-		required, deadline.Sub(now), g.running, g.limiter.limit())
+		required, deadline.Sub(now), g.running, g.settledLimit())
 }
 
 // withLatestStart ends the wait at the latest start, and when the mean service time no longer fits
