--- a/gate/capacity.go
+++ b/gate/capacity.go
@@ -11,30 +11,48 @@
 	minCapacity = 2
 	// downShare and upShare are the other limit of a trial, relative to the present one. A smaller difference
 	// needs more responses than a target gives in a few seconds.
-	downShare, upShare = 0.6, 1.4
-	// minConcurrencyRatio is the ratio of the mean concurrencies below which a trial decides nothing.
-	minConcurrencyRatio = 1.2
+	downShare, upShare = 0.6, 1.5
+	// minContrast is the difference of the mean concurrencies, relative to that of the limits, below which a trial decides
+	// nothing: the target was not busy enough.
+	minContrast = 0.6
+	// nearSlots is the share of the slots from which a trial with a higher limit goes up to all of them.
+	nearSlots = 0.85
+	// maxSingleStep is the greatest limit that is tried with one more.
+	maxSingleStep = 4
 	// busyShare is the mean share of the limit that must be in use for a trial.
 	busyShare = 0.7
 	// busyWindow is the time over which that mean is taken.
-	busyWindow = 500 * time.Millisecond
+	busyWindow = time.Second
 	// A block of a trial lasts blockLatencies times the latency within these bounds. Requests that start in the last part of
 	// a block, of guardShare, do not count, since they would run in the next one.
 	blockLatencies     = 3
 	guardShare         = 1.0 / 3
-	minBlock, maxBlock = 250 * time.Millisecond, 1500 * time.Millisecond
+	minBlock, maxBlock = 250 * time.Millisecond, time.Second
 	// blockJitter is the greatest relative deviation of a block from that time, so that periodic slowness of a
 	// target does not coincide with one of the limits.
 	blockJitter = 0.3
-	// minPairs and maxPairs are the numbers of pairs of blocks in a trial.
-	minPairs, maxPairs = 2, 8
+	// minPairs and maxPairs are the numbers of pairs of blocks in a trial. A limit is lowered after lowerPairs at the earliest, and a
+	// trial with a higher one ends after raisePairs.
+	minPairs, maxPairs     = 2, 8
+	lowerPairs, raisePairs = 3, 5
 	// minBlockSamples is the number of responses that a block must have to count.
 	minBlockSamples = 2
-	// learnerSamples is the number of latencies whose median tells a change of latency.
-	learnerSamples = 64
-	// Trials that change nothing follow each other after these intervals, which double each time.
-	minDownInterval, maxDownInterval = time.Second, 32 * time.Second
-	minUpInterval, maxUpInterval     = time.Second, 4 * time.Second
+	// recentSamples is the number of latencies in a median that follows changes, lightSamples that in one for light load.
+	recentSamples, lightSamples = 32, 64
+	// minLearnerSamples is the number of latencies before the first trial.
+	minLearnerSamples = 16
+	// Latencies at a mean concurrency of at most lightShare of the limit, and of at least heavyShare, are compared before
+	// a trial with a lower limit.
+	lightShare, heavyShare = 0.68, 0.8
+	// suspectFactor is the ratio of the two that a trial needs. A target without it responds well with all it runs.
+	suspectFactor = 1.4
+	// lightLifetime is the time after which latencies at light load are no longer comparable.
+	lightLifetime = time.Minute
+	// Trials that change nothing follow each other after these intervals, which grow each time. A trial with a lower limit costs a
+	// saturated target a fifth of its throughput while it lasts, so that they become rare.
+	downBackoff, upBackoff           = 4, 2
+	minDownInterval, maxDownInterval = 8 * time.Second, 64 * time.Second
+	minUpInterval, maxUpInterval     = time.Second, 8 * time.Second
 	// shiftFactor is the change of latency after which trials begin again at their shortest intervals, at most
 	// every minShiftInterval.
 	shiftFactor      = 1.5
@@ -50,6 +68,9 @@
 	provenGrowth, lowerErrors = 0.35, 3
 	// raiseGrowth is the growth below which a limit is raised, if that of a constant throughput is raiseErrors standard errors away.
 	raiseGrowth, raiseErrors = 0.4, 2
+	// lastRaiseGrowth is the growth below which a limit is raised at the end of a trial without a clear result: a limit that
+	// is too high is found again, one that is too low costs callers responses meanwhile.
+	lastRaiseGrowth = 0.6
 	// A trial ends early if its growth is a standard error beyond evenGrowth on the side that changes nothing.
 	evenGrowth = 0.5
 )
@@ -77,11 +98,16 @@
 
 	trial     *capacityTrial
 	down, up  trialSchedule
-	recent    [learnerSamples]time.Duration
-	count     int
+	recent    latencyRing // at any load
+	light     latencyRing
+	heavy     latencyRing
+	lightAt   time.Time     // of the last latency at light load
+	suspected bool          // at the last look
+	cleared   time.Duration // latency at high load that a trial has found to be no reason for a lower limit
 	reference time.Duration // recent latency at the end of the last trial
 	lastShift time.Time
 	suspended bool
+	upTrials  int
 	lowered   int // limits lowered and raised since the gate was made
 	raised    int
 }
@@ -89,6 +115,7 @@
 // trialSchedule is when the next trial in one direction may start.
 type trialSchedule struct {
 	interval, shortest, longest time.Duration
+	factor                      time.Duration
 	next                        time.Time
 }
 
@@ -99,7 +126,7 @@
 
 func (s *trialSchedule) backOff(now time.Time) {
 	s.next = now.Add(s.interval)
-	s.interval = min(2*s.interval, s.longest)
+	s.interval = min(s.factor*s.interval, s.longest)
 }
 
 // capacityTrial compares two limits, the low one first in limits.
@@ -111,7 +138,7 @@
 	blockEnd    time.Time
 	guard       time.Time // requests that start later do not count
 	blockLength time.Duration
-	blocks      [2 * maxPairs]trialBlock
+	blocks      [2*maxPairs + 1]trialBlock
 }
 
 // trialBlock sums up the responses to requests that started in one block.
@@ -135,8 +162,8 @@
 		return nil
 	}
 	l := &capacityLearner{slots: slots, limit: slots, rng: rand.New(rand.NewPCG(seed, uint64(slots)))}
-	l.down = trialSchedule{interval: minDownInterval, shortest: minDownInterval, longest: maxDownInterval}
-	l.up = trialSchedule{interval: minUpInterval, shortest: minUpInterval, longest: maxUpInterval}
+	l.down = trialSchedule{interval: minDownInterval, shortest: minDownInterval, longest: maxDownInterval, factor: downBackoff}
+	l.up = trialSchedule{interval: minUpInterval, shortest: minUpInterval, longest: maxUpInterval, factor: upBackoff}
 	return l
 }
 
@@ -207,22 +234,36 @@
 }
 
 func (l *capacityLearner) startTrial(now time.Time) {
-	if !l.busy || l.suspended || l.count < learnerSamples {
+	if !l.busy || l.suspended || l.recent.count < minLearnerSamples {
 		return
 	}
 	l.noteShift(now)
+	worthTrial := l.noteSuspicion(now)
 	switch {
 	case l.limit < l.slots && !now.Before(l.up.next):
-		high := int(math.Round(upShare * float64(l.limit)))
-		l.begin(now, l.limit, min(max(high, l.limit+1), l.slots), true)
-	case l.limit > minCapacity && !now.Before(l.down.next):
+		l.begin(now, l.limit, l.higher(), true)
+	case l.limit > minCapacity && !now.Before(l.down.next) && worthTrial:
 		low := int(math.Round(downShare * float64(l.limit)))
 		l.begin(now, max(low, minCapacity), l.limit, false)
 	}
 }
 
+// higher returns the limit above the learned one for the next trial. Low limits are also tried with one more, since the best one
+// may be between the two.
+func (l *capacityLearner) higher() int {
+	l.upTrials++
+	if l.upTrials%2 == 0 && l.limit <= maxSingleStep {
+		return l.limit + 1
+	}
+	high := int(math.Round(upShare * float64(l.limit)))
+	if float64(high) >= nearSlots*float64(l.slots) {
+		return l.slots
+	}
+	return high
+}
+
 func (l *capacityLearner) begin(now time.Time, low, high int, upward bool) {
-	length := min(max(blockLatencies*l.recentLatency(), minBlock), maxBlock)
+	length := min(max(blockLatencies*l.recent.median(recentSamples), minBlock), maxBlock)
 	l.trial = &capacityTrial{limits: [2]int{low, high}, upward: upward, first: l.rng.IntN(2), blockLength: length}
 	l.beginBlock(now)
 }
@@ -240,7 +281,7 @@
 
 // noteShift lets trials begin again after the latency has changed.
 func (l *capacityLearner) noteShift(now time.Time) {
-	recent := l.recentLatency()
+	recent := l.recent.median(recentSamples)
 	if l.reference == 0 || now.Sub(l.lastShift) < minShiftInterval {
 		return
 	}
@@ -248,12 +289,48 @@
 		l.lastShift, l.reference = now, recent
 		l.down.restart(now)
 		l.up.restart(now)
+		l.down.next, l.up.next = now, now
+	}
+}
+
+// noteSuspicion reports whether the target may run more than it does well: its latency is higher than with light load, which a
+// trial with a lower limit also tells, or that is not known. Slow periods look the same, so this decides nothing but a trial.
+func (l *capacityLearner) noteSuspicion(now time.Time) bool {
+	if l.light.count < minLearnerSamples || l.heavy.count < minLearnerSamples || now.Sub(l.lightAt) > lightLifetime {
+		return true
 	}
+	heavy := l.heavy.median(recentSamples).Seconds()
+	suspected := heavy > suspectFactor*l.light.median(lightSamples).Seconds() && heavy > suspectFactor*l.cleared.Seconds()
+	if suspected && !l.suspected {
+		l.down.restart(now)
+		l.down.next = now
+	}
+	l.suspected = suspected
+	return suspected
+}
+
+// latencyRing holds the latest latencies.
+type latencyRing struct {
+	values [lightSamples]time.Duration
+	count  int
+}
+
+func (r *latencyRing) add(d time.Duration) {
+	r.values[r.count%lightSamples] = d
+	r.count++
 }
 
-// recentLatency returns the median of the latest latencies.
-func (l *capacityLearner) recentLatency() time.Duration {
-	return median(l.recent[:min(l.count, learnerSamples)])
+// median returns the median of the last n latencies; zero without any.
+func (r *latencyRing) median(n int) time.Duration {
+	n = min(n, r.count)
+	if n == 0 {
+		return 0
+	}
+	var last [lightSamples]time.Duration
+	for i := range n {
+		last[i] = r.values[(r.count-1-i)%lightSamples]
+	}
+	return median(last[:n])
 }
 
 func (l *capacityLearner) advanceTrial(now time.Time) {
@@ -262,9 +339,9 @@
 		return
 	}
 	t.block++
-	// Requests of the last pair may still run, so the pair before it is judged.
-	if done := t.block/2 - 1; t.block%2 == 0 && done >= minPairs {
-		if verdict, decided := t.judge(done); decided || done == maxPairs-1 {
+	// Requests of the last block may still run, so the pairs before it are judged.
+	if done := (t.block - 1) / 2; t.block%2 == 1 && done >= minPairs {
+		if verdict, decided := t.judge(done); decided || done == maxPairs || t.upward && done == raisePairs {
 			l.conclude(now, verdict, decided)
 			return
 		}
@@ -289,10 +366,20 @@
 	if l == nil || latency <= 0 {
 		return
 	}
-	l.recent[l.count%learnerSamples] = latency
-	l.count++
+	l.recent.add(latency)
 	span := now.Sub(m.at).Seconds()
-	if m.trial == nil || m.trial != l.trial || span <= 0 {
+	if span <= 0 {
+		return
+	}
+	concurrency := (l.integral - m.integral) / span
+	switch {
+	case concurrency <= lightShare*float64(l.limit):
+		l.light.add(latency)
+		l.lightAt = now
+	case concurrency >= heavyShare*float64(l.limit):
+		l.heavy.add(latency)
+	}
+	if m.trial == nil || m.trial != l.trial {
 		return
 	}
 	b := &m.trial.blocks[m.block]
@@ -300,7 +387,7 @@
 	b.count++
 	b.log += x
 	b.square += x * x
-	b.concurrency += (l.integral - m.integral) / span
+	b.concurrency += concurrency
 }
 
 // conclude ends the trial. change says that the other limit is the better one.
@@ -312,22 +399,26 @@
 	case change && t.upward:
 		l.limit = t.limits[1]
 		l.raised++
-		l.reference = 0
+		l.reference, l.cleared, l.heavy = 0, 0, latencyRing{}
 		l.down.restart(now)
 		l.up.restart(now)
 		l.up.next = now
 	case change:
 		l.limit = t.limits[0]
 		l.lowered++
-		l.reference = 0
+		l.reference, l.cleared, l.heavy = 0, 0, latencyRing{}
 		l.down.restart(now)
 		l.up.restart(now)
+		l.down.next = l.up.next
 	default:
-		l.reference = l.recentLatency()
+		l.reference = l.recent.median(recentSamples)
 		if t.upward {
 			l.up.backOff(now)
 		} else {
 			l.down.backOff(now)
+			if decided {
+				l.cleared = l.heavy.median(recentSamples)
+			}
 		}
 	}
 }
@@ -339,12 +430,12 @@
 	case !ok:
 		return false, false
 	case t.upward:
-		if growth < raiseGrowth && growth+raiseErrors*deviation < 1 {
+		if growth < raiseGrowth && growth+raiseErrors*deviation < 1 || pairs == raisePairs && growth < lastRaiseGrowth {
 			return true, true
 		}
 		return false, growth-deviation > evenGrowth
 	}
-	if growth > lowerGrowth && growth-lowerErrors*deviation > provenGrowth {
+	if pairs >= lowerPairs && growth > lowerGrowth && growth-lowerErrors*deviation > provenGrowth {
 		return true, true
 	}
 	return false, growth+deviation < evenGrowth
@@ -371,13 +462,15 @@
 		return 0, 0, false
 	}
 	ratio := (arms[1].concurrency / float64(arms[1].count)) / (arms[0].concurrency / float64(arms[0].count))
-	if ratio < minConcurrencyRatio {
+	if ratio-1 < minContrast*(float64(t.limits[1])/float64(t.limits[0])-1) {
 		return 0, 0, false
 	}
 	scale := math.Log(ratio)
 	mean := arms[1].log/float64(arms[1].count) - arms[0].log/float64(arms[0].count)
 	byResponse := arms[0].variance()/float64(arms[0].count) + arms[1].variance()/float64(arms[1].count)
-	byPair := variance(differences) / float64(len(differences))
+	// Few pairs may agree by chance.
+	spread := 1 + 1.5/float64(len(differences)-1)
+	byPair := spread * spread * variance(differences) / float64(len(differences))
 	return mean / scale, math.Sqrt(max(byResponse, byPair)) / scale, true
 }
 
