gate, node, control: learned capacity limits targets and is reported

Setting gate.learn_capacity, off by default and on through Profile.Pulled. The figure is in the metrics at once and in the target's report once it has been the same for 15 s, since placement moves keys for it. Placement uses it in place of the slots.

--- a/config/settings.go
+++ b/config/settings.go
@@ -58,6 +58,9 @@
 	QueueLength int `json:"queue_length,omitempty"`
 	// ColdStart switches the ramp of cold targets. Default true.
 	ColdStart *bool `json:"cold_start,omitempty"`
+	// LearnCapacity limits a target to the number of running requests beyond which it does not respond to more of them
+	// per second. Default false, and true on the users' platform.
+	LearnCapacity *bool `json:"learn_capacity,omitempty"`
 }
 
 // Traffic holds the settings of the request path.
--- a/control/plan.go
+++ b/control/plan.go
@@ -307,7 +307,7 @@
 	for id, t := range p.targets {
 		if t.Service == p.name && t.eligible {
 			list = append(list, placement.Target{
-				ID: id, Zone: t.zone, Capacity: float64(t.Slots), MaxLoad: t.RateLimit, Cold: t.Cold, Eligible: true,
+				ID: id, Zone: t.zone, Capacity: placementCapacity(t.TargetReport), MaxLoad: t.RateLimit, Cold: t.Cold, Eligible: true,
 			})
 		}
 	}
--- a/control/speed.go
+++ b/control/speed.go
@@ -19,7 +19,7 @@
 	minSpeedChange = 0.2
 )
 
-// scaleCapacityBySpeed multiplies the capacities (slots) by the relative speeds of the targets. With
+// scaleCapacityBySpeed multiplies the capacities by the relative speeds of the targets. With
 // equal loads per slot, a slow target would be full and refuse requests while others have free slots. A
 // target with an unknown service time keeps its speed, initially 1.
 func (p *servicePlan) scaleCapacityBySpeed(list []placement.Target) {
@@ -43,6 +43,14 @@
 	}
 }
 
+// placementCapacity returns the learned capacity of a target, which is at most its slots, and its slots where it is not known.
+func placementCapacity(t api.TargetReport) float64 {
+	if t.Capacity > 0 {
+		return min(t.Capacity, float64(t.Slots))
+	}
+	return float64(t.Slots)
+}
+
 // speed returns the speed in use for a target, relative to the median of its service.
 func (l *leader) speed(id api.TargetID) float64 {
 	if speed, known := l.speedsInUse[id]; known {
--- a/control/speed_test.go
+++ b/control/speed_test.go
@@ -47,3 +47,28 @@
 		is.Equal(len(w.step(t).Revokes), 0)
 	}
 }
+
+// Guards against a target that gets as many keys as its slots are worth although it runs half of them well, and against an odd
+// figure that gives one target everything.
+func TestLearnedCapacityTakesThePlaceOfSlots(t *testing.T) {
+	is := is.New(t)
+	w := newSplitCluster(t, 4, 128)
+	slots := w.sessions["t0"].last.Targets[0].Slots
+	w.sessions["t2"].last.Targets[0].Capacity = float64(slots) / 2
+	w.sessions["t3"].last.Targets[0].Capacity = 1000
+	everything := api.KeyRange{First: 0, Last: 65535}
+	for range 200 {
+		w.load(2, 0, everything)
+		w.step(t)
+	}
+	w.load(2, 0, everything)
+	load := func(name string) (sum float64) {
+		for _, l := range w.loads[name] {
+			sum += l
+		}
+		return sum
+	}
+	is.True(load("t2") < 0.75*load("t0"))
+	is.True(load("t2") > 0.3*load("t0"))
+	is.True(load("t3") < 1.25*load("t0"))
+}
--- a/gate/capacity.go
+++ b/gate/capacity.go
@@ -55,7 +55,10 @@
 	minUpInterval, maxUpInterval     = time.Second, 8 * time.Second
 	// shiftFactor is the change of latency after which trials begin again at their shortest intervals, at most
 	// every minShiftInterval.
-	shiftFactor      = 1.5
+	shiftFactor = 1.5
+	// reportAfter is the time for which a limit must have stayed the same to be reported: placement moves keys for it, and
+	// the measured speed of the target follows a new limit over its last few hundred requests.
+	reportAfter      = 15 * time.Second
 	minShiftInterval = 5 * time.Second
 )
 
@@ -84,10 +87,12 @@
 //
 // The caller serialises all calls.
 type capacityLearner struct {
-	slots int
-	limit int
-	known bool // a trial has decided
-	rng   *rand.Rand
+	slots     int
+	limit     int
+	known     bool      // a trial has decided
+	changedAt time.Time // of the limit, or of the first decision
+	steady    int       // last capacity that was the same for reportAfter
+	rng       *rand.Rand
 
 	last     time.Time
 	integral float64 // of the running requests over time, in seconds
@@ -187,11 +192,22 @@
 }
 
 // capacity returns the learned capacity; 0 when it is not known.
-func (l *capacityLearner) capacity() float64 {
+func (l *capacityLearner) capacity() int {
 	if l == nil || !l.known {
 		return 0
 	}
-	return float64(l.limit)
+	return l.limit
+}
+
+// steadyCapacity returns the last capacity that has stayed the same for reportAfter; 0 before the first.
+func (l *capacityLearner) steadyCapacity(now time.Time) int {
+	if l == nil || !l.known {
+		return 0
+	}
+	if now.Sub(l.changedAt) >= reportAfter {
+		l.steady = l.limit
+	}
+	return l.steady
 }
 
 // arm returns the limit of a block, 0 for the low one.
@@ -214,6 +230,7 @@
 		l.down.restart(now)
 		l.up.restart(now)
 	}
+	l.steadyCapacity(now)
 	l.measureLoad(now)
 	if l.trial != nil {
 		l.advanceTrial(now)
@@ -394,7 +411,12 @@
 func (l *capacityLearner) conclude(now time.Time, change, decided bool) {
 	t := l.trial
 	l.trial = nil
-	l.known = l.known || decided
+	if decided && !l.known {
+		l.known, l.changedAt = true, now
+	}
+	if change {
+		l.changedAt = now
+	}
 	switch {
 	case change && t.upward:
 		l.limit = t.limits[1]
@@ -497,7 +519,11 @@
 
 // advanceLearner lets the learner know the time and the running requests. The caller holds the lock.
 func (g *Gate) advanceLearner(now time.Time) {
+	former := g.learner.settled()
 	g.learner.advance(now, g.running, g.limiter.limit() < g.limiter.slots || g.limiter.paused)
+	if limit := g.learner.settled(); limit != former && g.capacityChanged != nil {
+		g.capacityChanged(former, limit)
+	}
 }
 
 // allows reports whether that many requests may run at once. The caller holds the lock.
@@ -508,11 +534,12 @@
 // settledLimit returns the limit of running requests, without that of a trial. The caller holds the lock.
 func (g *Gate) settledLimit() int { return min(g.limiter.limit(), g.learner.settled()) }
 
-// Capacity returns the learned number of requests that the target runs well at once; 0 when it is not known.
+// Capacity returns the learned number of requests that the target runs well at once, once it has been the same for a while; 0
+// when it is not known.
 func (g *Gate) Capacity() float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.learner.capacity()
+	return float64(g.learner.steadyCapacity(g.now()))
 }
 
 // workTime returns the time that the target took for a request, as far as the outcome shows it; else zero.
--- a/gate/capacity_test.go
+++ b/gate/capacity_test.go
@@ -30,7 +30,7 @@
 	waiting  []*replayed
 	good     int   // responses within the objective
 	limits   []int // learned limit at each second
-	capacity float64
+	capacity int   // learned
 }
 
 type replayed struct {
@@ -64,7 +64,7 @@
 			r.limits = append(r.limits, r.gate.Snapshot().Limit)
 		}
 	}
-	r.capacity = r.gate.Capacity()
+	r.capacity = r.gate.Snapshot().Capacity
 	return r
 }
 
@@ -174,6 +174,7 @@
 		learned.run(60 * time.Second)
 		t.Logf("in time: %d with all slots, %d with the learned limit; limits %v", fixed.good, learned.good, learned.limits)
 		is.True(learned.capacity >= 3 && learned.capacity <= 6)
+		is.True(learned.gate.Capacity() >= 3 && learned.gate.Capacity() <= 6) // reported once steady
 		is.True(learned.good > fixed.good*5/4)
 	})
 }
@@ -254,7 +255,8 @@
 		is := is.New(t)
 		r := replay{slots: 9, learn: true, seed: seed, rate: 8, work: 220 * time.Millisecond, objective: 800 * time.Millisecond, slowdown: slowPeriods}
 		r.run(120 * time.Second)
-		is.Equal(r.capacity, 0.0)
+		is.Equal(r.capacity, 0)
+		is.Equal(r.gate.Capacity(), 0.0)
 		is.Equal(r.gate.Snapshot().Limit, 9)
 	})
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -45,6 +45,8 @@
 	// LearnCapacity limits the running requests to the number beyond which the target does not respond to more of
 	// them per second, as far as that is known.
 	LearnCapacity bool
+	// CapacityChanged, if set, is told of a change of the learned capacity. It must not block or call the gate.
+	CapacityChanged func(former, capacity int)
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -74,7 +76,7 @@
 	ColdStartsDetected int
 	ColdStartsReported int
 	// Capacity is the learned number of requests that the target runs well at once; 0 when it is not known.
-	Capacity float64
+	Capacity int
 }
 
 // Gate admits requests to one target. It is safe for concurrent use.
@@ -90,6 +92,8 @@
 	startRate startRateLimiter
 	namedRate namedRateLimiter
 	learner   *capacityLearner // nil when no capacity is learned
+	// capacityChanged is that of Options.
+	capacityChanged func(former, capacity int)
 	// startTimer admits waiting requests again at startTimerAt, for the limits on starts; zero when it is not
 	// pending.
 	startTimer   *time.Timer
@@ -117,6 +121,7 @@
 	}
 	g.limiter.startCold(g.now())
 	if o.LearnCapacity {
+		g.capacityChanged = o.CapacityChanged
 		g.learner = newCapacityLearner(o.Slots, rand.Uint64())
 	}
 	return g
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -164,6 +164,7 @@
 	if !r.call.body.asked() {
 		r.releaseBody()
 	}
+	r.outcome.BodyAwaited = r.call.body.asked() && r.call.body.large()
 	r.slot.Release(r.outcome)
 }
 
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -28,6 +28,8 @@
 
 func (fakeGate) ServiceTime() time.Duration { return 0 }
 
+func (fakeGate) Capacity() float64 { return 0 }
+
 func (fakeGate) SetColdRate(time.Duration, float64) {}
 
 func (fakeGate) SetNamedRate(float64) {}
--- a/host/registry.go
+++ b/host/registry.go
@@ -36,6 +36,8 @@
 	Load() (load float64, cold bool)
 	// ServiceTime returns the mean service time; 0 when it is not known.
 	ServiceTime() time.Duration
+	// Capacity returns the learned number of requests that the target runs well at once; 0 when it is not known.
+	Capacity() float64
 	// SetColdRate limits the target to rate request starts per second for the duration d. A d of 0
 	// ends the limit, and a rate of 0 means no limit.
 	SetColdRate(d time.Duration, rate float64)
--- a/host/target.go
+++ b/host/target.go
@@ -119,6 +119,7 @@
 		Cold:          cold,
 		Load:          roundLoad(load),
 		ServiceMs:     t.gate.ServiceTime().Milliseconds(),
+		Capacity:      t.gate.Capacity(),
 		RateLimit:     t.gate.NamedRate(),
 		PartitionLoad: partitions,
 		HotKeys:       hot,
--- a/node/node.go
+++ b/node/node.go
@@ -162,6 +162,7 @@
 	}
 	n.session.Subscribe(n.registry.Update)
 	n.session.Subscribe(n.gateway.ViewChanged)
+	telemetry.GaugesBy("target_capacity", "target", n.capacities)
 	return n.rpc.Register("Node", n.gateway)
 }
 
@@ -209,6 +210,9 @@
 		NoColdStart: s.ColdStart != nil && !*s.ColdStart,
 		FixedLimit:  n.profile.FixedLimit,
 		FirstSlots:  n.profile.FirstSlots,
+
+		LearnCapacity:   n.learnsCapacity(),
+		CapacityChanged: func(former, capacity int) { noteCapacity(a.ID, former, capacity) },
 	})
 }
 
