gate: slow periods of fast targets start no trials

Latencies of a median are at least 0.1 s apart. In replays of a target with 300 requests/s and slow periods, trials had cost 27 % of the responses in time.

--- a/gate/capacity.go
+++ b/gate/capacity.go
@@ -39,6 +39,8 @@
 	minBlockSamples = 2
 	// recentSamples is the number of latencies in a median that follows changes, lightSamples that in one for light load.
 	recentSamples, lightSamples = 32, 64
+	// sampleInterval is the least time between two of them, so that a slow period of a fast target is not a median.
+	sampleInterval = 100 * time.Millisecond
 	// minLearnerSamples is the number of latencies before the first trial.
 	minLearnerSamples = 16
 	// Latencies at a mean concurrency of at most lightShare of the limit, and of at least heavyShare, are compared before
@@ -330,9 +332,15 @@
 type latencyRing struct {
 	values [lightSamples]time.Duration
 	count  int
+	last   time.Time
 }
 
-func (r *latencyRing) add(d time.Duration) {
+// add adds a latency, unless the one before is more recent than sampleInterval.
+func (r *latencyRing) add(now time.Time, d time.Duration) {
+	if now.Sub(r.last) < sampleInterval {
+		return
+	}
+	r.last = now
 	r.values[r.count%lightSamples] = d
 	r.count++
 }
@@ -383,7 +391,7 @@
 	if l == nil || latency <= 0 {
 		return
 	}
-	l.recent.add(latency)
+	l.recent.add(now, latency)
 	span := now.Sub(m.at).Seconds()
 	if span <= 0 {
 		return
@@ -391,10 +399,10 @@
 	concurrency := (l.integral - m.integral) / span
 	switch {
 	case concurrency <= lightShare*float64(l.limit):
-		l.light.add(latency)
+		l.light.add(now, latency)
 		l.lightAt = now
 	case concurrency >= heavyShare*float64(l.limit):
-		l.heavy.add(latency)
+		l.heavy.add(now, latency)
 	}
 	if m.trial == nil || m.trial != l.trial {
 		return
@@ -438,9 +446,7 @@
 			l.up.backOff(now)
 		} else {
 			l.down.backOff(now)
-			if decided {
-				l.cleared = l.heavy.median(recentSamples)
-			}
+			l.cleared = l.heavy.median(recentSamples)
 		}
 	}
 }
--- a/gate/capacity_test.go
+++ b/gate/capacity_test.go
@@ -180,22 +180,34 @@
 }
 
 // Guards against a limit of a target that takes all its slots well, and against trials that cost its callers responses. At 98 %
-// of what the target can do, the backlog of one trial takes a minute to clear, so more is allowed there.
+// of what the target can do, the backlog of one trial takes a minute to clear, so more is allowed there. The fast target with
+// slow periods once lost a quarter of the responses to trials, since a slow period filled a median.
 func TestTargetWithConstantServiceTimeKeepsItsSlots(t *testing.T) {
-	for rate, share := range map[float64]float64{30: 0.98, 36: 0.96, 40: 0.9, 60: 0.97} {
+	for _, c := range []struct {
+		rate     float64
+		work     time.Duration
+		slowdown func(int, time.Duration) float64
+		share    float64 // of the responses in time that it must keep
+	}{
+		{30, 220 * time.Millisecond, nil, 0.98},
+		{36, 220 * time.Millisecond, nil, 0.96},
+		{40, 220 * time.Millisecond, nil, 0.9},
+		{60, 220 * time.Millisecond, nil, 0.97},
+		{300, 25 * time.Millisecond, slowPeriods, 0.95},
+	} {
 		good := [2]int{}
 		for seed := range uint64(6) {
 			for i := range good {
-				r := replay{slots: 9, learn: i == 1, seed: seed, rate: rate, work: 220 * time.Millisecond, objective: 800 * time.Millisecond}
+				r := replay{slots: 9, learn: i == 1, seed: seed, rate: c.rate, work: c.work, objective: 4 * c.work, slowdown: c.slowdown}
 				good[i] += r.run(60 * time.Second).good
 				if r.learn && r.gate.learner.lowered > 0 {
-					t.Errorf("rate %v, seed %d: the limit was lowered", rate, seed)
+					t.Errorf("rate %v, seed %d: the limit was lowered", c.rate, seed)
 				}
 			}
 		}
-		t.Logf("rate %v: in time: %d with all slots, %d with the learned limit", rate, good[0], good[1])
-		if float64(good[1]) < share*float64(good[0]) {
-			t.Errorf("rate %v: trials cost too much", rate)
+		t.Logf("rate %v: in time: %d with all slots, %d with the learned limit", c.rate, good[0], good[1])
+		if float64(good[1]) < c.share*float64(good[0]) {
+			t.Errorf("rate %v: trials cost too much", c.rate)
 		}
 	}
 }
@@ -230,7 +242,7 @@
 }
 
 // Guards against a limit that stays low after the target has recovered, and against one that follows a change late: in trials
-// with 60 seeds it was lowered after 7 to 19 s, in the median 10, and raised after 4 to 21 s, in the median 12.
+// with 60 seeds it was lowered after 8 to 19 s, in the median 11, and raised after 5 to 24 s, in the median 12.
 func TestLimitFollowsChangesWithinSeconds(t *testing.T) {
 	forSeeds(t, func(t *testing.T, seed uint64) {
 		is := is.New(t)
