--- a/gate/capacity.go
+++ b/gate/capacity.go
@@ -113,6 +113,7 @@
 	cleared   time.Duration // latency at high load that a trial has found to be no reason for a lower limit
 	reference time.Duration // recent latency at the end of the last trial
 	lastShift time.Time
+	lookedAt  time.Time // when the last trial could have started; medians cost time
 	suspended bool
 	upTrials  int
 	lowered   int // limits lowered and raised since the gate was made
@@ -253,9 +254,10 @@
 }
 
 func (l *capacityLearner) startTrial(now time.Time) {
-	if !l.busy || l.suspended || l.recent.count < minLearnerSamples {
+	if !l.busy || l.suspended || l.recent.count < minLearnerSamples || now.Sub(l.lookedAt) < sampleInterval {
 		return
 	}
+	l.lookedAt = now
 	l.noteShift(now)
 	worthTrial := l.noteSuspicion(now)
 	switch {
@@ -363,6 +365,10 @@
 	if now.Before(t.blockEnd) {
 		return
 	}
+	if now.Sub(t.blockEnd) > t.blockLength {
+		l.trial = nil // no requests for a while, so that the blocks are not neighbours
+		return
+	}
 	t.block++
 	// Requests of the last block may still run, so the pairs before it are judged.
 	if done := (t.block - 1) / 2; t.block%2 == 1 && done >= minPairs {
