--- a/node/node_test.go
+++ b/node/node_test.go
@@ -68,3 +68,19 @@
 	is.NoErr(client.Call(t.Context(), "Node.Fate", api.FateRequest{Attempt: "a", Session: "s"}, &reply))
 	<-ended
 }
+
+// Guards against a platform that learns no capacities by default, and one where the setting cannot switch it off.
+func TestLearnCapacitySettingTakesPrecedence(t *testing.T) {
+	is := is.New(t)
+	on, off := true, false
+	platform := Profile{}.Pulled()
+	for _, c := range []struct {
+		profile Profile
+		setting *bool
+		want    bool
+	}{{Profile{}, nil, false}, {Profile{}, &on, true}, {platform, nil, true}, {platform, &off, false}} {
+		n := &Node{profile: c.profile}
+		n.settings.Gate.LearnCapacity = c.setting
+		is.Equal(n.learnsCapacity(), c.want)
+	}
+}
