--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -172,6 +172,7 @@
 	if !r.call.body.asked() {
 		r.releaseBody()
 	}
+	r.outcome.BodyAwaited = r.call.body.asked() && r.call.body.large()
 	r.slot.Release(r.outcome)
 }
 
@@ -266,19 +267,18 @@
 	return errkind.New(errkind.Unknown, "target %s: %v", r.dest.target, err)
 }
 
-// checkResponse checks the header of a response. Errors: CrossedAnswer, ShortAnswer, Unknown, and
-// the target's refusal.
+// checkResponse checks the header of a response. Errors: CrossedAnswer, Unknown, and the target's refusal.
 func (r *localAttempt) checkResponse(info api.Announcement, resp *http.Response) *errkind.Error {
-	parsed := r.gateway.dialect.ParseResponse(resp, r.sentInfo)
-	if parsed.WrongAttempt {
+	if !isFinalStatus(resp.StatusCode) {
 		r.countOutcome(true)
 		r.once.closeConn()
-		return errkind.New(errkind.CrossedAnswer, "target %s sent the response to another attempt", info.ID)
+		return errkind.New(errkind.Unknown, "target %s sent the status %03d, with which no response ends", info.ID, resp.StatusCode)
 	}
-	if resp.StatusCode == http.StatusSwitchingProtocols {
+	parsed := r.gateway.dialect.ParseResponse(resp, r.sentInfo)
+	if parsed.WrongAttempt {
 		r.countOutcome(true)
 		r.once.closeConn()
-		return errkind.New(errkind.Unknown, "target %s switched protocols", info.ID)
+		return errkind.New(errkind.CrossedAnswer, "target %s sent the response to another attempt", info.ID)
 	}
 	statement := r.gateway.dialect.ParseStatement(resp.Header)
 	r.target.ReportStatement(statement.RateLimit, statement.Leaving)
@@ -294,9 +294,5 @@
 		return parsed.Refusal
 	}
 	r.outcome.Latency = time.Since(r.began)
-	if !endIsDetectable(r.call.incoming.Method, resp) {
-		r.countOutcome(true)
-		return errkind.New(errkind.ShortAnswer, "response of target %s has neither a length nor chunks", info.ID)
-	}
 	return nil
 }
--- a/host/target.go
+++ b/host/target.go
@@ -121,6 +121,7 @@
 		Load:          roundLoad(load),
 		Running:       t.gate.Requests(),
 		ServiceMs:     t.gate.ServiceTime().Milliseconds(),
+		Capacity:      t.gate.Capacity(),
 		RateLimit:     t.gate.NamedRate(),
 		PartitionLoad: partitions,
 		HotKeys:       hot,
