--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -109,18 +109,28 @@
 	return tls.NewListener(idleListener{l}, config), nil
 }
 
+// PlatformOptions are the options of a process that reads the settings of a platform.
+type PlatformOptions struct {
+	// ListenIP is the IP number to listen on for other hosts; empty means the one in the settings.
+	ListenIP string
+	// LearnCapacity lets a node learn the capacities of its targets.
+	LearnCapacity bool
+}
+
 // Main runs a program that reads either its own settings or those of a platform, and ends the
 // process with the result.
-func Main(name, help string, run func(settings string) error, onPlatform func(ctx context.Context, listenIP string) error) {
+func Main(name, help string, run func(settings string) error, onPlatform func(ctx context.Context, o PlatformOptions) error) {
 	app := kingpin.New(name, help)
 	path := app.Flag("settings", "Path of the JSON settings.").String()
 	platform := app.Flag("platform", "Read the platform's settings instead.").Bool()
-	listenIP := app.Flag("listen-ip", "With --platform: IP number to listen on for other hosts, where it is not the one that they dial, "+
-		"as behind a port forwarder.").String()
+	var o PlatformOptions
+	app.Flag("listen-ip", "With --platform: IP number to listen on for other hosts, where it is not the one that they dial, "+
+		"as behind a port forwarder.").StringVar(&o.ListenIP)
+	app.Flag("learn-capacity", "With --platform: learn how many requests each target runs well at once.").BoolVar(&o.LearnCapacity)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	switch {
 	case *platform:
-		Exit(runOnPlatform(func(ctx context.Context) error { return onPlatform(ctx, *listenIP) }))
+		Exit(runOnPlatform(func(ctx context.Context) error { return onPlatform(ctx, o) }))
 	case *path == "":
 		app.Fatalf("required flag --settings or --platform not provided")
 	default:
--- a/node/capacity.go
+++ b/node/capacity.go
@@ -7,10 +7,8 @@
 
 // learnsCapacity reports whether the node learns the capacities of its targets.
 func (n *Node) learnsCapacity() bool {
-	if set := n.settings.Gate.LearnCapacity; set != nil {
-		return *set
-	}
-	return n.profile.LearnCapacity
+	set := n.settings.Gate.LearnCapacity
+	return set != nil && *set
 }
 
 // noteCapacity logs and counts a change of the learned capacity of a target.
--- a/node/profile.go
+++ b/node/profile.go
@@ -54,8 +54,6 @@
 	TargetChoice string
 	// FixedLimit lets a target run as many requests as it has slots, whatever its latency.
 	FixedLimit bool
-	// LearnCapacity is used where the settings do not name gate.learn_capacity.
-	LearnCapacity bool
 	// FirstSlots limits the running requests until the target has responded to one; 0 means no limit.
 	FirstSlots int
 }
@@ -84,7 +82,6 @@
 	p.Silence, p.RetryBurst = pulledSilence, pulledRetryBurst
 	p.MemberTimeout, p.MemberPatience = pulledMemberTimeout, pulledMemberPatience
 	p.FixedLimit = true
-	p.LearnCapacity = true
 	p.FirstSlots = pulledFirstSlots
 	p.TargetChoice = gateway.NearChoice
 	return p
