control: failures at crashed targets count, and canary targets get no keys of lost old ones

Outcomes were dropped when the node no longer reported their target, so a version that crashes was not rolled back (TestOutcomesOfCrashedTargetsCount: still in the canary phase). Without any old target the canary targets owned all partitions (TestCanariesDoNotReplaceLostOldTargets: more than a tenth).

--- a/control/rollout.go
+++ b/control/rollout.go
@@ -66,17 +66,15 @@
 
 // recordOutcomes takes in the counts that a node sends of its targets during a roll-out.
 func (l *leader) recordOutcomes(view *api.ControlState, req *api.HeartbeatRequest, now time.Time) {
+	rollouts := view.Configuration.Rollouts
 	for i := range req.Outcomes {
 		o := &req.Outcomes[i]
-		t := slices.IndexFunc(req.Targets, func(t api.TargetReport) bool { return t.ID == o.Target })
-		if t < 0 {
-			continue
-		}
-		r := view.Configuration.FindRollout(req.Targets[t].Service)
-		if r == nil || r.ID != o.Rollout || r.Phase.Ended() {
+		// The node may no longer report the target, which has crashed.
+		r := slices.IndexFunc(rollouts, func(r api.Rollout) bool { return r.ID == o.Rollout })
+		if r < 0 || rollouts[r].Phase.Ended() {
 			continue
 		}
-		l.activeRollout(view, r, now).counts.Record(o)
+		l.activeRollout(view, &rollouts[r], now).counts.Record(o)
 	}
 }
 
--- a/control/rollout_test.go
+++ b/control/rollout_test.go
@@ -310,3 +310,45 @@
 	is.True(!ok)
 	is.True(w.machine.View().Configuration.Version > before)
 }
+
+// Guards against a bad version whose targets crash, and whose failures do not count since their node no longer reports
+// those targets.
+func TestOutcomesOfCrashedTargetsCount(t *testing.T) {
+	is := is.New(t)
+	w := newRolloutCluster(t, false)
+	w.order(30 * time.Second)
+	w.start("v2", rolloutTargets)
+	is.True(w.runUntil(api.RolloutCanary, 6*time.Second))
+	w.run(time.Second)
+	for i := range 3 {
+		crashed := api.TargetOutcomes{Rollout: w.rollout().ID, Target: api.TargetID(fmt.Sprint("crashed", i)), Version: "v2",
+			Routes: []api.RouteOutcome{{Route: "quote", Responses: 20, Failures: 20}}}
+		w.recordOutcomes(w.machine.View(), &api.HeartbeatRequest{Outcomes: []api.TargetOutcomes{crashed}}, w.now)
+	}
+	is.True(w.runUntil(api.RolloutRolledBack, time.Second))
+}
+
+// Guards against canary targets that get the keys of all old targets when these are lost: a version that is not judged
+// may get only its share.
+func TestCanariesDoNotReplaceLostOldTargets(t *testing.T) {
+	is := is.New(t)
+	w := newRolloutCluster(t, true)
+	w.order(40 * time.Second)
+	w.start("v2", rolloutTargets)
+	is.True(w.runUntil(api.RolloutCanary, 6*time.Second))
+	w.run(3 * time.Second)
+	old := w.nodes[:rolloutTargets]
+	w.nodes = w.nodes[rolloutTargets:]
+	w.run(10 * time.Second)
+	is.Equal(w.rollout().Phase, api.RolloutCanary)
+	_, canary, others := w.owned()
+	is.Equal(others, 0)
+	is.True(canary <= rolloutPartitions/10)
+	for _, n := range old {
+		n.id += "b" // the hosts return with new targets
+	}
+	w.nodes = append(w.nodes, old...)
+	w.run(5 * time.Second)
+	owned, _, _ := w.owned()
+	is.True(owned > rolloutPartitions*9/10)
+}
--- a/control/rolloutplan.go
+++ b/control/rolloutplan.go
@@ -30,9 +30,10 @@
 			old += t.Capacity
 		}
 	}
-	if canaries == 0 || old == 0 {
+	if canaries == 0 {
 		return list
 	}
+	// Without old targets it is 0: canary targets keep their partitions and get no others.
 	capacity := r.Share / (1 - r.Share) * old / float64(canaries)
 	if capacity <= 0 {
 		return slices.DeleteFunc(list, func(t placement.Target) bool { return r.IsCanary(t.ID) })
