rollout, control: a switch without any serving target waits, and lost old versions are retired

TestNothingServesInTheSwitch showed completed with no target in contact. TestLostOldVersionsAreRetired and TestReturningOldTargetGetsNothing showed that an old version whose targets were all lost before the completion was not retired, so that a returning target got requests.

--- a/control/rollout.go
+++ b/control/rollout.go
@@ -44,6 +44,8 @@
 	quietSince time.Time
 	// elapsedDue is when the elapsed time is to be committed again.
 	elapsedDue time.Time
+	// oldVersions are the versions of old targets that have been seen.
+	oldVersions []string
 	// nextCanaryPlan is when partitions may move to canary targets again.
 	nextCanaryPlan time.Time
 }
@@ -121,6 +123,12 @@
 func (l *leader) planRollout(view *api.ControlState, r *api.Rollout, targets map[api.TargetID]*targetInfo, now time.Time, batch *state.Batch) {
 	a := l.activeRollout(view, r, now)
 	in := l.rolloutInput(view, r, targets, now)
+	for _, t := range in.Targets {
+		if t.Version != r.Version && !slices.Contains(a.oldVersions, t.Version) {
+			a.oldVersions = append(a.oldVersions, t.Version)
+		}
+	}
+	in.OldVersions = a.oldVersions
 	behind := l.nodesBehind(a.version, now)
 	switch {
 	case r.Phase != api.RolloutSwitching || len(behind) > 0 || !in.Finished():
--- a/control/rollout_test.go
+++ b/control/rollout_test.go
@@ -352,3 +352,15 @@
 	owned, _, _ := w.owned()
 	is.True(owned > rolloutPartitions*9/10)
 }
+
+// Guards against old targets that are lost during the roll-out, return after its completion and get requests.
+func TestReturningOldTargetGetsNothing(t *testing.T) {
+	is := is.New(t)
+	w := newRolloutCluster(t, false)
+	w.order(12 * time.Second)
+	w.start("v2", rolloutTargets)
+	is.True(w.runUntil(api.RolloutCanary, 6*time.Second))
+	w.nodes = w.nodes[rolloutTargets:]
+	is.True(w.runUntil(api.RolloutCompleted, 12*time.Second))
+	is.True(!w.rollout().Admits("v1-00", "v1"))
+}
--- a/rollout/phase.go
+++ b/rollout/phase.go
@@ -101,7 +101,9 @@
 	// Informed says that the leader has heard from the nodes since it took over.
 	Informed bool
 	Targets  []Target
-	Verdict  Verdict
+	// OldVersions are the versions of the old targets that this leader has seen during the roll-out, lost ones included.
+	OldVersions []string
+	Verdict     Verdict
 	// Quiet is the time for which Finished has held without interruption and all nodes in contact have had the
 	// phase.
 	Quiet time.Duration
@@ -171,20 +173,29 @@
 // decideSwitching completes the roll-out once the old targets have finished, and shortly before the deadline although
 // they have not: old targets that still run then are given up in favour of the deadline.
 func (in *Input) decideSwitching() *Decision {
-	if newSlots, oldSlots := in.servingSlots(true), in.servingSlots(false); float64(newSlots) < minRemainingSlots*float64(oldSlots) {
+	newSlots, oldSlots := in.servingSlots(true), in.servingSlots(false)
+	if newSlots == 0 && oldSlots == 0 {
+		// Completed, the roll-out would end old targets that are only out of contact.
+		if in.Elapsed < 2*in.Rollout.Duration() {
+			return nil
+		}
+		return rollBack("no target is serving after twice the duration")
+	}
+	if float64(newSlots) < minRemainingSlots*float64(oldSlots) {
 		return rollBack(fmt.Sprintf("new targets lost during the switch: %d of %d slots", newSlots, oldSlots))
 	}
 	overdue := in.Elapsed >= in.Rollout.Duration()-deadlineMargin && in.InPhase >= minSwitchTime
 	if in.Quiet < quietTime && !overdue {
 		return nil
 	}
-	var retired []string
+	retired := slices.Clone(in.OldVersions)
 	for _, t := range in.Targets {
-		if !in.isNew(t) && !slices.Contains(retired, t.Version) && !slices.Contains(in.Rollout.Retired, t.Version) {
+		if !in.isNew(t) {
 			retired = append(retired, t.Version)
 		}
 	}
 	slices.Sort(retired)
+	retired = slices.DeleteFunc(slices.Compact(retired), func(v string) bool { return slices.Contains(in.Rollout.Retired, v) })
 	return &Decision{Phase: api.RolloutCompleted, Retired: append(slices.Clone(in.Rollout.Retired), retired...)}
 }
 
--- a/rollout/phase_test.go
+++ b/rollout/phase_test.go
@@ -189,3 +189,26 @@
 		is.Equal(Decide(in), nil)
 	}
 }
+
+// Guards against a completion while no target is in contact: the old ones would be stopped although no new one serves.
+func TestNothingServesInTheSwitch(t *testing.T) {
+	is := is.New(t)
+	in := newInput(api.RolloutSwitching, 15900*time.Millisecond, 20, 20)
+	for i := range in.Targets {
+		in.Targets[i].Serving = false
+	}
+	in.Quiet = second
+	is.Equal(Decide(in), nil)
+	in.Targets = nil
+	is.Equal(Decide(in), nil)
+	in.Elapsed = 32 * second
+	is.Equal(Decide(in).Phase, api.RolloutRolledBack)
+}
+
+// Guards against old targets that are all lost during the roll-out, return after its completion and get requests.
+func TestLostOldVersionsAreRetired(t *testing.T) {
+	is := is.New(t)
+	in := newInput(api.RolloutSwitching, 12*second, 0, 20)
+	in.Quiet, in.OldVersions = quietTime, []string{"v1", "v0"}
+	is.Equal(Decide(in).Retired, []string{"v0", "v1"})
+}
