--- a/gateway/egress_test.go
+++ b/gateway/egress_test.go
@@ -6,9 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/matryer/is"
 
 	"github.com/zinniapier/zinniapier/api"
@@ -92,6 +94,27 @@
 	}
 }
 
+// Guards against a truncated response that looks complete to an HTTP/1.0 caller, to which the end of the connection is the
+// end of a response of unknown length.
+func TestTruncatedResponseOfHTTP10(t *testing.T) {
+	for _, size := range []int{100, 150_000} {
+		is := is.New(t)
+		a, _ := newEgressNodes(t, 100, func(w http.ResponseWriter, _ *http.Request) {
+			_ = http.NewResponseController(w).Flush()
+			_, _ = w.Write(make([]byte, size))
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		})
+		conn, err := net.Dial("tcp", a.caller.Listener.Addr().String())
+		is.NoErr(err)
+		defer conn.Close()
+		_, err = io.WriteString(conn, "GET /orders/k HTTP/1.0\r\nHost: x\r\nAuthorization: Bearer "+orgKey+"\r\n\r\n")
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, conn)
+		is.True(errors.Is(err, syscall.ECONNRESET))
+	}
+}
+
 // Guards against a caller that reads nothing and so keeps the memory and the place of its response, and against a response
 // that looks complete after that.
 func TestCallerThatReadsNothingIsCutOff(t *testing.T) {
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/internal/hangup"
 	"github.com/zinniapier/zinniapier/telemetry"
 )
 
@@ -112,6 +113,10 @@
 		g.requests.logRefused(c.incoming, c.id, c, g.view(), e)
 	}
 	if readErr != nil || writeErr != nil {
+		if !c.incoming.ProtoAtLeast(1, 1) && a.resp.ContentLength < 0 {
+			// To an HTTP/1.0 caller, a connection that is closed in order is the end of a complete response.
+			hangup.ResetOnClose(c.incoming.Context())
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/hangup/hangup.go
+++ b/internal/hangup/hangup.go
@@ -58,3 +58,13 @@
 	n, err := unix.Poll(fds, 0)
 	return err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
+
+// ResetOnClose makes the close of the connection of the request with the context a reset, which discards what has not been
+// sent. It does nothing where the connection is not known.
+func ResetOnClose(ctx context.Context) {
+	if raw, ok := ctx.Value(contextKey{}).(syscall.RawConn); ok {
+		_ = raw.Control(func(fd uintptr) {
+			_ = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+		})
+	}
+}
