egress: overload of the link is forgotten after 1 s, and late inner calls go before other requests

TestOverloadIsForgotten showed a wait of 7 s after a minute of other traffic at 0.95 of the link, all of which the link had sent; large responses were refused for as long. TestLateInnerCallGoesNext showed that an inner call that has missed its objective waited for requests of callers that are in time.

--- a/egress/replay_test.go
+++ b/egress/replay_test.go
@@ -275,3 +275,45 @@
 	is.True(float64(chunks) >= expected/2)
 	is.True(slices.Contains(s.waiting, late))
 }
+
+// Guards against other traffic between the share and the speed of the link that makes the link look busy long after it has
+// ended: what the link has sent meanwhile is no wait.
+func TestOverloadIsForgotten(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	s := NewScheduler(12)
+	for range 6000 { // a minute at 0.95 of the link
+		s.Count(now, 12e6/8/100*95/100)
+		now = now.Add(10 * time.Millisecond)
+	}
+	t.Logf("wait after a minute: %v", s.Wait(now, 0))
+	is.True(s.Wait(now, 0) <= maxDebt+10*time.Millisecond)
+	// Bytes that the link cannot have sent are a wait.
+	s.Count(now, 3*12e6/8)
+	is.True(s.Wait(now, 0) >= 3*time.Second)
+}
+
+// Guards against an inner call that has missed its objective and waits for others that are in time: the request that waits
+// for it is half done.
+func TestLateInnerCallGoesNext(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	s := NewScheduler(12)
+	other := &Transfer{Objective: now.Add(time.Second)}
+	inner := &Transfer{Priority: -1, Objective: now.Add(-time.Millisecond), Deadline: now.Add(200 * time.Millisecond)}
+	lost := &Transfer{Priority: -1, Objective: now.Add(-time.Second), Deadline: now.Add(-time.Millisecond)}
+	for _, x := range []*Transfer{other, inner, lost} {
+		s.Open(x, 40e3)
+		s.Request(now, x, ChunkSize)
+	}
+	var order []*Transfer
+	for range 3 {
+		next, wait := s.Next(now)
+		if wait > 0 {
+			now = now.Add(wait)
+			next, _ = s.Next(now)
+		}
+		order = append(order, next)
+	}
+	is.Equal(order, []*Transfer{inner, other, lost})
+}
--- a/egress/scheduler.go
+++ b/egress/scheduler.go
@@ -20,6 +20,8 @@
 	linkShare = 0.85
 	// minShare is the share of the link that large responses get even if other traffic fills it.
 	minShare = 0.1
+	// maxDebt bounds by how much counted traffic may be ahead of the share of the link, beyond what the link cannot have sent yet.
+	maxDebt = time.Second
 	// oldestEvery is the interval, in chunks, at which the transfer that has waited longest is next, whatever its order:
 	// an eighth of the bandwidth keeps every transfer going and delays those in time by no more than a seventh.
 	oldestEvery = 8
@@ -49,14 +51,15 @@
 // responses a second. Unpaced, a small response waits for all bytes of the large ones that the kernel has taken; first
 // come first served, one response of 540 KB makes several others late.
 //
-// The order is: priority, earliest objective that can still be met, shortest remaining transfer. Late transfers get the
-// bandwidth that is left, in the order of their deadlines, and each eighth chunk goes to the transfer that has waited
-// longest.
+// The order is: priority, earliest objective that can still be met, earliest deadline that can still be met. Transfers that
+// miss their deadline get the bandwidth that is left, and each eighth chunk goes to the transfer that has waited longest.
 type Scheduler struct {
-	rate    float64 // bytes per second for all counted traffic
-	minRate float64 // bytes per second that large responses get in any case
+	linkRate float64 // bytes per second of the link
+	rate     float64 // bytes per second for all counted traffic
+	minRate  float64 // bytes per second that large responses get in any case
 
-	freeAt   time.Time // when the counted traffic so far will have left
+	freeAt   time.Time // when the counted traffic so far will have left at its share of the link
+	sentAt   time.Time // when the link can have sent the counted traffic so far
 	latestAt time.Time // when the next chunk may leave even if other traffic fills the link
 	others   rateAverage
 	waiting  []*Transfer
@@ -69,7 +72,9 @@
 // NewScheduler returns a scheduler for a link of the speed in Mbit/s, which must be positive.
 func NewScheduler(linkMbps float64) *Scheduler {
 	bytesPerSecond := linkMbps * 1e6 / 8
-	return &Scheduler{rate: bytesPerSecond * linkShare, minRate: bytesPerSecond * minShare, expected: make(map[int]int64)}
+	return &Scheduler{
+		linkRate: bytesPerSecond, rate: bytesPerSecond * linkShare, minRate: bytesPerSecond * minShare, expected: make(map[int]int64),
+	}
 }
 
 // Open registers a transfer of the given length in bytes, negative if unknown.
@@ -118,7 +123,17 @@
 func (s *Scheduler) Count(now time.Time, bytes int64) {
 	s.settle(now)
 	s.others.add(now, bytes)
-	s.freeAt = s.freeAt.Add(duration(bytes, s.rate))
+	s.advance(now, bytes)
+}
+
+// advance moves the clocks by bytes that are sent now. While traffic exceeds its share of the link, freeAt stays within
+// maxDebt of what the link can have sent: otherwise a minute of it would make the link look busy for seconds afterwards.
+func (s *Scheduler) advance(now time.Time, bytes int64) {
+	if s.sentAt.Before(now) {
+		s.sentAt = now
+	}
+	s.sentAt = s.sentAt.Add(duration(bytes, s.linkRate))
+	s.freeAt = earlier(s.freeAt.Add(duration(bytes, s.rate)), s.sentAt.Add(maxDebt))
 }
 
 // Next returns the transfer whose chunk is to be sent now. Without one it returns how long to wait until the next may be
@@ -134,7 +149,7 @@
 	t = s.pick(now)
 	s.Withdraw(t)
 	s.chunks++
-	s.freeAt = s.freeAt.Add(duration(t.chunk, s.rate))
+	s.advance(now, t.chunk)
 	s.latestAt = now.Add(duration(t.chunk, s.minRate))
 	s.grow(t, -t.chunk)
 	return t, 0
@@ -156,11 +171,20 @@
 	if (s.chunks+1)%oldestEvery == 0 {
 		return slices.MinFunc(s.waiting, func(a, b *Transfer) int { return a.waitingSince.Compare(b.waitingSince) })
 	}
-	if t := s.firstInTime(now, func(t *Transfer) time.Time { return t.Objective }); t != nil {
-		return t
-	}
-	if t := s.firstInTime(now, func(t *Transfer) time.Time { return t.Deadline }); t != nil {
-		return t
+	rest := slices.Clone(s.waiting)
+	slices.SortStableFunc(rest, func(a, b *Transfer) int { return cmp.Compare(a.Priority, b.Priority) })
+	for len(rest) > 0 {
+		n := len(rest)
+		if i := slices.IndexFunc(rest, func(t *Transfer) bool { return t.Priority != rest[0].Priority }); i > 0 {
+			n = i
+		}
+		if t := s.firstInTime(now, rest[:n], func(t *Transfer) time.Time { return t.Objective }); t != nil {
+			return t
+		}
+		if t := s.firstInTime(now, rest[:n], func(t *Transfer) time.Time { return t.Deadline }); t != nil {
+			return t
+		}
+		rest = rest[n:]
 	}
 	return slices.MinFunc(s.waiting, func(a, b *Transfer) int {
 		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.remaining, b.remaining))
@@ -168,28 +192,24 @@
 }
 
 // firstInTime returns the first transfer of a set that can meet their limits one after the other; nil if there is none.
-// Where not all can, the longest of the same priority is left out, so that as many as possible are in time (rule of
-// Moore and Hodgson). Transfers without a limit are never late and come last in their priority.
-func (s *Scheduler) firstInTime(now time.Time, limit func(*Transfer) time.Time) *Transfer {
-	ordered := slices.Clone(s.waiting)
+// Where not all can, the longest is left out, so that as many as possible are in time (rule of Moore and Hodgson).
+// Transfers without a limit are never late and come last. All must have the same priority.
+func (s *Scheduler) firstInTime(now time.Time, transfers []*Transfer, limit func(*Transfer) time.Time) *Transfer {
+	ordered := slices.Clone(transfers)
 	slices.SortStableFunc(ordered, func(a, b *Transfer) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), compareLimits(limit(a), limit(b)), cmp.Compare(a.remaining, b.remaining))
+		return cmp.Or(compareLimits(limit(a), limit(b)), cmp.Compare(a.remaining, b.remaining))
 	})
 	rate := s.available(now)
 	inTime := ordered[:0:0]
 	var sum int64
-	first := 0 // index in inTime of the first transfer of the present priority
-	for i, t := range ordered {
-		if i > 0 && t.Priority != ordered[i-1].Priority {
-			first = len(inTime)
-		}
+	for _, t := range ordered {
 		inTime = append(inTime, t)
 		sum += t.remaining
 		if limit(t).IsZero() || !now.Add(duration(sum, rate)).After(limit(t)) {
 			continue
 		}
-		longest := first
-		for k := first; k < len(inTime); k++ {
+		longest := 0
+		for k := range inTime {
 			if inTime[k].remaining >= inTime[longest].remaining {
 				longest = k
 			}
