--- a/state/rollout.go
+++ b/state/rollout.go
@@ -110,7 +110,8 @@
 	if last.Phase == api.RolloutRolledBack && !slices.Contains(list, last.Version) {
 		list = append(list, last.Version)
 	}
-	return slices.DeleteFunc(list, func(v string) bool { return v == version })
+	list = slices.DeleteFunc(list, func(v string) bool { return v == version })
+	return list[max(0, len(list)-maxRetired):]
 }
 
 // stepRollout applies a step of the leader. Only a change raises the version of the configuration.
--- a/state/rollout_test.go
+++ b/state/rollout_test.go
@@ -161,3 +161,17 @@
 	is.Equal(m.View().Configuration.Rollouts, []api.Rollout{quotes})
 	is.Equal(m.View().RolloutElapsed, map[string]int64{quotes.ID: 0})
 }
+
+// Guards against a configuration that grows with each roll-out that is rolled back.
+func TestRetiredVersionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	m := newRolloutMachine(t)
+	for i := range 3 * maxRetired {
+		is.Equal(m.order("quotes", fmt.Sprint("v", i), 12000).Error, nil)
+		m.end(api.RolloutRolledBack)
+	}
+	is.Equal(m.order("quotes", "good", 12000).Error, nil)
+	r := m.View().Configuration.FindRollout("quotes")
+	is.Equal(len(r.Retired), maxRetired)
+	is.True(!r.Admits("t", fmt.Sprint("v", 3*maxRetired-1)))
+}
