control: a roll-out is completed only on reports from after the switch

TestCompletionNeedsReportsAfterTheSwitch showed completed while an old target in contact had last reported before the quiet time began; late heartbeats on a busy link then ended requests at old targets.

--- a/control/rollout.go
+++ b/control/rollout.go
@@ -135,7 +135,7 @@
 		a.quietSince = time.Time{}
 	case a.quietSince.IsZero():
 		a.quietSince = now
-	default:
+	case l.oldTargetsReportedAfter(r, targets, a.quietSince, now):
 		in.Quiet = now.Sub(a.quietSince)
 	}
 	a.counts.Observe(now, r.Phase)
@@ -158,6 +158,20 @@
 	batch.Rollouts = append(batch.Rollouts, step)
 }
 
+// oldTargetsReportedAfter reports whether the nodes in contact have reported all old targets after a time. An earlier
+// report may be from before the last requests arrived.
+func (l *leader) oldTargetsReportedAfter(r *api.Rollout, targets map[api.TargetID]*targetInfo, since, now time.Time) bool {
+	for _, t := range targets {
+		if t.Service != r.Service || t.Version == r.Version || slices.Contains(r.Retired, t.Version) {
+			continue
+		}
+		if last := l.lastHeartbeat(l.sessions[t.session]); !last.After(since) && now.Sub(last) < contactTimeout {
+			return false
+		}
+	}
+	return true
+}
+
 // comparedTargets returns the number of new targets that get requests.
 func comparedTargets(in *rollout.Input) int {
 	if in.Rollout.Phase == api.RolloutCanary {
--- a/control/rollout_test.go
+++ b/control/rollout_test.go
@@ -364,3 +364,24 @@
 	is.True(w.runUntil(api.RolloutCompleted, 12*time.Second))
 	is.True(!w.rollout().Admits("v1-00", "v1"))
 }
+
+// Guards against a completion on reports of old targets from before the last requests were sent to them: a node whose
+// heartbeats are late, but which is in contact, may have requests.
+func TestCompletionNeedsReportsAfterTheSwitch(t *testing.T) {
+	is := is.New(t)
+	w := newRolloutCluster(t, false)
+	w.order(12 * time.Second)
+	w.start("v2", rolloutTargets)
+	is.True(w.runUntil(api.RolloutSwitching, 12*time.Second))
+	w.run(200 * time.Millisecond) // all nodes report the phase
+	late := w.nodes[0]
+	w.nodes = w.nodes[1:]
+	w.run(700 * time.Millisecond)
+	is.Equal(w.rollout().Phase, api.RolloutSwitching)
+	late.running = 1
+	w.nodes = append(w.nodes, late)
+	w.run(500 * time.Millisecond)
+	is.Equal(w.rollout().Phase, api.RolloutSwitching)
+	w.nodes = w.nodes[:len(w.nodes)-1]
+	is.True(w.runUntil(api.RolloutCompleted, 1500*time.Millisecond)) // out of contact, it is not waited for
+}
