gateway: large responses that are ready by the deadline are delivered late

TestReadyResponseIsDeliveredLate showed an unexpected end at the deadline of the first node, while the response was complete in the memory of the owner's node and waited for its link.

--- a/gateway/egress_test.go
+++ b/gateway/egress_test.go
@@ -298,3 +298,27 @@
 	_, _ = r.finishAttempt(raceResult{err: sent})
 	is.Equal(c.attemptsLeft, 2)
 }
+
+// Guards against a response that is ready in time and truncated at the deadline because its transfer takes longer, and
+// against one whose caller leaves after the deadline and which is sent nevertheless.
+func TestReadyResponseIsDeliveredLate(t *testing.T) {
+	is := is.New(t)
+	const size = 200_000 // 0.7 s over the link
+	a, b := newEgressNodes(t, 2, sendBytes(make([]byte, size), true))
+	got := a.call(t, "GET", "/orders/k", "", api.HeaderDeadlineMs, "200")
+	is.NoErr(got.err)
+	is.Equal(len(got.body), size)
+
+	ctx, leave := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, "GET", a.caller.URL+"/orders/k", nil)
+	is.NoErr(err)
+	req.Header.Set("Authorization", "Bearer "+orgKey)
+	req.Header.Set(api.HeaderDeadlineMs, "100")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	time.Sleep(150 * time.Millisecond)
+	is.True(b.egress.Backlog() > 0)
+	leave()
+	eventually(t, "memory or backlog stays taken", func() bool { return b.egress.Memory().Used() == 0 && b.egress.Backlog() == 0 })
+}
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
 	"github.com/zinniapier/zinniapier/telemetry"
@@ -23,6 +25,9 @@
 	// hopMargin is subtracted from the deadline of the owner's node, so that its error arrives
 	// before the first node gives up.
 	hopMargin = 20 * time.Millisecond
+	// lateTransfer is how long after its deadline the body of a response is still read: its bytes are ready, and wait for
+	// the link of the owner's node.
+	lateTransfer = 5 * time.Second
 	// maxRefusalSize limits the bytes read of a refusal by another node.
 	maxRefusalSize = 4 << 10
 )
@@ -44,6 +49,8 @@
 	fenced atomic.Bool // the owner's node has confirmed that it will never start the attempt
 	// received is true once the owner's node has confirmed that it has received the attempt.
 	received atomic.Bool
+	// answered is true once there is a response whose body is still to be read.
+	answered atomic.Bool
 }
 
 // hop makes an attempt through another node.
@@ -56,7 +63,7 @@
 
 func (h *hop) do(ctx context.Context) (*response, *errkind.Error) {
 	outer := ctx
-	ctx, h.cancel = context.WithCancel(ctx)
+	ctx = h.start(ctx)
 	req := newOutgoingRequest(httptrace.WithClientTrace(ctx, h.trace()), h.call, h.scheme(), h.dest.peer.InternalAddr, h.header())
 	h.gateway.egress.countRequest(req)
 	h.startProbing(ctx)
@@ -79,9 +86,30 @@
 	if e := a.readSmallBody(h.call.incoming.Method); e != nil {
 		return nil, e
 	}
+	h.answered.Store(true)
 	return a, nil
 }
 
+// start returns the context of the hop. It ends with the outer one, but if that reaches its deadline while a response is
+// being transferred, up to lateTransfer later. The owner's node keeps the deadline for its target.
+func (h *hop) start(outer context.Context) context.Context {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(outer))
+	stop := context.AfterFunc(outer, func() {
+		if !h.answered.Load() || !errors.Is(outer.Err(), context.DeadlineExceeded) {
+			cancel()
+			return
+		}
+		late := time.AfterFunc(lateTransfer, cancel)
+		context.AfterFunc(ctx, func() { late.Stop() })
+		context.AfterFunc(h.call.incoming.Context(), cancel)
+	})
+	h.cancel = func() {
+		stop()
+		cancel()
+	}
+	return ctx
+}
+
 // trace notes the receipt of the attempt, too.
 func (h *hop) trace() *httptrace.ClientTrace {
 	t := h.once.trace()
