--- a/control/rollout.go
+++ b/control/rollout.go
@@ -44,6 +44,8 @@
 	quietSince time.Time
 	// elapsedDue is when the elapsed time is to be committed again.
 	elapsedDue time.Time
+	// oldVersions are the versions of old targets that have been seen.
+	oldVersions []string
 	// nextCanaryPlan is when partitions may move to canary targets again.
 	nextCanaryPlan time.Time
 }
@@ -66,17 +68,15 @@
 
 // recordOutcomes takes in the counts that a node sends of its targets during a roll-out.
 func (l *leader) recordOutcomes(view *api.ControlState, req *api.HeartbeatRequest, now time.Time) {
+	rollouts := view.Configuration.Rollouts
 	for i := range req.Outcomes {
 		o := &req.Outcomes[i]
-		t := slices.IndexFunc(req.Targets, func(t api.TargetReport) bool { return t.ID == o.Target })
-		if t < 0 {
-			continue
-		}
-		r := view.Configuration.FindRollout(req.Targets[t].Service)
-		if r == nil || r.ID != o.Rollout || r.Phase.Ended() {
+		// The node may no longer report the target, which has crashed.
+		r := slices.IndexFunc(rollouts, func(r api.Rollout) bool { return r.ID == o.Rollout })
+		if r < 0 || rollouts[r].Phase.Ended() {
 			continue
 		}
-		l.activeRollout(view, r, now).counts.Record(o)
+		l.activeRollout(view, &rollouts[r], now).counts.Record(o)
 	}
 }
 
@@ -123,13 +123,19 @@
 func (l *leader) planRollout(view *api.ControlState, r *api.Rollout, targets map[api.TargetID]*targetInfo, now time.Time, batch *state.Batch) {
 	a := l.activeRollout(view, r, now)
 	in := l.rolloutInput(view, r, targets, now)
+	for _, t := range in.Targets {
+		if t.Version != r.Version && !slices.Contains(a.oldVersions, t.Version) {
+			a.oldVersions = append(a.oldVersions, t.Version)
+		}
+	}
+	in.OldVersions = a.oldVersions
 	behind := l.nodesBehind(a.version, now)
 	switch {
 	case r.Phase != api.RolloutSwitching || len(behind) > 0 || !in.Finished():
 		a.quietSince = time.Time{}
 	case a.quietSince.IsZero():
 		a.quietSince = now
-	default:
+	case l.oldTargetsReportedAfter(r, targets, a.quietSince, now):
 		in.Quiet = now.Sub(a.quietSince)
 	}
 	a.counts.Observe(now, r.Phase)
@@ -152,6 +158,20 @@
 	batch.Rollouts = append(batch.Rollouts, step)
 }
 
+// oldTargetsReportedAfter reports whether the nodes in contact have reported all old targets after a time. An earlier
+// report may be from before the last requests arrived.
+func (l *leader) oldTargetsReportedAfter(r *api.Rollout, targets map[api.TargetID]*targetInfo, since, now time.Time) bool {
+	for _, t := range targets {
+		if t.Service != r.Service || t.Version == r.Version || slices.Contains(r.Retired, t.Version) {
+			continue
+		}
+		if last := l.lastHeartbeat(l.sessions[t.session]); !last.After(since) && now.Sub(last) < contactTimeout {
+			return false
+		}
+	}
+	return true
+}
+
 // comparedTargets returns the number of new targets that get requests.
 func comparedTargets(in *rollout.Input) int {
 	if in.Rollout.Phase == api.RolloutCanary {
--- a/gateway/egress_test.go
+++ b/gateway/egress_test.go
@@ -6,9 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/matryer/is"
 
 	"github.com/zinniapier/zinniapier/api"
@@ -130,6 +132,27 @@
 	}
 }
 
+// Guards against a truncated response that looks complete to an HTTP/1.0 caller, to which the end of the connection is the
+// end of a response of unknown length.
+func TestTruncatedResponseOfHTTP10(t *testing.T) {
+	for _, size := range []int{100, 150_000} {
+		is := is.New(t)
+		a, _ := newEgressNodes(t, 100, func(w http.ResponseWriter, _ *http.Request) {
+			_ = http.NewResponseController(w).Flush()
+			_, _ = w.Write(make([]byte, size))
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		})
+		conn, err := net.Dial("tcp", a.caller.Listener.Addr().String())
+		is.NoErr(err)
+		defer conn.Close()
+		_, err = io.WriteString(conn, "GET /orders/k HTTP/1.0\r\nHost: x\r\nAuthorization: Bearer "+orgKey+"\r\n\r\n")
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, conn)
+		is.True(errors.Is(err, syscall.ECONNRESET))
+	}
+}
+
 // Guards against responses that are ready and lost because the node stops while they wait for the link, and against pacing
 // of responses that do not cross it.
 func TestResponsesThatDoNotWait(t *testing.T) {
@@ -217,3 +240,27 @@
 	_, _ = r.finishAttempt(raceResult{err: errkind.New(errkind.Overloaded, "link is taken")})
 	is.Equal(r.call.attemptsLeft, 2)
 }
+
+// Guards against a response that is ready in time and truncated at the deadline because its transfer takes longer, and
+// against one whose caller leaves after the deadline and which is sent nevertheless.
+func TestReadyResponseIsDeliveredLate(t *testing.T) {
+	is := is.New(t)
+	const size = 200_000 // 0.7 s over the link
+	a, b := newEgressNodes(t, 2, sendBytes(make([]byte, size), true))
+	got := a.call(t, "GET", "/orders/k", "", api.HeaderDeadlineMs, "200")
+	is.NoErr(got.err)
+	is.Equal(len(got.body), size)
+
+	ctx, leave := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, "GET", a.caller.URL+"/orders/k", nil)
+	is.NoErr(err)
+	req.Header.Set("Authorization", "Bearer "+orgKey)
+	req.Header.Set(api.HeaderDeadlineMs, "100")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	time.Sleep(150 * time.Millisecond)
+	is.True(b.egress.Backlog() > 0)
+	leave()
+	eventually(t, "memory or backlog stays taken", func() bool { return b.egress.Memory().Used() == 0 && b.egress.Backlog() == 0 })
+}
