--- a/egress/admission.go
+++ b/egress/admission.go
@@ -26,12 +26,17 @@
 // another target. Where no other target is left, the latest time should be the deadline: with the objective, bursts
 // beyond the links would lose what the scheduler still delivers.
 func (s *Scheduler) Reserve(now time.Time, d Demand) (took time.Duration, ok bool) {
-	took = s.Wait(now, d.Priority) + d.Processing + duration(d.Bytes, s.available(now))
-	if !d.Latest.IsZero() && now.Add(took).After(d.Latest) {
-		return took, false
+	took, ok = s.Check(now, d)
+	if ok {
+		s.expect(d.Priority, d.Bytes)
 	}
-	s.expect(d.Priority, d.Bytes)
-	return took, true
+	return took, ok
+}
+
+// Check returns what Reserve would, and books nothing.
+func (s *Scheduler) Check(now time.Time, d Demand) (took time.Duration, ok bool) {
+	took = s.Wait(now, d.Priority) + d.Processing + duration(d.Bytes, s.available(now))
+	return took, d.Latest.IsZero() || !now.Add(took).After(d.Latest)
 }
 
 // Release cancels a reservation.
--- a/egress/link.go
+++ b/egress/link.go
@@ -100,6 +100,13 @@
 	}), true
 }
 
+// Check returns what Reserve would, and books nothing.
+func (l *Link) Check(d Demand) (took time.Duration, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.scheduler.Check(time.Now(), d)
+}
+
 // LargeWait returns how long one more large response would wait for the link.
 func (l *Link) LargeWait() time.Duration {
 	l.mu.Lock()
--- a/gate/fair.go
+++ b/gate/fair.go
@@ -130,6 +130,19 @@
 // Evict removes the newest waiter of the flow with the largest backlog, unless the new request
 // would give its own organisation the largest.
 func (q *fairQueue) Evict(r Request) *Waiter {
+	longest := q.evictable(r)
+	if longest == nil {
+		return nil
+	}
+	w := longest.waiters[len(longest.waiters)-1]
+	q.removeFrom(longest, w)
+	return w
+}
+
+func (q *fairQueue) CanEvict(r Request) bool { return q.evictable(r) != nil }
+
+// evictable returns the flow that Evict removes a waiter from, or nil.
+func (q *fairQueue) evictable(r Request) *flow {
 	org, weight := r.Organisation, r.Weight
 	var longest *flow
 	for _, f := range q.active {
@@ -144,9 +157,7 @@
 	if longest == nil || longest.backlog() <= float64(own+1)/weight {
 		return nil
 	}
-	w := longest.waiters[len(longest.waiters)-1]
-	q.removeFrom(longest, w)
-	return w
+	return longest
 }
 
 // backlog returns the number of waiters divided by the weight.
--- a/gate/fifo.go
+++ b/gate/fifo.go
@@ -30,6 +30,8 @@
 
 func (q *fifoQueue) Evict(Request) *Waiter { return nil }
 
+func (q *fifoQueue) CanEvict(Request) bool { return false }
+
 // removeWaiter returns the list without w and reports whether w was in it.
 func removeWaiter(list []*Waiter, w *Waiter) ([]*Waiter, bool) {
 	for i, other := range list {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -180,11 +180,11 @@
 	defer g.mu.Unlock()
 	now := g.now()
 	g.limiter.advance(now)
-	if g.queue.Len() == 0 && g.limiter.allows(g.running+1) && g.startWait(now) == 0 {
+	if g.startsAtOnce(now, &g.limiter) {
 		g.start(now)
 		return nil, nil
 	}
-	if err := g.checkDeadline(ctx, now, r); err != nil {
+	if err := g.checkDeadline(ctx, now, &g.limiter, r); err != nil {
 		return nil, err
 	}
 	if err := g.ensureQueueSpace(r); err != nil {
@@ -201,21 +201,31 @@
 	return w, nil
 }
 
+// startsAtOnce reports whether a request that arrives now gets a slot without a wait. The caller holds the lock.
+func (g *Gate) startsAtOnce(now time.Time, l *limiter) bool {
+	return g.queue.Len() == 0 && l.allows(g.running+1) && g.startWait(now) == 0
+}
+
 // ensureQueueSpace evicts a waiter when the queue is full, or returns Overloaded. The caller holds
 // the lock.
 func (g *Gate) ensureQueueSpace(r Request) error {
-	if g.queue.Len() < g.queueLength {
-		return nil
+	if err := g.checkQueueSpace(r); err != nil || g.queue.Len() < g.queueLength {
+		return err
 	}
 	w := g.queue.Evict(r)
-	if w == nil {
-		return errkind.New(errkind.Overloaded, "queue of %d is full", g.queueLength)
-	}
 	w.err = errkind.New(errkind.Overloaded, "evicted from a full queue")
 	close(w.ready)
 	return nil
 }
 
+// checkQueueSpace returns Overloaded when the queue is full and no waiter would be evicted. The caller holds the lock.
+func (g *Gate) checkQueueSpace(r Request) error {
+	if g.queue.Len() >= g.queueLength && !g.queue.CanEvict(r) {
+		return errkind.New(errkind.Overloaded, "queue of %d is full", g.queueLength)
+	}
+	return nil
+}
+
 // wait returns when the waiter has a slot, was evicted or ctx ends.
 func (g *Gate) wait(ctx context.Context, w *Waiter) error {
 	select {
@@ -314,13 +324,18 @@
 	defer g.mu.Unlock()
 	g.limiter.advance(g.now())
 	g.admitWaiting()
+	return g.stats(&g.limiter)
+}
+
+// stats describes the gate under a limiter. The caller holds the lock.
+func (g *Gate) stats(l *limiter) Stats {
 	return Stats{
 		Running: g.running,
 		Queued:  g.queue.Len(),
-		Limit:   g.limiter.limit(),
-		Cold:    g.limiter.cold,
+		Limit:   l.limit(),
+		Cold:    l.cold,
 
-		ColdStartsDetected: g.limiter.coldDetected,
-		ColdStartsReported: g.limiter.coldReported,
+		ColdStartsDetected: l.coldDetected,
+		ColdStartsReported: l.coldReported,
 	}
 }
--- a/gate/namedrate.go
+++ b/gate/namedrate.go
@@ -60,10 +60,15 @@
 func (g *Gate) NamedRate() float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.namedRate.interval == 0 {
+	return g.namedRate.perSecond()
+}
+
+// perSecond returns the limit in requests per second; 0 for none.
+func (l *namedRateLimiter) perSecond() float64 {
+	if l.interval == 0 {
 		return 0
 	}
-	return float64(time.Second) / float64(g.namedRate.interval)
+	return float64(time.Second) / float64(l.interval)
 }
 
 // SetNamedRate limits the target to the rate of requests per second that a response has named; a negative rate means
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -33,6 +33,8 @@
 	// Evict removes a waiter from a full queue to make space for a new request; nil means that the
 	// new request is refused.
 	Evict(r Request) *Waiter
+	// CanEvict reports whether Evict would remove a waiter for the request. It changes nothing.
+	CanEvict(r Request) bool
 }
 
 // Queues holds the constructors of the queue policies by name.
--- a/gate/request.go
+++ b/gate/request.go
@@ -36,24 +36,29 @@
 
 // checkDeadline refuses a request that would miss its deadline or its latest start, given the
 // mean service time and its position in the queue. The caller holds the lock.
-func (g *Gate) checkDeadline(ctx context.Context, now time.Time, r Request) error {
+func (g *Gate) checkDeadline(ctx context.Context, now time.Time, l *limiter, r Request) error {
 	deadline, ok := ctx.Deadline()
-	mean := g.limiter.times.mean
+	mean := l.times.mean
 	if !ok || mean == 0 {
 		return nil
 	}
-	position := g.queue.Ahead(r) + 1
-	wait := max(mean*time.Duration(position)/time.Duration(g.limiter.limit()), g.namedRate.wait(now, position))
+	wait := g.estimatedWait(now, l, r)
 	if latest := r.LatestStart(now, mean); !latest.IsZero() && now.Add(wait).After(latest) {
 		return errkind.New(errkind.Overloaded, "estimated queue wait %v exceeds the remaining %v; %d of %d slots in use",
-			wait, latest.Sub(now), g.running, g.limiter.limit())
+			wait, latest.Sub(now), g.running, l.limit())
 	}
 	required := wait + mean
 	if deadline.Sub(now) >= required {
 		return nil
 	}
 	return errkind.New(errkind.DeadlineExceeded, "estimated response time %v exceeds the deadline in %v; %d of %d slots in use",
-		required, deadline.Sub(now), g.running, g.limiter.limit())
+		required, deadline.Sub(now), g.running, l.limit())
+}
+
+// estimatedWait returns how long a request that arrives now would wait in the queue. The caller holds the lock.
+func (g *Gate) estimatedWait(now time.Time, l *limiter, r Request) time.Duration {
+	position := g.queue.Ahead(r) + 1
+	return max(l.times.mean*time.Duration(position)/time.Duration(l.limit()), g.namedRate.wait(now, position))
 }
 
 // withLatestStart ends the wait at the latest start, and when the mean service time no longer fits
--- a/gate/urgent.go
+++ b/gate/urgent.go
@@ -68,19 +68,27 @@
 // Evict removes a waiter of the least urgent priority, never one that is more urgent than the new
 // request. Within the priority of the new request, the fair queue decides.
 func (q *urgentQueue) Evict(r Request) *Waiter {
-	for _, c := range slices.Backward(q.classes) {
+	c := q.evictable(r)
+	if c == nil {
+		return nil
+	}
+	q.length--
+	if c.priority == r.Priority {
+		return c.queue.Evict(r)
+	}
+	return c.queue.Pop()
+}
+
+func (q *urgentQueue) CanEvict(r Request) bool { return q.evictable(r) != nil }
+
+// evictable returns the class that Evict removes a waiter from, or nil.
+func (q *urgentQueue) evictable(r Request) *urgentClass {
+	for i, c := range slices.Backward(q.classes) {
 		if c.priority < r.Priority {
 			return nil
 		}
-		var w *Waiter
-		if c.priority == r.Priority {
-			w = c.queue.Evict(r)
-		} else {
-			w = c.queue.Pop()
-		}
-		if w != nil {
-			q.length--
-			return w
+		if c.priority == r.Priority && c.queue.CanEvict(r) || c.priority > r.Priority && c.queue.Len() > 0 {
+			return &q.classes[i]
 		}
 	}
 	return nil
