--- a/host/begin.go
+++ b/host/begin.go
@@ -57,25 +57,59 @@
 func (t *Target) tryBegin(ctx context.Context, ref api.PartitionRef, epoch api.Epoch, key string) (
 	attemptCtx context.Context, end func(), grantsUsable <-chan struct{}, err error) {
 	now := time.Now()
-	v := t.r.o.View()
-	if !v.LeaseValid(now) && !(ref.Partition == noPartition && v.Usable(now)) {
-		return nil, nil, nil, errkind.New(errkind.NoLease, "the node has no session lease")
-	}
-	if err := t.checkOwner(v, ref, epoch); err != nil {
+	if err := t.checkView(now, ref, epoch); err != nil {
 		return nil, nil, nil, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if grantsUsable, err := t.checkState(now, ref, epoch); err != nil {
+		return nil, nil, grantsUsable, err
+	}
+	if ref.Partition == noPartition {
+		t.running++
+		return ctx, sync.OnceFunc(t.endUnpartitioned), nil, nil
+	}
+	attemptCtx, end = t.beginUnderGrant(ctx, now, ref, key)
+	return attemptCtx, end, nil, nil
+}
+
+// CheckBegin returns the error that Begin would return now, or would wait to become nil, and counts nothing.
+func (t *Target) CheckBegin(ref api.PartitionRef, epoch api.Epoch) error {
+	now := time.Now()
+	if err := t.checkView(now, ref, epoch); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, err := t.checkState(now, ref, epoch)
+	return err
+}
+
+// checkView checks the lease of the node and the assignment by the latest view.
+func (t *Target) checkView(now time.Time, ref api.PartitionRef, epoch api.Epoch) error {
+	v := t.r.o.View()
+	if !v.LeaseValid(now) && !(ref.Partition == noPartition && v.Usable(now)) {
+		return errkind.New(errkind.NoLease, "the node has no session lease")
+	}
+	return t.checkOwner(v, ref, epoch)
+}
+
+// checkState checks the state of the target and of its grant. It returns a non-nil grantsUsable with the error if the
+// attempt only has to wait until the target has acknowledged the grant. The caller holds the lock.
+func (t *Target) checkState(now time.Time, ref api.PartitionRef, epoch api.Epoch) (grantsUsable <-chan struct{}, err error) {
 	if t.lost {
-		return nil, nil, nil, errkind.New(errkind.NoTarget, "target %s is lost", t.info.ID)
+		return nil, errkind.New(errkind.NoTarget, "target %s is lost", t.info.ID)
 	}
 	if err := t.checkAdmitLimits(now); err != nil {
-		return nil, nil, nil, err
+		return nil, err
 	}
-	if ref.Partition == noPartition {
-		return t.beginUnpartitioned(ctx)
+	if ref.Partition != noPartition {
+		return t.checkGrant(now, ref, epoch)
+	}
+	if t.draining {
+		return nil, errkind.New(errkind.ShuttingDown, "target %s is leaving", t.info.ID)
 	}
-	return t.beginUnderGrant(ctx, now, ref, epoch, key)
+	return nil, nil
 }
 
 // checkOwner checks the request against the assignments of the view.
@@ -109,39 +143,36 @@
 	return nil
 }
 
-func (t *Target) beginUnpartitioned(ctx context.Context) (context.Context, func(), <-chan struct{}, error) {
-	if t.draining {
-		return nil, nil, nil, errkind.New(errkind.ShuttingDown, "target %s is leaving", t.info.ID)
-	}
-	t.running++
-	return ctx, sync.OnceFunc(t.endUnpartitioned), nil, nil
-}
-
 func (t *Target) endUnpartitioned() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.running--
 }
 
-func (t *Target) beginUnderGrant(ctx context.Context, now time.Time, ref api.PartitionRef, epoch api.Epoch, key string) (
-	context.Context, func(), <-chan struct{}, error) {
+// checkGrant checks that the target holds the grant and may start work under it. The results are those of checkState.
+func (t *Target) checkGrant(now time.Time, ref api.PartitionRef, epoch api.Epoch) (grantsUsable <-chan struct{}, err error) {
 	g := t.grants[ref.Partition]
 	if g != nil && g.epoch > epoch {
-		return nil, nil, nil, errkind.New(errkind.StaleEpoch, "epoch %d is older than %d", epoch, g.epoch)
+		return nil, errkind.New(errkind.StaleEpoch, "epoch %d is older than %d", epoch, g.epoch)
 	}
 	if g != nil && g.epoch == epoch && g.phase != granted && !(t.info.Pulls && g.phase == draining) {
-		return nil, nil, nil, errkind.New(errkind.WrongOwner, "partition %d is being released", ref.Partition)
+		return nil, errkind.New(errkind.WrongOwner, "partition %d is being released", ref.Partition)
 	}
 	if g == nil || g.epoch != epoch || (t.info.ChecksGrants && !now.Before(g.acknowledgedUntil)) {
-		err := errkind.New(errkind.NoOwner, "the target has not acknowledged partition %d", ref.Partition)
-		return nil, nil, t.grantsUsable, err
+		return t.grantsUsable, errkind.New(errkind.NoOwner, "the target has not acknowledged partition %d", ref.Partition)
 	}
+	return nil, nil
+}
+
+// beginUnderGrant counts an attempt under a grant that checkGrant has found usable. The caller holds the lock.
+func (t *Target) beginUnderGrant(ctx context.Context, now time.Time, ref api.PartitionRef, key string) (context.Context, func()) {
+	g := t.grants[ref.Partition]
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	a := &attempt{began: now, cancel: cancel}
 	g.attempts[a] = struct{}{}
 	t.running++
 	t.meter.count(ref.Partition, key)
-	return attemptCtx, sync.OnceFunc(func() { t.endUnderGrant(g, a) }), nil, nil
+	return attemptCtx, sync.OnceFunc(func() { t.endUnderGrant(g, a) })
 }
 
 // CountRefusal counts a request that the gate refused as load of its partition. Without it, the
