--- a/gateway/body.go
+++ b/gateway/body.go
@@ -58,13 +58,21 @@
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return &body{}, nil
 	}
-	if r.ContentLength > limit {
-		return nil, errkind.New(errkind.TooLarge, "body of %d bytes exceeds the limit of %d bytes", r.ContentLength, limit)
+	if err := checkBodyLength(r.ContentLength, limit); err != nil {
+		return nil, err
 	}
 	b := &body{length: r.ContentLength, stream: http.MaxBytesReader(w, r.Body, limit), unblock: readUnblocker(w)}
 	return b, b.fill(maxSmallBody)
 }
 
+// checkBodyLength checks the stated length of a body. Errors: TooLarge.
+func checkBodyLength(length, limit int64) error {
+	if length > limit {
+		return errkind.New(errkind.TooLarge, "body of %d bytes exceeds the limit of %d bytes", length, limit)
+	}
+	return nil
+}
+
 // readOn buffers the rest of a body that is not small, as far as there is memory, and unless its sender holds it back. Errors
 // as those of readBody.
 func (b *body) readOn(r *http.Request, memory *bodyMemory) error {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -71,38 +71,63 @@
 func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request, v *api.View) (*call, error) {
 	began := time.Now()
 	if v.Configuration == nil || v.Index == nil {
-		return nil, errkind.New(errkind.NoLease, "node has no configuration yet")
+		return nil, errNoConfiguration()
 	}
-	if err := checkPath(r.URL); err != nil {
+	matched, info, err := g.matchRoute(r, g.routes.get(v.Configuration))
+	if err != nil {
+		return nil, err
+	}
+	c := g.routedCall(r, matched, info, matched.pick(), began)
+	if err := g.prepare(c, v, matched, info, matched.elapsed); err != nil {
 		return nil, err
 	}
+	c.header = g.requestHeader(r.Header)
+	return c, c.readBody(w, g.maxBody)
+}
+
+func errNoConfiguration() *errkind.Error {
+	return errkind.New(errkind.NoLease, "node has no configuration yet")
+}
+
+// matchRoute returns the route of a caller's request and what its headers state. Errors: BadRequest, NoRoute.
+func (g *Gateway) matchRoute(r *http.Request, routes *routeTable) (*route, RequestInfo, error) {
+	if err := checkPath(r.URL); err != nil {
+		return nil, RequestInfo{}, err
+	}
 	info, err := g.dialect.ParseRequest(r)
 	if err != nil {
-		return nil, err
+		return nil, RequestInfo{}, err
 	}
-	matched := g.routes.get(v.Configuration).match(r.Method, r.Host, r.URL.Path)
+	matched := routes.match(r.Method, r.Host, r.URL.Path)
 	if matched == nil {
-		return nil, errkind.New(errkind.NoRoute, "no route matches the request")
+		return nil, RequestInfo{}, errkind.New(errkind.NoRoute, "no route matches the request")
 	}
+	return matched, info, nil
+}
+
+// routedCall returns the call of a request that arrived on a route and goes to one of its services.
+func (g *Gateway) routedCall(r *http.Request, matched *route, info RequestInfo, service *api.Service, began time.Time) *call {
 	c := &call{
-		incoming: r, id: info.ID, service: matched.pick(), open: matched.open,
+		incoming: r, id: info.ID, service: service, open: matched.open,
 		idempotent: matched.idempotent(r.Method), priority: matched.priority, origin: g.origin,
 		routeName: matched.name, offHost: !fromThisHost(r),
 	}
 	c.history.began = began
+	return c
+}
+
+// prepare authenticates the call and sets its limits, key and partition. elapsed returns how long a caller that states a
+// deadline in milliseconds has waited already. Errors: Unauthenticated, NoLease, DependencyDown, BadRequest.
+func (g *Gateway) prepare(c *call, v *api.View, matched *route, info RequestInfo, elapsed func(int64) time.Duration) error {
 	if err := c.authenticate(v, info.OrganisationKey); err != nil {
-		return nil, err
+		return err
 	}
 	if err := checkServing(v, c.service); err != nil {
-		return nil, err
+		return err
 	}
-	c.setObjective(matched, info)
+	c.setObjective(matched.objective, info, elapsed)
 	c.setLimits(info, matched.deadline(), matched.attemptsOr(g.maxAttempts))
-	if err := c.readKey(v); err != nil {
-		return nil, err
-	}
-	c.header = g.requestHeader(r.Header)
-	return c, c.readBody(w, g.maxBody)
+	return c.readKey(v)
 }
 
 func (c *call) authenticate(v *api.View, organisationKey string) error {
@@ -144,20 +169,20 @@
 // setObjective sets the priority and the latency objective. A caller that retries after a refusal
 // states a shorter deadline than first requests on the route; its objective counts from its first
 // request.
-func (c *call) setObjective(r *route, e RequestInfo) {
+func (c *call) setObjective(objective time.Duration, e RequestInfo, elapsed func(int64) time.Duration) {
 	if c.org == "" {
 		c.priority = internalPriority
 		return
 	}
-	if r.objective <= 0 {
+	if objective <= 0 {
 		return
 	}
-	c.objectiveAfter = r.objective
+	c.objectiveAfter = objective
 	began := c.history.began
 	if e.DeadlineMs > 0 {
-		began = began.Add(-r.elapsed(e.DeadlineMs))
+		began = began.Add(-elapsed(e.DeadlineMs))
 	}
-	c.objective = began.Add(r.objective)
+	c.objective = began.Add(objective)
 }
 
 // gateRequest returns what the call asks of a target's gate.
--- a/gateway/choice.go
+++ b/gateway/choice.go
@@ -29,6 +29,44 @@
 	largeResponse bool
 	// serviceLatency is the mean latency of the service at this node; zero if unknown.
 	serviceLatency time.Duration
+	// preview is set where a choice is only reported, not made; nil for real requests.
+	preview *choicePreview
+}
+
+// choicePreview records the figures that decide a choice. Its random numbers are its own, and loads are not recorded, so
+// that the choices of real requests stay as they are.
+type choicePreview struct {
+	random *rand.Rand
+	// costs holds the figure of each candidate that the policy compared, by its index.
+	costs map[int]float64
+}
+
+// IntN returns a random number in [0, n). Policies draw all random numbers here.
+func (c Candidates) IntN(n int) int {
+	if c.preview != nil {
+		return c.preview.random.IntN(n)
+	}
+	return rand.IntN(n)
+}
+
+// Compared reports the figure by which the policy compares a candidate with the others; the least one is selected.
+// Policies call it for each candidate that they compare.
+func (c Candidates) Compared(i int, cost float64) {
+	if c.preview != nil {
+		c.preview.costs[i] = cost
+	}
+}
+
+// load returns the load of a candidate.
+func (c Candidates) load(i int) *load {
+	id := c.targets[i].Target.ID
+	if c.preview == nil {
+		return c.loads.get(id)
+	}
+	if l := c.loads.find(id); l != nil {
+		return l
+	}
+	return new(load)
 }
 
 // Len returns the number of candidates.
@@ -41,7 +79,7 @@
 
 // At returns a candidate with its load.
 func (c Candidates) At(i int) Candidate {
-	l := c.loads.get(c.targets[i].Target.ID)
+	l := c.load(i)
 	s := l.recentReport(c.now)
 	if !c.large {
 		s.bodyWait = 0
@@ -99,7 +137,7 @@
 type randomChoice struct{}
 
 // Choose implements TargetChoice.
-func (randomChoice) Choose(candidates Candidates) int { return rand.IntN(candidates.Len()) }
+func (randomChoice) Choose(candidates Candidates) int { return candidates.IntN(candidates.Len()) }
 
 // twoChoices selects the better of two random targets by expected latency.
 type twoChoices struct{}
@@ -110,13 +148,16 @@
 	if n == 1 {
 		return 0
 	}
-	a := rand.IntN(n)
-	b := rand.IntN(n - 1)
+	a := candidates.IntN(n)
+	b := candidates.IntN(n - 1)
 	if b >= a {
 		b++
 	}
 	first, second := candidates.At(a), candidates.At(b)
-	if expectedTime(second, first) < expectedTime(first, second) {
+	timeA, timeB := expectedTime(first, second), expectedTime(second, first)
+	candidates.Compared(a, timeA)
+	candidates.Compared(b, timeB)
+	if timeB < timeA {
 		return b
 	}
 	return a
--- a/gateway/egress.go
+++ b/gateway/egress.go
@@ -160,26 +160,39 @@
 // Overloaded if the response would come too late.
 func (g *Gateway) reserveLink(c *call, p destination, t LocalTarget) (release func(), e *errkind.Error) {
 	now := time.Now()
-	mean, _ := g.sizes.Expected(c.ref.Service, c.routeName)
-	d := egress.Demand{Priority: c.priority, Bytes: mean, Processing: t.Gate().ExpectedLatency(), Latest: c.deadline}
-	if c.objective.After(now) && !p.late {
-		d.Latest = c.objective
-	}
+	d := g.linkDemand(now, c, p, t)
 	took, release, ok := g.egress.Reserve(d)
 	if !ok {
 		telemetry.CountEvent(eventLinkBusy, 1)
 		t.CountRefusal(c.ref, c.key)
-		return nil, errkind.New(errkind.Overloaded, "response would have left over the link after %v, but must within %v",
-			took, d.Latest.Sub(now))
+		return nil, errLinkBusy(now, took, d)
 	}
 	return release, nil
 }
 
+// linkDemand returns what the response to a call at a target of this host would ask of the link.
+func (g *Gateway) linkDemand(now time.Time, c *call, p destination, t LocalTarget) egress.Demand {
+	mean, _ := g.sizes.Expected(c.ref.Service, c.routeName)
+	d := egress.Demand{Priority: c.priority, Bytes: mean, Processing: t.Gate().ExpectedLatency(), Latest: c.deadline}
+	if c.objective.After(now) && !p.late {
+		d.Latest = c.objective
+	}
+	return d
+}
+
+func errLinkBusy(now time.Time, took time.Duration, d egress.Demand) *errkind.Error {
+	return errkind.New(errkind.Overloaded, "response would have left over the link after %v, but must within %v",
+		took, d.Latest.Sub(now))
+}
+
+// usesLink reports whether the response to a call is expected to need the link of this host.
+func (g *Gateway) usesLink(c *call) bool { return c.offHost && g.largeResponse(c) }
+
 // dispatchReserved is dispatch for a call whose response may need the link of this host. It refuses one that is expected to
 // be large and to leave too late.
 func (g *Gateway) dispatchReserved(ctx context.Context, v *api.View, c *call, p destination, t LocalTarget, id string, fromHop bool) (
 	*response, *errkind.Error) {
-	if !c.offHost || !g.largeResponse(c) {
+	if !g.usesLink(c) {
 		return g.dispatch(ctx, v, c, p, t, id, fromHop)
 	}
 	// Another owner may have a link that is free.
--- a/gateway/internal.go
+++ b/gateway/internal.go
@@ -106,7 +106,7 @@
 // newHopCall reads the description of a hop. Errors: NoLease, BadRequest, WrongOwner.
 func (g *Gateway) newHopCall(w http.ResponseWriter, r *http.Request, v *api.View) (*call, destination, error) {
 	if v.Configuration == nil || v.Index == nil {
-		return nil, destination{}, errkind.New(errkind.NoLease, "node has no configuration yet")
+		return nil, destination{}, errNoConfiguration()
 	}
 	d, err := api.ParseHop(r.Header.Get(api.HeaderHop))
 	if err != nil {
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -63,11 +63,16 @@
 	return l.last
 }
 
-func (t *loadTable) get(id api.TargetID) *load {
+// find returns the load of a target; nil if none is recorded.
+func (t *loadTable) find(id api.TargetID) *load {
 	t.mu.RLock()
-	l := t.byTarget[id]
-	t.mu.RUnlock()
-	if l != nil {
+	defer t.mu.RUnlock()
+	return t.byTarget[id]
+}
+
+// get returns the load of a target, which is recorded from now on.
+func (t *loadTable) get(id api.TargetID) *load {
+	if l := t.find(id); l != nil {
 		return l
 	}
 	t.mu.Lock()
@@ -78,7 +83,7 @@
 	if t.byTarget == nil || len(t.byTarget) >= maxTrackedTargets {
 		t.byTarget = make(map[api.TargetID]*load)
 	}
-	l = new(load)
+	l := new(load)
 	t.byTarget[id] = l
 	return l
 }
@@ -125,6 +130,14 @@
 	return p.(*latencyStats)
 }
 
+// find is get without adding a service.
+func (s *serviceLatencies) find(service string) *latencyStats {
+	if p, ok := s.byService.Load(service); ok {
+		return p.(*latencyStats)
+	}
+	return new(latencyStats)
+}
+
 // latencyStats tracks the 95th percentile of recent latencies and their decaying mean.
 type latencyStats struct {
 	p95  atomic.Int64
--- a/gateway/near.go
+++ b/gateway/near.go
@@ -1,9 +1,6 @@
 package gateway
 
-import (
-	"math/rand/v2"
-	"time"
-)
+import "time"
 
 // NearChoice is the policy that prefers the availability zone of the node unless a target in
 // another zone is faster by a factor that justifies the traffic between zones.
@@ -40,10 +37,11 @@
 		if n == 0 {
 			continue
 		}
-		start := rand.IntN(n)
+		start := candidates.IntN(n)
 		for k := range min(n, nearSampleSize) {
 			i := first + (start+k)%n
 			t := zoneWeightedTime(candidates.At(i), penalty)
+			candidates.Compared(i, t)
 			if best < 0 || t < bestTime {
 				best, bestTime = i, t
 			}
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -33,11 +33,19 @@
 // Load pattern: a service at high load whose targets are all replaced by a version that may be bad. A request that
 // fails at a canary target is repeated at a target of the old version, so that retries do not add to the share.
 func versionTargets(x *api.ViewIndex, service string, first bool, draw float64) []api.TargetAt {
-	if c := x.Canaries[service]; c != nil && first && draw < c.Share {
+	targets, canary := admittedTargets(x, service, first, draw)
+	if canary {
 		telemetry.CountEvent(eventCanaryChosen, 1)
-		return c.Targets
 	}
-	return x.TargetsByService[service]
+	return targets
+}
+
+// admittedTargets is versionTargets without counting; canary is true if the targets are the canary targets.
+func admittedTargets(x *api.ViewIndex, service string, first bool, draw float64) (targets []api.TargetAt, canary bool) {
+	if c := x.Canaries[service]; c != nil && first && draw < c.Share {
+		return c.Targets, true
+	}
+	return x.TargetsByService[service], false
 }
 
 // isCanary reports whether the target gets a share of the requests of the service only.
@@ -54,13 +62,19 @@
 	return false
 }
 
-// noTarget returns the error of a request without a target to choose from.
+// noTarget returns the error of a request without a target to choose from, and counts it during a roll-out.
 func noTarget(v *api.View, service string) *errkind.Error {
+	if v.Configuration.FindRollout(service) != nil {
+		telemetry.CountEvent(eventNoAdmittedTarget, 1)
+	}
+	return errNoTarget(v, service)
+}
+
+func errNoTarget(v *api.View, service string) *errkind.Error {
 	r := v.Configuration.FindRollout(service)
 	if r == nil {
 		return errkind.New(errkind.NoTarget, "%s has no serving target", service)
 	}
-	telemetry.CountEvent(eventNoAdmittedTarget, 1)
 	return errkind.New(errkind.NoTarget, "%s has no serving target that its roll-out to %s in phase %s admits in full",
 		service, r.Version, r.Phase)
 }
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -60,17 +60,26 @@
 }
 
 func (g *Gateway) attemptOwner(ctx context.Context, v *api.View, c *call, owner api.Assignment) (*response, *errkind.Error) {
+	p, e := ownerDestination(v, c.ref, owner)
+	if e != nil {
+		return nil, e
+	}
+	return g.attempt(ctx, v, c, p)
+}
+
+// ownerDestination returns where a request for the partition goes. Errors: NoOwner, NodeUnreachable.
+func ownerDestination(v *api.View, ref api.PartitionRef, owner api.Assignment) (destination, *errkind.Error) {
 	if !owner.Serves() {
-		return nil, errkind.New(errkind.NoOwner, "partition %d of %s has no owner", c.ref.Partition, c.ref.Service)
+		return destination{}, errkind.New(errkind.NoOwner, "partition %d of %s has no owner", ref.Partition, ref.Service)
 	}
 	p := destination{target: owner.Target, session: owner.Session, epoch: owner.Epoch, late: true}
 	if owner.Session != v.Session {
 		p.peer = v.Index.Peers[owner.Session]
 		if p.peer == nil {
-			return nil, errkind.New(errkind.NodeUnreachable, "address of the owner's node is unknown")
+			return destination{}, errkind.New(errkind.NodeUnreachable, "address of the owner's node is unknown")
 		}
 	}
-	return g.attempt(ctx, v, c, p)
+	return p, nil
 }
 
 // mayRetryOwner reports whether the call has not run and may succeed at another owner, or at the
@@ -182,27 +191,32 @@
 	if len(targets) == 0 {
 		return destination{}, noTarget(v, c.service.Name)
 	}
-	policy, err := targetChoice(cmp.Or(c.service.TargetChoice, g.targetChoice))
+	policy, err := targetChoice(g.targetChoiceOf(c.service))
 	if err != nil {
 		return destination{}, errkind.New(errkind.Internal, "%v", err)
 	}
+	candidates := g.candidates(v, c, targets, tried)
+	return destinationOf(v, candidates.targets[policy.Choose(candidates)]), nil
+}
+
+// targetChoiceOf returns the name of the policy that selects the targets of a service.
+func (g *Gateway) targetChoiceOf(s *api.Service) string {
+	return cmp.Or(s.TargetChoice, g.targetChoice, DefaultTargetChoice)
+}
+
+// candidates returns what the policy selects from: the untried targets, or all if none is untried.
+func (g *Gateway) candidates(v *api.View, c *call, targets []api.TargetAt, tried []api.TargetID) Candidates {
 	if fresh := untried(targets, tried); len(fresh) > 0 {
 		targets = fresh
 	}
-	i := policy.Choose(Candidates{
+	return Candidates{
 		targets: targets, loads: &g.loads, now: time.Now(), zone: v.Zone,
-		large: c.body.large(), largeResponse: g.largeResponse(c), serviceLatency: g.latencies.get(c.service.Name).meanLatency(),
-	})
-	return destinationOf(v, targets[i]), nil
-}
-
-func targetChoice(name string) (TargetChoice, error) {
-	if name == "" {
-		name = DefaultTargetChoice
+		large: c.body.large(), largeResponse: g.largeResponse(c), serviceLatency: g.latencies.find(c.service.Name).meanLatency(),
 	}
-	return TargetChoices.Get(name)
 }
 
+func targetChoice(name string) (TargetChoice, error) { return TargetChoices.Get(name) }
+
 // untried returns the targets that have not been tried.
 func untried(targets []api.TargetAt, tried []api.TargetID) []api.TargetAt {
 	if len(tried) == 0 {
@@ -225,6 +239,22 @@
 	return p
 }
 
+// checkDestination returns the target if it is on this node, and nil for a target of another node. Errors: WrongOwner if
+// no request goes there.
+func (g *Gateway) checkDestination(p destination) (LocalTarget, *errkind.Error) {
+	if p.peer != nil {
+		if g.departures.over(p.target, time.Now()) {
+			return nil, errkind.New(errkind.WrongOwner, "target %s has said that it leaves", p.target)
+		}
+		return nil, nil
+	}
+	t := g.targets.Lookup(p.target)
+	if t == nil {
+		return nil, errkind.New(errkind.WrongOwner, "target %s is not on this node", p.target)
+	}
+	return t, nil
+}
+
 // attempt makes one attempt at a destination and records its latency.
 func (g *Gateway) attempt(ctx context.Context, v *api.View, c *call, p destination) (*response, *errkind.Error) {
 	l := g.loads.get(p.target)
@@ -245,15 +275,12 @@
 
 func (g *Gateway) attemptAt(ctx context.Context, v *api.View, c *call, p destination) (*response, *errkind.Error) {
 	id := api.NewID()
-	if p.peer != nil && g.departures.over(p.target, time.Now()) {
-		return nil, errkind.New(errkind.WrongOwner, "target %s has said that it leaves", p.target)
+	t, e := g.checkDestination(p)
+	if e != nil {
+		return nil, e
 	}
-	if p.peer != nil {
-		return g.hop(ctx, c, p, id)
-	}
-	t := g.targets.Lookup(p.target)
 	if t == nil {
-		return nil, errkind.New(errkind.WrongOwner, "target %s is not on this node", p.target)
+		return g.hop(ctx, c, p, id)
 	}
 	defer func() {
 		g.loads.get(p.target).recordReport(loadReport{expected: t.Gate().ExpectedLatency(), at: time.Now()})
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -47,7 +47,11 @@
 	if len(r.split) == 0 {
 		return r.service
 	}
-	at := rand.Float64()
+	return r.pickAt(rand.Float64())
+}
+
+// pickAt returns the service of a request on a route with a split, for a random number in [0, 1).
+func (r *route) pickAt(at float64) *api.Service {
 	for _, s := range r.split {
 		if at < s.cumulative {
 			return s.service
@@ -70,6 +74,16 @@
 		}
 		longest = r.longestDeadlineMs.Load()
 	}
+	return missingTime(longest, deadlineMs)
+}
+
+// elapsedSoFar is elapsed for a request that is not to be remembered.
+func (r *route) elapsedSoFar(deadlineMs int64) time.Duration {
+	return missingTime(max(r.longestDeadlineMs.Load(), deadlineMs), deadlineMs)
+}
+
+// missingTime returns by how much a stated deadline is shorter than the longest one, both in milliseconds.
+func missingTime(longest, deadlineMs int64) time.Duration {
 	missing := longest - deadlineMs
 	if float64(missing) < minElapsedShare*float64(longest) {
 		return 0
@@ -95,12 +109,20 @@
 type routeCache struct{ table atomic.Pointer[routeTable] }
 
 func (c *routeCache) get(configuration *api.Configuration) *routeTable {
+	t := c.peek(configuration)
+	if c.table.Load() != t {
+		c.table.Store(t)
+	}
+	return t
+}
+
+// peek is get without keeping a new table.
+func (c *routeCache) peek(configuration *api.Configuration) *routeTable {
 	if t := c.table.Load(); t != nil && t.configuration == configuration {
 		return t
 	}
 	t := newRouteTable(configuration)
 	t.keepDeadlines(c.table.Load())
-	c.table.Store(t)
 	return t
 }
 
