--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -127,6 +127,7 @@
 	a.statusCommand(k)
 	a.placeCommands(k)
 	a.rolloutCommands(k)
+	a.explainCommand(k)
 	a.organisationCommands(k)
 	a.keyCommands(k)
 	a.memberCommands(k)
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -92,10 +92,12 @@
 	c.token.settle()
 }
 
+func (c *call) needsToken() bool { return !c.open && c.limited }
+
 // takeToken waits for a rate-limit token of the organisation. Requests on open routes and of
 // organisations without a rate need none. Errors: RateLimited.
 func (g *Gateway) takeToken(ctx context.Context, c *call) *errkind.Error {
-	if c.open || !c.limited {
+	if !c.needsToken() {
 		return nil
 	}
 	token, err := g.tokens.Take(ctx, c.org)
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -173,17 +173,19 @@
 // chargeRetry reports whether a failed attempt may be followed by another, and charges the attempt
 // and the retry budget.
 func (g *Gateway) chargeRetry(ctx context.Context, c *call, e *errkind.Error) bool {
-	allowed := e.NotRun && e.Kind.Answer().Retryable || !e.NotRun && c.idempotent && e.Kind != errkind.TooLarge
-	if !allowed || c.attemptsLeft <= 1 || ctx.Err() != nil || !c.body.replayable() {
-		return false
-	}
-	if !g.retries.withdraw() {
+	if !mayRetry(ctx, c, e) || !g.retries.withdraw() {
 		return false
 	}
 	c.attemptsLeft--
 	return true
 }
 
+// mayRetry reports whether a failed attempt may be followed by another if the retry budget allows it.
+func mayRetry(ctx context.Context, c *call, e *errkind.Error) bool {
+	allowed := e.NotRun && e.Kind.Answer().Retryable || !e.NotRun && c.idempotent && e.Kind != errkind.TooLarge
+	return allowed && c.attemptsLeft > 1 && ctx.Err() == nil && c.body.replayable()
+}
+
 // choose selects a target by the service's policy, an untried one if possible. Errors: NoTarget,
 // Internal.
 func (g *Gateway) choose(v *api.View, c *call, tried []api.TargetID) (destination, *errkind.Error) {
--- a/node/adapters.go
+++ b/node/adapters.go
@@ -40,6 +40,9 @@
 	return token, nil
 }
 
+// Preview implements gateway.TokenPreviewer.
+func (a accountTokens) Preview(org api.OrganisationID) (waits bool, err error) { return a.account.Preview(org) }
+
 // Names of the limiters.
 const (
 	limiterFleet  = "fleet"
--- a/node/node.go
+++ b/node/node.go
@@ -286,11 +286,19 @@
 		services = append(services, daemon.NewHTTPService("readiness", n.ready, n.profile.ReadyHandler(n.isReady)))
 	}
 	if n.status != nil {
-		services = append(services, daemon.NewHTTPService("status", n.status, telemetry.Handler()))
+		services = append(services, daemon.NewHTTPService("status", n.status, n.statusHandler()))
 	}
 	return services
 }
 
+// statusHandler serves operators: counters, gauges and explanations.
+func (n *Node) statusHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", telemetry.Handler())
+	mux.Handle("POST "+api.PathExplain, n.gateway.ExplainHandler())
+	return mux
+}
+
 func (n *Node) announceHandler() http.Handler {
 	if n.profile.AnnounceHandler != nil {
 		return n.profile.AnnounceHandler(n.registry)
--- a/operator/client.go
+++ b/operator/client.go
@@ -127,3 +127,14 @@
 	var ignored any
 	return c.call(ctx, request{method: http.MethodPost, path: PathMembers, body: change}, &ignored)
 }
+
+// Explain asks the status listener of a node, whose address takes the place of those of the control members, where a
+// request would be routed now.
+func (c *Client) Explain(ctx context.Context, q api.ExplainRequest) (*api.Explanation, error) {
+	x := new(api.Explanation)
+	r := request{method: http.MethodPost, path: api.PathExplain, body: q, repeatable: true}
+	if err := c.call(ctx, r, x); err != nil {
+		return nil, err
+	}
+	return x, nil
+}
--- a/tokens/account.go
+++ b/tokens/account.go
@@ -110,6 +110,32 @@
 	return a.await(ctx, limits, org, w)
 }
 
+// Preview reports whether Take would have to wait now. It changes nothing. While no leader issues tokens, it answers as
+// if the node's own share had not been used up. Errors: as Take.
+func (a *Account) Preview(id api.OrganisationID) (waits bool, err error) {
+	limits := a.o.Organisation(id)
+	if limits == nil {
+		return false, errkind.New(errkind.Unauthenticated, "organisation %s is not configured", id)
+	}
+	if standalone, _ := a.standalone.active(a.o.Now()); standalone {
+		return false, nil
+	}
+	if !a.o.LeaseValid() {
+		return false, errkind.New(errkind.NoLease, "no tokens without a valid session lease")
+	}
+	a.mu.RLock()
+	org := a.orgs[id]
+	a.mu.RUnlock()
+	if org == nil {
+		return true, nil // the first request of the organisation at this node
+	}
+	free, refused := org.preview(maxWaiters(limits))
+	if refused {
+		return false, rateExceeded(id)
+	}
+	return !free, nil
+}
+
 // takeStandalone admits a request from the local bucket, without a leader.
 func (a *Account) takeStandalone(now time.Time, org *orgAccount, limits *api.Organisation) (*Token, error) {
 	share, shareKnown := org.leaderShare()
--- a/tokens/account_org.go
+++ b/tokens/account_org.go
@@ -77,11 +77,11 @@
 	o.settleOverdue(now)
 	o.sessionArrivals++
 	o.intervalArrivals++
-	if o.free > 0 && len(o.waiters) == 0 {
+	if o.hasFree() {
 		t = o.issue(now)
 		return t, nil, o.free <= o.lowWater && o.wakeForRefill(now)
 	}
-	if o.exhausted || len(o.waiters) >= limit {
+	if o.refuses(limit) {
 		return nil, nil, false
 	}
 	w = &waiter{ready: make(chan *Token, 1)}
@@ -89,6 +89,19 @@
 	return nil, w, o.wake(now)
 }
 
+// hasFree reports whether the next request gets a token at once. The caller holds the lock.
+func (o *orgAccount) hasFree() bool { return o.free > 0 && len(o.waiters) == 0 }
+
+// refuses reports whether the next request is refused if no token is free. The caller holds the lock.
+func (o *orgAccount) refuses(limit int) bool { return o.exhausted || len(o.waiters) >= limit }
+
+// preview reports what take would do now.
+func (o *orgAccount) preview(limit int) (free, refused bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.hasFree(), !o.hasFree() && o.refuses(limit)
+}
+
 // wakeForRefill reports whether to request a heartbeat to refill the account: at most once per half
 // heartbeat interval, because an organisation beyond its rate is always below its low-water mark.
 func (o *orgAccount) wakeForRefill(now time.Time) bool {
