--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -55,7 +55,9 @@
 
 // writeExplanation writes the steps in the order in which a node takes them.
 func writeExplanation(w io.Writer, x *api.Explanation) {
-	line := func(name, format string, args ...any) { fmt.Fprintf(w, "%-14s"+format+"\n", append([]any{name}, args...)...) }
+	line := func(name, format string, args ...any) {
+		fmt.Fprintf(w, "%-14s"+format+"\n", append([]any{name}, args...)...)
+	}
 	line("node", "%s, zone %s, configuration %d, map %d", x.Node, x.Zone, x.ConfigurationVersion, x.MapVersion)
 	if r := x.Route; r != nil {
 		line("route", "%s", routeText(r))
--- a/node/adapters.go
+++ b/node/adapters.go
@@ -41,7 +41,9 @@
 }
 
 // Preview implements gateway.TokenPreviewer.
-func (a accountTokens) Preview(org api.OrganisationID) (waits bool, err error) { return a.account.Preview(org) }
+func (a accountTokens) Preview(org api.OrganisationID) (waits bool, err error) {
+	return a.account.Preview(org)
+}
 
 // Names of the limiters.
 const (
