--- a/gateway/explain_test.go
+++ b/gateway/explain_test.go
@@ -68,6 +68,11 @@
 	return x
 }
 
+// counters returns all counters of the process.
+func counters() string {
+	return expvar.Get("refusals").String() + expvar.Get("retries").String() + expvar.Get("events").String()
+}
+
 // Guards against refusals that explain does not name, or that it claims to have run.
 func TestExplainRefusals(t *testing.T) {
 	is := is.New(t)
@@ -167,6 +172,17 @@
 	_, err = n.local.gate.Acquire(t.Context(), "acme", 1)
 	is.Equal(x.Refusal, errkind.From(err))
 	is.Equal(x.Then, thenRetry)
+
+	n.local.gate = gate.New(gate.Options{Slots: 1, NoColdStart: true})
+	slot, err := n.local.gate.Acquire(t.Context(), "busy", 1)
+	is.NoErr(err)
+	slot.Release(gate.Outcome{Latency: time.Second})
+	_, err = n.local.gate.Acquire(t.Context(), "busy", 1)
+	is.NoErr(err)
+	x = explain(t, n.Gateway, "/orders", orgKey) // the wait of 1 s exceeds the objective
+	is.Equal(x.Gate.WaitMs, 1000.0)
+	is.Equal(x.Refusal.Kind, errkind.Overloaded)
+	is.True(strings.HasPrefix(x.Refusal.Message, "estimated queue wait 1s exceeds"))
 }
 
 // Guards against an explanation that hides the canary targets of a roll-out, or that takes them for the usual ones.
@@ -176,6 +192,7 @@
 	v.LeaseUntil = time.Now().Add(time.Hour)
 	v.Configuration.Services.Services[0].Routes = []api.Route{{Prefix: "/orders", Open: true}}
 	g := New(Options{View: func() *api.View { return v }, Tokens: noTokens{t}})
+	before := counters()
 	x := explain(t, g, "/orders", orgKey)
 	is.Equal(x.Rollout.Phase, api.RolloutCanary)
 	is.Equal(len(x.Choices), 2)
@@ -193,6 +210,7 @@
 	x = explain(t, g, "/orders", orgKey)
 	is.Equal(x.Refusal.Kind, errkind.NoTarget)
 	is.Equal(x.Choices[1].Targets, 3)
+	is.Equal(counters(), before)
 }
 
 // Guards against explanations that count, take or remember something of real requests.
@@ -202,9 +220,6 @@
 	for range 8 {
 		n.sizes.Observe("orders", "order", 100_000)
 	}
-	counters := func() string {
-		return expvar.Get("refusals").String() + expvar.Get("retries").String() + expvar.Get("events").String()
-	}
 	before, stats := counters(), n.local.gate.Snapshot()
 	for range 20 {
 		x := explain(t, n.Gateway, "/orders", orgKey)
