--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -19,6 +19,10 @@
 // maxExplainBytes bounds the body of an explain request: the head of a request, as JSON.
 const maxExplainBytes = 64 << 10
 
+// explainReadTimeout bounds how long the body of an explain request may take to arrive, so that a client that sends none
+// does not keep its connection.
+const explainReadTimeout = 5 * time.Second
+
 // Steps that follow the refusal of a first attempt.
 const (
 	thenWaitForOwner = "the request waits within its deadline for another owner, or tries this one again"
@@ -41,6 +45,8 @@
 // only.
 func (g *Gateway) ExplainHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// Some writers do not support deadlines.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(explainReadTimeout))
 		var q api.ExplainRequest
 		if json.NewDecoder(http.MaxBytesReader(w, r.Body, maxExplainBytes)).Decode(&q) != nil {
 			// The decoder's message might quote an organisation key.
@@ -138,7 +144,8 @@
 	if x.v.Configuration == nil || x.v.Index == nil {
 		return errNoConfiguration()
 	}
-	matched, info, err := x.matchRoute(x.r, x.routes.peek(x.v.Configuration))
+	routes, _ := x.routes.peek(x.v.Configuration)
+	matched, info, err := x.matchRoute(x.r, routes)
 	if err != nil {
 		return err
 	}
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -109,21 +109,21 @@
 type routeCache struct{ table atomic.Pointer[routeTable] }
 
 func (c *routeCache) get(configuration *api.Configuration) *routeTable {
-	t := c.peek(configuration)
-	if c.table.Load() != t {
+	t, cached := c.peek(configuration)
+	if !cached {
 		c.table.Store(t)
 	}
 	return t
 }
 
-// peek is get without keeping a new table.
-func (c *routeCache) peek(configuration *api.Configuration) *routeTable {
+// peek is get without keeping a new table. cached is false for a new one.
+func (c *routeCache) peek(configuration *api.Configuration) (t *routeTable, cached bool) {
 	if t := c.table.Load(); t != nil && t.configuration == configuration {
-		return t
+		return t, true
 	}
-	t := newRouteTable(configuration)
+	t = newRouteTable(configuration)
 	t.keepDeadlines(c.table.Load())
-	return t
+	return t, false
 }
 
 // keepDeadlines takes over the longest deadlines of the routes that the previous table, which may be nil, has
