--- a/gate/capacity.go
+++ b/gate/capacity.go
@@ -552,12 +552,12 @@
 }
 
 // allows reports whether that many requests may run at once. The caller holds the lock.
-func (g *Gate) allows(running int) bool {
-	return g.limiter.allows(running) && running <= g.learner.allowed()
+func (g *Gate) allows(l *limiter, running int) bool {
+	return l.allows(running) && running <= g.learner.allowed()
 }
 
 // settledLimit returns the limit of running requests, without that of a trial. The caller holds the lock.
-func (g *Gate) settledLimit() int { return min(g.limiter.limit(), g.learner.settled()) }
+func (g *Gate) settledLimit(l *limiter) int { return min(l.limit(), g.learner.settled()) }
 
 // Capacity returns the learned number of requests that the target runs well at once, once it has been the same for a while; 0
 // when it is not known.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -197,10 +197,10 @@
 	now := g.now()
 	g.limiter.advance(now)
 	g.advanceLearner(now)
-	if g.queue.Len() == 0 && g.allows(g.running+1) && g.startWait(now) == 0 {
+	if g.startsAtOnce(now, &g.limiter) {
 		return &Slot{gate: g, started: g.start(now)}, nil, nil
 	}
-	if err := g.checkDeadline(ctx, now, r); err != nil {
+	if err := g.checkDeadline(ctx, now, &g.limiter, r); err != nil {
 		return nil, nil, err
 	}
 	if err := g.ensureQueueSpace(r); err != nil {
@@ -217,21 +217,31 @@
 	return nil, w, nil
 }
 
+// startsAtOnce reports whether a request that arrives now gets a slot without a wait. The caller holds the lock.
+func (g *Gate) startsAtOnce(now time.Time, l *limiter) bool {
+	return g.queue.Len() == 0 && g.allows(l, g.running+1) && g.startWait(now) == 0
+}
+
 // ensureQueueSpace evicts a waiter when the queue is full, or returns Overloaded. The caller holds
 // the lock.
 func (g *Gate) ensureQueueSpace(r Request) error {
-	if g.queue.Len() < g.queueLength {
-		return nil
+	if err := g.checkQueueSpace(r); err != nil || g.queue.Len() < g.queueLength {
+		return err
 	}
 	w := g.queue.Evict(r)
-	if w == nil {
-		return errkind.New(errkind.Overloaded, "queue of %d is full", g.queueLength)
-	}
 	w.err = errkind.New(errkind.Overloaded, "evicted from a full queue")
 	close(w.ready)
 	return nil
 }
 
+// checkQueueSpace returns Overloaded when the queue is full and no waiter would be evicted. The caller holds the lock.
+func (g *Gate) checkQueueSpace(r Request) error {
+	if g.queue.Len() >= g.queueLength && !g.queue.CanEvict(r) {
+		return errkind.New(errkind.Overloaded, "queue of %d is full", g.queueLength)
+	}
+	return nil
+}
+
 // wait returns when the waiter has a slot, was evicted or ctx ends.
 func (g *Gate) wait(ctx context.Context, w *Waiter) error {
 	select {
@@ -255,7 +265,7 @@
 
 // admitWaiting gives free slots to waiting requests. The caller holds the lock.
 func (g *Gate) admitWaiting() {
-	for g.allows(g.running + 1) {
+	for g.allows(&g.limiter, g.running+1) {
 		now := g.now()
 		if wait := g.startWait(now); wait > 0 && g.queue.Len() > 0 {
 			g.admitWaitingAfter(wait)
@@ -337,14 +347,19 @@
 	defer g.mu.Unlock()
 	g.limiter.advance(g.now())
 	g.admitWaiting()
+	return g.stats(&g.limiter)
+}
+
+// stats describes the gate under a limiter. The caller holds the lock.
+func (g *Gate) stats(l *limiter) Stats {
 	return Stats{
 		Running: g.running,
 		Queued:  g.queue.Len(),
-		Limit:   g.settledLimit(),
-		Cold:    g.limiter.cold,
+		Limit:   g.settledLimit(l),
+		Cold:    l.cold,
 
-		ColdStartsDetected: g.limiter.coldDetected,
-		ColdStartsReported: g.limiter.coldReported,
+		ColdStartsDetected: l.coldDetected,
+		ColdStartsReported: l.coldReported,
 
 		Capacity: g.learner.capacity(),
 	}
