daemon, rpc: bounds for connections, heads and messages of clients

Each process keeps account of the connections to all of its listeners (internal/connlimit): their number, and the memory of what was received of requests that have not ended. Idle connections are closed first, then those that take longest or hold most. Heads are bounded at 32 KB, rpc messages before gob allocates memory for them.

--- a/config/check.go
+++ b/config/check.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/sirupsen/logrus"
+
+	"github.com/zinniapier/zinniapier/internal/connlimit"
 )
 
 // Bounds of settings. They catch a wrong unit, such as seconds in a field of milliseconds.
@@ -12,6 +14,9 @@
 	maxBodyBytes    = 1 << 40
 	minSnapshot     = 16
 	maxControlPeers = 9
+	// Clients are told that they may send heads of 16,384 bytes.
+	minHeaderBytes = 16 << 10
+	maxHeaderBytes = 1 << 20
 )
 
 // Check fills in defaults and checks the settings. The error is Invalid and names every wrong field.
@@ -40,6 +45,7 @@
 	p.plugin("gate.queue", s.Gate.Queue)
 	p.between("gate.queue_length", s.Gate.QueueLength, 1, maxCount)
 	p.traffic("traffic", s.Traffic)
+	p.limits("limits", s.Limits)
 	return p.err()
 }
 
@@ -65,6 +71,7 @@
 	p.timing("timing", s.Timing)
 	p.tls("tls", s.TLS)
 	p.log("log", s.Log)
+	p.limits("limits", s.Limits)
 	p.between("snapshot_entries", s.SnapshotEntries, minSnapshot, maxCount)
 	return p.err()
 }
@@ -183,6 +190,13 @@
 	}
 }
 
+func (p *problems) limits(path string, l Limits) {
+	p.between(path+".max_header_bytes", l.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
+	if l.MaxConnections != 0 {
+		p.between(path+".max_connections", l.MaxConnections, connlimit.MinConnections, maxCount)
+	}
+}
+
 func (p *problems) share(path string, v float64) {
 	if v < 0 || v > 1 {
 		p.add(path, "%g is not between 0 and 1", v)
--- a/config/defaults.go
+++ b/config/defaults.go
@@ -17,6 +17,7 @@
 	DefaultHedgeShare      = 0.05
 	DefaultLimiter         = LimiterFleet
 	DefaultMaxBodyBytes    = 64 << 20
+	DefaultMaxHeaderBytes  = 32 << 10
 	DefaultSnapshotEntries = 4096
 	DefaultSlots           = 20
 	DefaultColdSlots       = 2
@@ -92,6 +93,7 @@
 	setPointer(&s.Traffic.HedgeShare, DefaultHedgeShare)
 	setDefault(&s.Traffic.Limiter, DefaultLimiter)
 	setDefault(&s.Traffic.MaxBodyBytes, DefaultMaxBodyBytes)
+	setDefault(&s.Limits.MaxHeaderBytes, DefaultMaxHeaderBytes)
 }
 
 func (s *ControlSettings) fill() {
@@ -104,6 +106,7 @@
 	setDefault(&s.OperatorAdvertise, s.OperatorListen)
 	s.Timing.fill()
 	setDefault(&s.Log.Level, DefaultLogLevel)
+	setDefault(&s.Limits.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	setDefault(&s.SnapshotEntries, DefaultSnapshotEntries)
 }
 
--- a/config/settings.go
+++ b/config/settings.go
@@ -27,6 +27,15 @@
 	DrainLimitMs  int `json:"drain_limit_ms,omitempty"`    // default 2,000
 }
 
+// Limits bound what the peers of a process can occupy.
+type Limits struct {
+	// MaxHeaderBytes bounds the head of a request. Default 32,768.
+	MaxHeaderBytes int `json:"max_header_bytes,omitempty"`
+	// MaxConnections bounds the open connections of all listeners. Default 0: derived from the memory and the descriptors of
+	// the process.
+	MaxConnections int `json:"max_connections,omitempty"`
+}
+
 // NodeSettings are the settings of zinnia-node.
 type NodeSettings struct {
 	Name string `json:"name"`
@@ -48,6 +57,7 @@
 	Log            Log      `json:"log,omitempty"`
 	Gate           Gate     `json:"gate,omitempty"`
 	Traffic        Traffic  `json:"traffic,omitempty"`
+	Limits         Limits   `json:"limits,omitempty"`
 }
 
 // Gate holds the settings of admission at the target.
@@ -95,6 +105,7 @@
 	Timing Timing        `json:"timing,omitempty"`
 	TLS    TLSFiles      `json:"tls,omitempty"`
 	Log    Log           `json:"log,omitempty"`
+	Limits Limits        `json:"limits,omitempty"`
 	// SnapshotEntries is the number of log entries between snapshots. Default 4,096.
 	SnapshotEntries int `json:"snapshot_entries,omitempty"`
 }
--- a/daemon/http.go
+++ b/daemon/http.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -11,6 +11,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/zinniapier/zinniapier/internal/connlimit"
 	"github.com/zinniapier/zinniapier/internal/hangup"
 	"github.com/zinniapier/zinniapier/telemetry"
 )
@@ -18,6 +19,13 @@
 const (
 	// readHeaderTimeout closes connections whose request header does not arrive.
 	readHeaderTimeout = 10 * time.Second
+	// DefaultMaxHeaderBytes bounds the head of a request. Clients may send 16,384 bytes. net/http reads 4,096 bytes more
+	// before it answers 431.
+	DefaultMaxHeaderBytes = 32 << 10
+	// wholeBodyTimeout bounds the time for a request and its response on a listener whose handlers read whole bodies.
+	wholeBodyTimeout = 30 * time.Second
+	// wholeBodyIdleTimeout is longer than any client of such a listener keeps a connection that it does not use.
+	wholeBodyIdleTimeout = 5 * time.Minute
 	// shutdownTimeout bounds how long a listener waits for running requests.
 	shutdownTimeout = 12 * time.Second
 	// drainTime is how long a listener goes on serving at shutdown while each response asks its caller
@@ -43,6 +51,11 @@
 
 	unusedGrace time.Duration
 
+	// connections is the account of the listener's connections.
+	connections *connlimit.Group
+	// wholeBodies is true if handlers read bodies whole, so that what has been received of a body stays in memory.
+	wholeBodies bool
+
 	// requests is the context from which those of all requests descend; cancelRequests ends it.
 	requests       context.Context
 	cancelRequests context.CancelCauseFunc
@@ -59,8 +72,32 @@
 	closed chan struct{}
 }
 
+// HTTPOption is an option of NewHTTPService.
+type HTTPOption func(*HTTPService)
+
+// WithConnections bounds the connections and the memory of requests that arrive.
+func WithConnections(g *connlimit.Group) HTTPOption {
+	return func(s *HTTPService) { s.connections = g }
+}
+
+// WithMaxHeaderBytes bounds the head of a request. The default is DefaultMaxHeaderBytes.
+func WithMaxHeaderBytes(n int) HTTPOption {
+	return func(s *HTTPService) { s.server.MaxHeaderBytes = n }
+}
+
+// WithWholeBodies is for handlers that read bodies whole and answer at once: what arrives of a body counts as memory, and
+// requests and responses that take longer than wholeBodyTimeout are cut off.
+func WithWholeBodies() HTTPOption {
+	return func(s *HTTPService) {
+		s.wholeBodies = true
+		s.server.ReadTimeout = wholeBodyTimeout
+		s.server.WriteTimeout = wholeBodyTimeout
+		s.server.IdleTimeout = wholeBodyIdleTimeout
+	}
+}
+
 // NewHTTPService returns a service that owns the listener.
-func NewHTTPService(name string, listener net.Listener, handler http.Handler) *HTTPService {
+func NewHTTPService(name string, listener net.Listener, handler http.Handler, options ...HTTPOption) *HTTPService {
 	s := &HTTPService{
 		name:        name,
 		listener:    listener,
@@ -75,15 +112,64 @@
 		Handler:           s.closeWhileDraining(handler),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ConnState:         s.trackConnection,
-		ConnContext:       hangup.ConnContext,
+		ConnContext:       connContext,
+		MaxHeaderBytes:    DefaultMaxHeaderBytes,
+	}
+	for _, option := range options {
+		option(s)
+	}
+	if s.connections == nil {
+		s.connections = connlimit.Unlimited().Group(name, 0)
 	}
 	return s
 }
 
+type connectionKey struct{}
+
+func connContext(ctx context.Context, conn net.Conn) context.Context {
+	ctx = hangup.ConnContext(ctx, conn)
+	if c := unwrap(conn); c != nil {
+		ctx = context.WithValue(ctx, connectionKey{}, c)
+	}
+	return ctx
+}
+
+// endingBody tells the connection when the whole body has been read.
+type endingBody struct {
+	io.ReadCloser
+	conn *idleConn
+}
+
+// Read implements io.Reader.
+func (b *endingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.conn.requestRead()
+	}
+	return n, err
+}
+
+// begin accounts for a request that is about to be handled; false if its connection has been closed for the sake of others, so
+// that it must not run.
+func (s *HTTPService) begin(r *http.Request) bool {
+	c, ok := r.Context().Value(connectionKey{}).(*idleConn)
+	if !ok {
+		return true
+	}
+	if s.wholeBodies {
+		if r.Body == http.NoBody {
+			c.requestRead()
+		} else {
+			r.Body = &endingBody{r.Body, c}
+		}
+	}
+	return c.begin()
+}
+
 // NewInternalHTTPService is NewHTTPService for a listener that only processes of the system use; its
 // shutdown does not wait long for connections that they leave unused.
-func NewInternalHTTPService(name string, listener net.Listener, handler http.Handler) *HTTPService {
-	s := NewHTTPService(name, listener, handler)
+func NewInternalHTTPService(name string, listener net.Listener, handler http.Handler, options ...HTTPOption) *HTTPService {
+	s := NewHTTPService(name, listener, handler, options...)
 	s.unusedGrace = internalUnusedGrace
 	return s
 }
@@ -94,6 +180,9 @@
 		if s.drainSince.Load() != nil {
 			w.Header().Set("Connection", "close")
 		}
+		if !s.begin(r) {
+			panic(http.ErrAbortHandler)
+		}
 		handler.ServeHTTP(w, r)
 	})
 }
@@ -121,6 +210,9 @@
 		return
 	case http.StateClosed, http.StateHijacked:
 		s.open--
+		if c := unwrap(conn); c != nil {
+			c.release()
+		}
 		select {
 		case s.closed <- struct{}{}:
 		default:
@@ -132,13 +224,13 @@
 
 // trackIdle keeps the connections that are idle, or closes them once closing has begun. The caller holds s.mu.
 func (s *HTTPService) trackIdle(conn net.Conn, state http.ConnState) {
-	if encrypted, ok := conn.(*tls.Conn); ok {
-		conn = encrypted.NetConn()
-	}
-	c, ok := conn.(*idleConn)
-	if !ok {
+	c := unwrap(conn)
+	if c == nil {
 		return
 	}
+	if state == http.StateActive {
+		c.headEnds()
+	}
 	if state != http.StateIdle {
 		delete(s.idle, c)
 		return
@@ -222,7 +314,7 @@
 		listener, end = pending, pending.end
 	}
 	done := make(chan error, 1)
-	go func() { done <- s.server.Serve(idleListener{listener}) }()
+	go func() { done <- s.server.Serve(limitedListener{idleListener{listener}, s}) }()
 	select {
 	case err := <-done:
 		return errors.Annotatef(err, "serve %s", s.name)
--- a/daemon/idleconn.go
+++ b/daemon/idleconn.go
@@ -1,10 +1,14 @@
 package daemon
 
 import (
+	"bytes"
 	"crypto/tls"
 	"net"
 	"sync"
 	"time"
+
+	"github.com/zinniapier/zinniapier/internal/connlimit"
+	"github.com/zinniapier/zinniapier/telemetry"
 )
 
 // idleListener wraps the connections that it accepts in idleConns.
@@ -19,6 +23,43 @@
 	return &idleConn{Conn: conn, idle: true}, nil
 }
 
+// limitedListener keeps account of the connections that it accepts.
+type limitedListener struct {
+	idleListener
+	service *HTTPService
+}
+
+// Accept implements net.Listener. Connections for which there is no room are closed; shortage of descriptors is waited out.
+func (l limitedListener) Accept() (net.Conn, error) {
+	var pause connlimit.AcceptPause
+	for {
+		conn, err := l.idleListener.Accept()
+		if err != nil {
+			d, ok := pause.After(err, l.service.connections)
+			if !ok {
+				return nil, err
+			}
+			time.Sleep(d)
+			continue
+		}
+		pause.Reset()
+		c := unwrap(conn)
+		if c == nil || c.open(l.service) {
+			return conn, nil
+		}
+		_ = conn.Close()
+	}
+}
+
+// unwrap returns the idleConn of a connection, also of an encrypted one; nil if there is none.
+func unwrap(conn net.Conn) *idleConn {
+	if encrypted, ok := conn.(*tls.Conn); ok {
+		conn = encrypted.NetConn()
+	}
+	c, _ := conn.(*idleConn)
+	return c
+}
+
 // idleConn is a connection that can be closed while it is idle, and only then. http.Server takes a connection
 // for idle until it has read the whole header of the next request: closed by the server, the request may still
 // be handled, without anywhere to send the response.
@@ -29,6 +70,111 @@
 	idle   bool      // nothing has been received since the connection was opened or the last response was sent
 	since  time.Time // of idle, once a response has been sent
 	closed bool
+	// working is set from the end of the head of a request, on a listener whose handlers read whole bodies from the end of the
+	// body, until its response is sent.
+	working bool
+	// head is the number of bytes that have been received of the head of a request. headRead is set once net/http has read
+	// the head or refused it, begun once the request is handled.
+	head            int
+	headRead, begun bool
+
+	slot    *connlimit.Slot
+	service *HTTPService
+}
+
+const (
+	// headLineMemory and headByteMemory are what a line and a byte of a head take once they are parsed.
+	headLineMemory = 128
+	headByteMemory = 2
+	// bodyByteMemory is what a byte of a body takes that a handler reads whole into a growing buffer.
+	bodyByteMemory = 3
+)
+
+// Names of events that are counted.
+const (
+	// eventHeadTooLarge counts heads beyond the limit, eventHeadUnfinished connections that ended within a head.
+	eventHeadTooLarge   = "head_too_large"
+	eventHeadUnfinished = "head_unfinished"
+)
+
+// open opens the account of the connection; false if there is no room for it.
+func (c *idleConn) open(s *HTTPService) bool {
+	c.service = s
+	c.slot = s.connections.Open(c.evict)
+	return c.slot != nil
+}
+
+// evict closes the connection, one with a request at work only by force.
+func (c *idleConn) evict(force bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.working && !force || c.closed {
+		return false
+	}
+	c.closed = true
+	_ = c.Conn.Close()
+	return true
+}
+
+// charge accounts for what has been received of a request; false if the connection is to be closed.
+func (c *idleConn) charge(received []byte, head, working bool) bool {
+	switch {
+	case c.slot == nil:
+		return true
+	case head:
+		return c.slot.Receive(int64(headByteMemory*len(received) + headLineMemory*bytes.Count(received, []byte{'\n'})))
+	case c.service.wholeBodies && !working:
+		return c.slot.Receive(int64(bodyByteMemory * len(received)))
+	default:
+		return true
+	}
+}
+
+// begin records that a request is about to be handled; false if the connection has been closed by this process.
+func (c *idleConn) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begun = true
+	return !c.closed
+}
+
+// headEnds records that net/http has read the head of a request, or has refused it.
+func (c *idleConn) headEnds() {
+	c.mu.Lock()
+	c.headRead = true
+	c.working = !c.service.wholeBodies
+	working := c.working
+	c.mu.Unlock()
+	if c.slot != nil && working {
+		c.slot.Working()
+	}
+}
+
+// requestRead records that the body of a request is complete, too.
+func (c *idleConn) requestRead() {
+	c.mu.Lock()
+	c.working = true
+	c.mu.Unlock()
+	if c.slot != nil {
+		c.slot.Working()
+	}
+}
+
+// release closes the account of the connection.
+func (c *idleConn) release() {
+	c.mu.Lock()
+	head, begun := c.head, c.begun
+	c.mu.Unlock()
+	switch {
+	case begun:
+	case head > c.service.server.MaxHeaderBytes:
+		telemetry.CountEvent(eventHeadTooLarge, 1)
+	case head > 0:
+		telemetry.CountEvent(eventHeadUnfinished, 1)
+	}
+	if c.slot != nil {
+		c.slot.Release()
+	}
 }
 
 // Read implements net.Conn. What arrives on a connection that has been closed as idle is discarded.
@@ -38,11 +184,22 @@
 		return n, err
 	}
 	c.mu.Lock()
+	c.idle = false
+	head, working := !c.headRead, c.working
+	if head {
+		c.head += n
+	}
+	c.mu.Unlock()
+	charged := c.charge(p[:n], head, working)
+	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !charged && !c.closed {
+		c.closed = true
+		_ = c.Conn.Close()
+	}
 	if c.closed {
 		return 0, net.ErrClosed
 	}
-	c.idle = false
 	return n, err
 }
 
@@ -52,8 +209,12 @@
 // setIdle records that a response has been sent.
 func (c *idleConn) setIdle() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.idle, c.since = true, time.Now()
+	c.working, c.headRead, c.begun, c.head = false, false, false, 0
+	c.mu.Unlock()
+	if c.slot != nil {
+		c.slot.Idle()
+	}
 }
 
 // idleTime returns how long ago the last response was sent.
--- /dev/null
+++ b/internal/connlimit/connlimit.go
@@ -0,0 +1,322 @@
+// Package connlimit bounds what the peers of a process can occupy: the number of their open connections, and the memory of
+// what they have sent of requests that have not ended. It decides without I/O; the owners of the connections close them.
+package connlimit
+
+import (
+	"sync"
+	"time"
+
+	"github.com/zinniapier/zinniapier/telemetry"
+)
+
+// Names of events that are counted.
+const (
+	// eventEvicted counts connections that were closed for the sake of others, eventRefused those that were closed when they
+	// were opened, since all others had requests at work.
+	eventEvicted = "connections_evicted"
+	eventRefused = "connections_refused"
+	// eventMemory counts connections that were closed since what they had sent of a request took too much memory.
+	eventMemory = "connections_over_memory"
+)
+
+const (
+	// smallRequest is the memory that every connection may occupy; requests of ordinary clients stay below it.
+	smallRequest = 4 << 10
+	// hugeRequest is the memory above which a request may be cut off while it is at work. A head of 16,384 bytes with
+	// 100 lines counts 46 KB.
+	hugeRequest = 256 << 10
+	// maxVictims bounds the attempts to find a connection to close.
+	maxVictims = 8
+)
+
+// Limits are the bounds of a process.
+type Limits struct {
+	// Connections is the number of open connections.
+	Connections int
+	// RequestBytes is the memory for what has been received of requests that have not ended.
+	RequestBytes int64
+}
+
+// Process keeps account of the connections to all listeners of a process.
+type Process struct {
+	limits Limits
+
+	mu       sync.Mutex
+	groups   []*Group
+	memory   int64 // of all connections, without what each may occupy anyway
+	slots    map[*Slot]struct{}
+	reported time.Time
+}
+
+// New returns the account of a process.
+func New(limits Limits) *Process {
+	return &Process{limits: limits, slots: make(map[*Slot]struct{})}
+}
+
+// Unlimited returns an account that refuses nothing.
+func Unlimited() *Process {
+	return New(Limits{Connections: 1 << 30, RequestBytes: 1 << 60})
+}
+
+// Group is the account of one listener.
+type Group struct {
+	process *Process
+	name    string
+	reserve int
+	open    int
+}
+
+// Group adds a listener. The share of all connections is kept free for it; it may have more while others leave theirs unused.
+func (p *Process) Group(name string, share float64) *Group {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := &Group{process: p, name: name, reserve: max(int(share*float64(p.limits.Connections)), minReserve)}
+	p.groups = append(p.groups, g)
+	return g
+}
+
+// mayGrow reports whether the group may have another connection. The caller holds mu.
+func (g *Group) mayGrow() bool {
+	if g.open < g.reserve {
+		return true
+	}
+	used := 1
+	for _, other := range g.process.groups {
+		used += max(other.open, other.reserve)
+	}
+	return used <= g.process.limits.Connections
+}
+
+// phase is what a connection does.
+type phase int
+
+const (
+	// idle connections have sent nothing since they were opened or since their last response.
+	idle phase = iota
+	// receiving connections have sent a part of a request that has not begun.
+	receiving
+	// working connections have a request at work.
+	working
+)
+
+// Slot is one open connection.
+type Slot struct {
+	group *Group
+	// evict closes the connection, one with a request at work only by force; it reports whether it did.
+	evict func(force bool) bool
+
+	// The following are guarded by Process.mu.
+	phase  phase
+	since  time.Time
+	charge int64
+	// closing is set once the slot is released or was chosen to be closed.
+	closing, released bool
+}
+
+// Open returns the slot of a new connection, or nil if it must be closed: all connections that the listener may have are at work.
+// Else an idle connection of the listener is closed to make room, or the one that has taken longest to send its request. evict
+// closes the connection, one with a request at work only by force, and reports whether it did; it is called without locks.
+func (g *Group) Open(evict func(force bool) bool) *Slot {
+	p := g.process
+	now := time.Now()
+	s := &Slot{group: g, evict: evict, since: now}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for range maxVictims {
+		if g.mayGrow() {
+			g.open++
+			p.slots[s] = struct{}{}
+			return s
+		}
+		victim := p.longest(g)
+		if victim == nil {
+			break
+		}
+		p.close(victim, eventEvicted)
+	}
+	telemetry.CountEvent(eventRefused, 1)
+	p.report(g, "All connections have requests at work; a new one is closed.")
+	return nil
+}
+
+// Relieve closes a connection that is not at work, for a process that has run out of descriptors.
+func (g *Group) Relieve() {
+	p := g.process
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if victim := p.longest(g); victim != nil {
+		p.close(victim, eventEvicted)
+	}
+}
+
+// longest returns the idle connection of the group that has been idle for longest, or else the receiving one. The caller holds mu.
+func (p *Process) longest(g *Group) *Slot {
+	var found *Slot
+	for s := range p.slots {
+		if s.group != g || s.closing || s.phase == working {
+			continue
+		}
+		if found == nil || s.phase < found.phase || s.phase == found.phase && s.since.Before(found.since) {
+			found = s
+		}
+	}
+	return found
+}
+
+// close closes the connection of a slot and frees the slot if the connection could be closed. The caller holds mu, which
+// is released meanwhile.
+func (p *Process) close(s *Slot, event string) {
+	s.closing = true
+	force := s.charge >= hugeRequest
+	p.mu.Unlock()
+	closed := s.evict(force)
+	p.mu.Lock()
+	if !closed {
+		s.closing = s.released
+		return
+	}
+	telemetry.CountEvent(event, 1)
+	p.report(s.group, "A connection is closed for the sake of others.")
+	p.release(s)
+}
+
+// reportInterval bounds the log lines of connections that are closed.
+const reportInterval = time.Second
+
+func (p *Process) report(g *Group, message string) {
+	if now := time.Now(); now.Sub(p.reported) >= reportInterval {
+		p.reported = now
+		telemetry.Logger("connections").WithField("listener", g.name).WithField("open", g.open).
+			WithField("request_bytes", p.memory).Warning(message)
+	}
+}
+
+func (p *Process) release(s *Slot) {
+	if s.released {
+		return
+	}
+	s.released, s.closing = true, true
+	s.group.open--
+	p.setCharge(s, 0)
+	delete(p.slots, s)
+}
+
+func (p *Process) setCharge(s *Slot, charge int64) {
+	p.memory += max(charge, smallRequest) - max(s.charge, smallRequest)
+	s.charge = charge
+}
+
+// Release frees the slot of a connection that has been closed.
+func (s *Slot) Release() {
+	p := s.group.process
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.release(s)
+}
+
+// Idle records that the connection has no request.
+func (s *Slot) Idle() { s.enter(idle, true) }
+
+// Working records that a request has begun. What has been received of it still counts.
+func (s *Slot) Working() { s.enter(working, false) }
+
+// Answered records that no request is at work. What has been received of the next one still counts.
+func (s *Slot) Answered() {
+	p := s.group.process
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s.released {
+		return
+	}
+	s.phase, s.since = idle, time.Now()
+	if s.charge > 0 {
+		s.phase = receiving
+	}
+}
+
+// Received records that what has been received is complete and no longer kept for this connection.
+func (s *Slot) Received() {
+	p := s.group.process
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !s.released {
+		p.setCharge(s, 0)
+	}
+}
+
+// Closed reports whether the connection has been closed.
+func (s *Slot) Closed() bool {
+	p := s.group.process
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return s.released
+}
+
+func (s *Slot) enter(phase phase, ended bool) {
+	p := s.group.process
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s.released {
+		return
+	}
+	s.phase, s.since = phase, time.Now()
+	if ended {
+		p.setCharge(s, 0)
+	}
+}
+
+// Receive adds memory that a part of a request takes. It returns false if the connection is to be closed; others that have sent
+// more, or have taken longer for it, are closed before.
+func (s *Slot) Receive(bytes int64) bool {
+	p := s.group.process
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s.released {
+		return false
+	}
+	if s.phase == idle {
+		s.phase, s.since = receiving, time.Now()
+	}
+	p.setCharge(s, s.charge+bytes)
+	if s.charge <= smallRequest {
+		return true
+	}
+	for range maxVictims {
+		// A single large request is served where others take little.
+		if p.memory <= p.limits.RequestBytes || p.memory-s.charge <= p.limits.RequestBytes/2 {
+			return true
+		}
+		victim := p.heaviest(s)
+		if victim == nil {
+			return true // only requests at work are left, each of a moderate size
+		}
+		if victim == s {
+			telemetry.CountEvent(eventMemory, 1)
+			p.report(s.group, "A connection is closed for the memory of its request.")
+			p.release(s)
+			return false
+		}
+		p.close(victim, eventMemory)
+	}
+	telemetry.CountEvent(eventMemory, 1)
+	p.release(s)
+	return false
+}
+
+// heaviest returns the connection with the greatest product of memory and time since its request began, except those with little
+// memory and those at work whose memory is not huge. The caller holds mu.
+func (p *Process) heaviest(current *Slot) *Slot {
+	var found *Slot
+	var most float64
+	now := time.Now()
+	for s := range p.slots {
+		if s.closing && s != current || s.charge <= smallRequest || s.phase == working && s.charge < hugeRequest {
+			continue
+		}
+		// A millisecond more, so that of those that have just begun the greatest is found.
+		if weight := float64(s.charge) * (now.Sub(s.since) + time.Millisecond).Seconds(); found == nil || weight > most {
+			found, most = s, weight
+		}
+	}
+	return found
+}
--- a/member/member.go
+++ b/member/member.go
@@ -14,12 +14,24 @@
 	"github.com/zinniapier/zinniapier/config"
 	"github.com/zinniapier/zinniapier/control"
 	"github.com/zinniapier/zinniapier/daemon"
+	"github.com/zinniapier/zinniapier/internal/connlimit"
 	"github.com/zinniapier/zinniapier/replica"
 	"github.com/zinniapier/zinniapier/rpc"
 	"github.com/zinniapier/zinniapier/state"
 	"github.com/zinniapier/zinniapier/telemetry"
 )
 
+// Shares of the connections that are kept free for a listener.
+const (
+	rpcShare      = 1.0 / 2
+	operatorShare = 1.0 / 4
+	statusShare   = 1.0 / 64
+)
+
+// maxRPCMessage bounds a message. A configuration of 4 MB is forwarded together with what was read from it, and a call of a
+// member to another has 3 MB of entries at most.
+const maxRPCMessage = 16 << 20
+
 // Member is one control member. Create it with New and run it with Serve.
 type Member struct {
 	settings config.ControlSettings
@@ -28,6 +40,9 @@
 	control  *control.Control
 	server   *rpc.Server
 
+	// connections is the account of the connections to all listeners.
+	connections *connlimit.Process
+
 	rpc, operator, status net.Listener
 }
 
@@ -41,7 +56,12 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	m := &Member{settings: settings, profile: profile, server: rpc.NewServer(pair.Server)}
+	limits := connlimit.Derive(profile.MemoryBytes, profile.Descriptors).WithConnections(settings.Limits.MaxConnections)
+	connections := connlimit.New(limits)
+	m := &Member{
+		settings: settings, profile: profile, connections: connections,
+		server: rpc.NewServer(pair.Server, rpc.WithConnections(connections.Group("rpc", rpcShare)), rpc.WithMaxMessage(maxRPCMessage)),
+	}
 	if err := m.listen(pair.Server); err != nil {
 		m.closeListeners()
 		return nil, errors.Trace(err)
@@ -146,15 +166,24 @@
 	return m.control.OperatorHandler()
 }
 
+// limits returns the bounds of a listener for which a share of the connections is kept free.
+func (m *Member) limits(name string, share float64) []daemon.HTTPOption {
+	return []daemon.HTTPOption{
+		daemon.WithConnections(m.connections.Group(name, share)),
+		daemon.WithMaxHeaderBytes(m.settings.Limits.MaxHeaderBytes),
+		daemon.WithWholeBodies(),
+	}
+}
+
 // Serve runs the member until ctx ends, or until its disk or state machine fails.
 func (m *Member) Serve(ctx context.Context) error {
 	supervisor := daemon.NewSupervisor("member")
 	supervisor.Add(daemon.Service{Name: "rpc", Run: func(ctx context.Context) error { return m.server.Serve(ctx, m.rpc) }})
 	supervisor.Add(daemon.Service{Name: "replica", Run: m.replica.Serve})
 	supervisor.Add(daemon.Service{Name: "control", Run: m.control.Serve})
-	supervisor.Add(daemon.NewHTTPService("operator", m.operator, m.operatorHandler()))
+	supervisor.Add(daemon.NewHTTPService("operator", m.operator, m.operatorHandler(), m.limits("operator", operatorShare)...))
 	if m.status != nil {
-		supervisor.Add(daemon.NewHTTPService("status", m.status, telemetry.Handler()))
+		supervisor.Add(daemon.NewHTTPService("status", m.status, telemetry.Handler(), m.limits("status", statusShare)...))
 	}
 	telemetry.Logger("member").WithField("name", m.settings.Name).WithField("heap_bytes", telemetry.HeapBytes()).Info("Control member is up.")
 	err := supervisor.Serve(ctx)
--- a/member/profile.go
+++ b/member/profile.go
@@ -25,6 +25,9 @@
 	AckWait time.Duration
 	// RateTolerance is that of control.Options.
 	RateTolerance tokens.Tolerance
+	// MemoryBytes and Descriptors are those of connlimit.Derive.
+	MemoryBytes int64
+	Descriptors int
 }
 
 // Spans of a control member on a fraction of a core, for targets that pull their grants.
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/zinniapier/zinniapier/gate"
 	"github.com/zinniapier/zinniapier/gateway"
 	"github.com/zinniapier/zinniapier/host"
+	"github.com/zinniapier/zinniapier/internal/connlimit"
 	"github.com/zinniapier/zinniapier/internal/wait"
 	"github.com/zinniapier/zinniapier/rpc"
 	"github.com/zinniapier/zinniapier/session"
@@ -24,6 +25,22 @@
 	"github.com/zinniapier/zinniapier/tokens"
 )
 
+// Shares of the connections that are kept free for a listener. Callers may have what others leave.
+const (
+	hopShare       = 1.0 / 8
+	rpcShare       = 1.0 / 16
+	announceShare  = 1.0 / 32
+	readinessShare = 1.0 / 64
+	statusShare    = 1.0 / 64
+)
+
+const (
+	// hopHeaderFactor leaves room for the headers that a node adds to those of the caller.
+	hopHeaderFactor = 2
+	// maxRPCMessage bounds the messages of other nodes, which ask for the outcome of single requests.
+	maxRPCMessage = 1 << 20
+)
+
 // Node is one node process. Create it with New and run it with Serve.
 type Node struct {
 	settings config.NodeSettings
@@ -37,6 +54,9 @@
 	gateway  *gateway.Gateway
 	rpc      *rpc.Server
 
+	// connections is the account of the connections to all listeners.
+	connections *connlimit.Process
+
 	caller, internal, fate, announce, status, ready net.Listener
 
 	// callerService and hopService serve the requests of callers and of other nodes.
@@ -62,7 +82,12 @@
 	if profile.LeaveLimit <= 0 {
 		profile.LeaveLimit = defaultLeaveLimit
 	}
-	n := &Node{settings: settings, profile: profile, tls: pair, rpc: rpc.NewServer(pair.Server)}
+	limits := connlimit.Derive(profile.MemoryBytes, profile.Descriptors).WithConnections(settings.Limits.MaxConnections)
+	connections := connlimit.New(limits)
+	n := &Node{
+		settings: settings, profile: profile, tls: pair, connections: connections,
+		rpc: rpc.NewServer(pair.Server, rpc.WithConnections(connections.Group("rpc", rpcShare)), rpc.WithMaxMessage(maxRPCMessage)),
+	}
 	if err := n.listen(); err != nil {
 		n.closeListeners()
 		return nil, errors.Trace(err)
@@ -249,7 +274,7 @@
 	defer fates.stop()
 	back := startGroup(parts, "node", n.backServices()...)
 	defer back.stop()
-	n.callerService = daemon.NewHTTPService("caller", n.caller, n.gateway.CallerHandler())
+	n.callerService = daemon.NewHTTPService("caller", n.caller, n.gateway.CallerHandler(), n.limits("caller", 0)...)
 	front := startGroup(parts, "callers", n.callerService)
 	defer front.stop()
 	telemetry.Logger("node").WithField("caller", n.CallerAddr()).Info("Node is up.")
@@ -274,22 +299,36 @@
 
 // backServices returns the services that outlast those for callers.
 func (n *Node) backServices() []daemon.NamedService {
-	n.hopService = daemon.NewInternalHTTPService("internal", n.internal, n.gateway.InternalHandler())
+	hopLimits := append(n.limits("internal", hopShare), daemon.WithMaxHeaderBytes(hopHeaderFactor*n.settings.Limits.MaxHeaderBytes))
+	n.hopService = daemon.NewInternalHTTPService("internal", n.internal, n.gateway.InternalHandler(), hopLimits...)
 	services := []daemon.NamedService{
 		daemon.Service{Name: "session", Run: n.session.Serve},
 		daemon.Service{Name: "registry", Run: n.registry.Serve},
 		n.hopService,
-		daemon.NewInternalHTTPService("announce", n.announce, n.announceHandler()),
+		daemon.NewInternalHTTPService("announce", n.announce, n.announceHandler(), n.wholeLimits("announce", announceShare)...),
 	}
 	if n.ready != nil {
-		services = append(services, daemon.NewHTTPService("readiness", n.ready, n.profile.ReadyHandler(n.isReady)))
+		services = append(services, daemon.NewHTTPService("readiness", n.ready, n.profile.ReadyHandler(n.isReady), n.wholeLimits("readiness", readinessShare)...))
 	}
 	if n.status != nil {
-		services = append(services, daemon.NewHTTPService("status", n.status, telemetry.Handler()))
+		services = append(services, daemon.NewHTTPService("status", n.status, telemetry.Handler(), n.wholeLimits("status", statusShare)...))
 	}
 	return services
 }
 
+// limits returns the bounds of a listener for which a share of the connections is kept free.
+func (n *Node) limits(name string, share float64) []daemon.HTTPOption {
+	return []daemon.HTTPOption{
+		daemon.WithConnections(n.connections.Group(name, share)),
+		daemon.WithMaxHeaderBytes(n.settings.Limits.MaxHeaderBytes),
+	}
+}
+
+// wholeLimits is limits for a listener whose handlers read whole bodies.
+func (n *Node) wholeLimits(name string, share float64) []daemon.HTTPOption {
+	return append(n.limits(name, share), daemon.WithWholeBodies())
+}
+
 func (n *Node) announceHandler() http.Handler {
 	if n.profile.AnnounceHandler != nil {
 		return n.profile.AnnounceHandler(n.registry)
--- a/node/profile.go
+++ b/node/profile.go
@@ -54,6 +54,9 @@
 	TargetChoice string
 	// FixedLimit lets a target run as many requests as it has slots, whatever its latency.
 	FixedLimit bool
+	// MemoryBytes and Descriptors are those of connlimit.Derive.
+	MemoryBytes int64
+	Descriptors int
 	// FirstSlots limits the running requests until the target has responded to one; 0 means no limit.
 	FirstSlots int
 }
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -11,24 +11,50 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/internal/connlimit"
 )
 
+// defaultMaxMessage bounds a message where the owner of the server names no bound.
+const defaultMaxMessage = 64 << 20
+
 // Server serves registered receivers to any number of connections.
 type Server struct {
 	rpc *netrpc.Server
 	tls *tls.Config
 
+	connections *connlimit.Group
+	maxMessage  int
+
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
 }
 
+// Option is an option of NewServer.
+type Option func(*Server)
+
+// WithConnections bounds the connections and the memory of messages that arrive.
+func WithConnections(g *connlimit.Group) Option { return func(s *Server) { s.connections = g } }
+
+// WithMaxMessage bounds the bytes of a message. The default is 64 MiB.
+func WithMaxMessage(n int) Option { return func(s *Server) { s.maxMessage = n } }
+
 // NewServer returns a server; a nil TLS configuration means plain TCP.
-func NewServer(tlsConfig *tls.Config) *Server {
-	return &Server{rpc: netrpc.NewServer(), tls: tlsConfig, conns: make(map[net.Conn]struct{})}
+func NewServer(tlsConfig *tls.Config, options ...Option) *Server {
+	s := &Server{
+		rpc: netrpc.NewServer(), tls: tlsConfig, maxMessage: defaultMaxMessage, conns: make(map[net.Conn]struct{}),
+	}
+	for _, option := range options {
+		option(s)
+	}
+	if s.connections == nil {
+		s.connections = connlimit.Unlimited().Group("rpc", 0)
+	}
+	return s
 }
 
 // Register publishes the receiver's methods under the name, by the rules of net/rpc.
@@ -36,32 +62,50 @@
 	return errors.Trace(s.rpc.RegisterName(name, receiver))
 }
 
-// Serve accepts connections until ctx ends, then closes the listener and all connections.
+// Serve accepts connections until ctx ends, then closes the listener and all connections. Shortage of descriptors is waited out.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
-	if s.tls != nil {
-		l = tls.NewListener(l, s.tls)
-	}
 	stop := context.AfterFunc(ctx, func() {
 		_ = l.Close()
 		s.closeConns()
 	})
 	defer stop()
+	var pause connlimit.AcceptPause
 	for {
 		conn, err := l.Accept()
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
 		if err != nil {
-			return errors.Annotate(err, "accept")
+			d, ok := pause.After(err, s.connections)
+			if !ok {
+				return errors.Annotate(err, "accept")
+			}
+			time.Sleep(d)
+			continue
 		}
-		s.track(conn)
-		go s.serveConn(conn)
+		pause.Reset()
+		s.accept(conn)
 	}
 }
 
-func (s *Server) serveConn(conn net.Conn) {
-	defer s.untrack(conn)
-	s.rpc.ServeConn(conn)
+// accept serves a connection, or closes it if there is no room for it.
+func (s *Server) accept(conn net.Conn) {
+	raw := conn
+	if s.tls != nil {
+		conn = tls.Server(raw, s.tls)
+	}
+	c := &codec{raw: raw, conn: conn}
+	if c.slot = s.connections.Open(c.evict); c.slot == nil {
+		_ = raw.Close()
+		return
+	}
+	c.init(s.maxMessage)
+	s.track(raw)
+	go func() {
+		defer s.untrack(raw)
+		defer c.slot.Release()
+		s.rpc.ServeCodec(c)
+	}()
 }
 
 func (s *Server) track(conn net.Conn) {
