--- a/daemon/http.go
+++ b/daemon/http.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// readHeaderTimeout closes connections whose request header does not arrive.
-	readHeaderTimeout = 10 * time.Second
+	// readHeaderTimeout closes connections whose request header does not arrive. Clients may leave a connection unused for 15 s
+	// and take 3 s for a head; net/http counts both for the first request of a connection.
+	readHeaderTimeout = 20 * time.Second
 	// DefaultMaxHeaderBytes bounds the head of a request. Clients may send 16,384 bytes. net/http reads 4,096 bytes more
 	// before it answers 431.
 	DefaultMaxHeaderBytes = 32 << 10
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -3,6 +3,8 @@
 package connlimit
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,12 +23,12 @@
 
 const (
 	// smallRequest is the memory that every connection may occupy; requests of ordinary clients stay below it.
-	smallRequest = 4 << 10
+	smallRequest = 8 << 10
 	// hugeRequest is the memory above which a request may be cut off while it is at work. A head of 16,384 bytes with
 	// 100 lines counts 46 KB.
 	hugeRequest = 256 << 10
-	// maxVictims bounds the attempts to find a connection to close.
-	maxVictims = 8
+	// roomShare of the connections of a listener are closed together when one more is needed.
+	roomShare = 64
 )
 
 // Limits are the bounds of a process.
@@ -122,17 +124,13 @@
 	s := &Slot{group: g, evict: evict, since: now}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for range maxVictims {
-		if g.mayGrow() {
-			g.open++
-			p.slots[s] = struct{}{}
-			return s
-		}
-		victim := p.longest(g)
-		if victim == nil {
-			break
-		}
-		p.close(victim, eventEvicted)
+	if !g.mayGrow() {
+		p.makeRoom(g)
+	}
+	if g.mayGrow() {
+		g.open++
+		p.slots[s] = struct{}{}
+		return s
 	}
 	telemetry.CountEvent(eventRefused, 1)
 	p.report(g, "All connections have requests at work; a new one is closed.")
@@ -144,28 +142,33 @@
 	p := g.process
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if victim := p.longest(g); victim != nil {
-		p.close(victim, eventEvicted)
-	}
+	p.makeRoom(g)
 }
 
-// longest returns the idle connection of the group that has been idle for longest, or else the receiving one. The caller holds mu.
-func (p *Process) longest(g *Group) *Slot {
-	var found *Slot
+// makeRoom closes the idle connections of the group that have been idle for longest, or else the receiving ones, until there is
+// room for a few more: looking through all connections for each new one would take a flooded process too long. The caller holds mu.
+func (p *Process) makeRoom(g *Group) {
+	var list []*Slot
 	for s := range p.slots {
-		if s.group != g || s.closing || s.phase == working {
-			continue
+		if s.group == g && !s.closing && s.phase != working {
+			list = append(list, s)
+		}
+	}
+	slices.SortFunc(list, func(a, b *Slot) int { return cmp.Or(cmp.Compare(a.phase, b.phase), a.since.Compare(b.since)) })
+	left := 1 + g.open/roomShare
+	for _, s := range list {
+		if left == 0 {
+			return
 		}
-		if found == nil || s.phase < found.phase || s.phase == found.phase && s.since.Before(found.since) {
-			found = s
+		if !s.closing && p.close(s, eventEvicted) {
+			left--
 		}
 	}
-	return found
 }
 
 // close closes the connection of a slot and frees the slot if the connection could be closed. The caller holds mu, which
-// is released meanwhile.
-func (p *Process) close(s *Slot, event string) {
+// is released meanwhile, and reports whether it did.
+func (p *Process) close(s *Slot, event string) bool {
 	s.closing = true
 	force := s.charge >= hugeRequest
 	p.mu.Unlock()
@@ -173,11 +176,12 @@
 	p.mu.Lock()
 	if !closed {
 		s.closing = s.released
-		return
+		return false
 	}
 	telemetry.CountEvent(event, 1)
 	p.report(s.group, "A connection is closed for the sake of others.")
 	p.release(s)
+	return true
 }
 
 // reportInterval bounds the log lines of connections that are closed.
@@ -281,42 +285,38 @@
 	if s.charge <= smallRequest {
 		return true
 	}
-	for range maxVictims {
-		// A single large request is served where others take little.
-		if p.memory <= p.limits.RequestBytes || p.memory-s.charge <= p.limits.RequestBytes/2 {
-			return true
-		}
-		victim := p.heaviest(s)
-		if victim == nil {
-			return true // only requests at work are left, each of a moderate size
-		}
-		if victim == s {
-			telemetry.CountEvent(eventMemory, 1)
-			p.report(s.group, "A connection is closed for the memory of its request.")
-			p.release(s)
-			return false
-		}
-		p.close(victim, eventMemory)
+	// A single large request is served where others take little.
+	limit := p.limits.RequestBytes
+	if p.memory > limit && p.memory-s.charge > limit/2 {
+		p.shed(s)
 	}
-	telemetry.CountEvent(eventMemory, 1)
-	p.release(s)
-	return false
+	return !s.released
 }
 
-// heaviest returns the connection with the greatest product of memory and time since its request began, except those with little
-// memory and those at work whose memory is not huge. The caller holds mu.
-func (p *Process) heaviest(current *Slot) *Slot {
-	var found *Slot
-	var most float64
+// shed closes the connections with the greatest products of memory and time since their request began, until the memory is
+// three quarters of the limit. Those with little memory stay, and those at work whose memory is not huge. The slot that receives is
+// only released. The caller holds mu.
+func (p *Process) shed(current *Slot) {
 	now := time.Now()
+	// A millisecond more, so that of those that have just begun the greatest comes first.
+	weight := func(s *Slot) float64 { return float64(s.charge) * (now.Sub(s.since) + time.Millisecond).Seconds() }
+	var list []*Slot
 	for s := range p.slots {
-		if s.closing && s != current || s.charge <= smallRequest || s.phase == working && s.charge < hugeRequest {
-			continue
+		if !s.closing && s.charge > smallRequest && (s.phase != working || s.charge >= hugeRequest) {
+			list = append(list, s)
 		}
-		// A millisecond more, so that of those that have just begun the greatest is found.
-		if weight := float64(s.charge) * (now.Sub(s.since) + time.Millisecond).Seconds(); found == nil || weight > most {
-			found, most = s, weight
+	}
+	slices.SortFunc(list, func(a, b *Slot) int { return cmp.Compare(weight(b), weight(a)) })
+	for _, s := range list {
+		switch {
+		case p.memory <= p.limits.RequestBytes/4*3:
+			return
+		case s == current:
+			telemetry.CountEvent(eventMemory, 1)
+			p.report(s.group, "A connection is closed for the memory of its request.")
+			p.release(s)
+		case !s.closing:
+			p.close(s, eventMemory)
 		}
 	}
-	return found
 }
--- a/rpc/codec.go
+++ b/rpc/codec.go
@@ -225,7 +225,7 @@
 		return nil
 	}
 	c.closed = true
-	return c.conn.Close()
+	return c.raw.Close() // that of a TLS connection may wait for its peer
 }
 
 // evict closes the connection, one with calls at work only by force.
