--- a/daemon/http.go
+++ b/daemon/http.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -56,6 +57,8 @@
 	connections *connlimit.Group
 	// wholeBodies is true if handlers read bodies whole, so that what has been received of a body stays in memory.
 	wholeBodies bool
+	// heldBody is the greatest body in bytes that handlers hold whole where wholeBodies is false.
+	heldBody int64
 
 	// requests is the context from which those of all requests descend; cancelRequests ends it.
 	requests       context.Context
@@ -97,6 +100,12 @@
 	}
 }
 
+// WithHeldBodies is for handlers that hold bodies of at most so many bytes whole before they pass them on, and reserve memory for
+// them in advance. What they hold counts; until it has arrived, the connection may be closed for the sake of others.
+func WithHeldBodies(bytes int64) HTTPOption {
+	return func(s *HTTPService) { s.heldBody = bytes }
+}
+
 // NewHTTPService returns a service that owns the listener.
 func NewHTTPService(name string, listener net.Listener, handler http.Handler, options ...HTTPOption) *HTTPService {
 	s := &HTTPService{
@@ -135,16 +144,19 @@
 	return ctx
 }
 
-// endingBody tells the connection when the whole body has been read.
+// endingBody tells the connection when the whole body has been read, or as much of it as is held.
 type endingBody struct {
 	io.ReadCloser
 	conn *idleConn
+	// left is the number of bytes that are held.
+	left int64
 }
 
 // Read implements io.Reader.
 func (b *endingBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
+	b.left -= int64(n)
+	if err == io.EOF || b.left <= 0 {
 		b.conn.requestRead()
 	}
 	return n, err
@@ -157,11 +169,19 @@
 	if !ok {
 		return true
 	}
-	if s.wholeBodies {
-		if r.Body == http.NoBody {
-			c.requestRead()
-		} else {
-			r.Body = &endingBody{r.Body, c}
+	switch {
+	case s.wholeBodies && r.Body == http.NoBody:
+		c.requestRead()
+	case s.wholeBodies:
+		r.Body = &endingBody{r.Body, c, math.MaxInt64}
+	case s.heldBody > 0 && r.Body != http.NoBody && r.ContentLength <= s.heldBody:
+		held := r.ContentLength
+		if held < 0 {
+			held = s.heldBody
+		}
+		r.Body = &endingBody{r.Body, c, held}
+		if !c.hold(held) {
+			return false
 		}
 	}
 	return c.begin()
--- a/daemon/idleconn.go
+++ b/daemon/idleconn.go
@@ -70,8 +70,8 @@
 	idle   bool      // nothing has been received since the connection was opened or the last response was sent
 	since  time.Time // of idle, once a response has been sent
 	closed bool
-	// working is set from the end of the head of a request, on a listener whose handlers read whole bodies from the end of the
-	// body, until its response is sent.
+	// working is set from the end of the head of a request, where the handler holds the body whole from the end of the body,
+	// until its response is sent.
 	working bool
 	// head is the number of bytes that have been received of the head of a request. headRead is set once net/http has read
 	// the head or refused it, begun once the request is handled.
@@ -150,12 +150,25 @@
 	}
 }
 
+// hold accounts for a body that is to be held whole; false if the connection is closed for it.
+func (c *idleConn) hold(bytes int64) bool {
+	c.mu.Lock()
+	c.working = false
+	c.mu.Unlock()
+	if c.slot == nil {
+		return true
+	}
+	c.slot.Unready()
+	return c.slot.Receive(bytes)
+}
+
 // requestRead records that the body of a request is complete, too.
 func (c *idleConn) requestRead() {
 	c.mu.Lock()
+	already := c.working
 	c.working = true
 	c.mu.Unlock()
-	if c.slot != nil {
+	if c.slot != nil && !already {
 		c.slot.Working()
 	}
 }
--- a/daemon/limits_test.go
+++ b/daemon/limits_test.go
@@ -133,3 +133,32 @@
 	is.Equal(whole.Load(), int64(1))
 	is.True(telemetry.Events("connections_over_memory") >= before+10)
 }
+
+// Guards against bodies that stall while memory for them is held in advance, and against closing connections whose bodies are
+// passed on as they arrive.
+func TestHeldBodiesThatStallAreBounded(t *testing.T) {
+	is := is.New(t)
+	address := serveLimited(t, func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) },
+		WithHeldBodies(64<<10), WithConnections(connlimit.New(connlimit.Limits{Connections: 100, RequestBytes: 1 << 20}).Group("test", 0)))
+	post := func(size int) string {
+		return fmt.Sprintf("POST / HTTP/1.1\r\nHost: test\r\nContent-Length: %d\r\n\r\n", size)
+	}
+	large, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer large.Close()
+	_, _ = io.WriteString(large, post(100_000)+"y")
+	before := telemetry.Events("connections_over_memory")
+	for range 40 {
+		conn, err := net.Dial("tcp", address)
+		is.NoErr(err)
+		defer conn.Close()
+		_, _ = io.WriteString(conn, post(60_000)+"y")
+	}
+	status, _ := send(t, address, post(60_000)+strings.Repeat("y", 60_000))
+	is.Equal(status, 200)
+	is.True(telemetry.Events("connections_over_memory") >= before+20)
+	_, _ = io.WriteString(large, strings.Repeat("y", 99_999))
+	resp, err := http.ReadResponse(bufio.NewReader(large), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 200)
+}
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -256,6 +256,9 @@
 	return s.released
 }
 
+// Unready records that the body of the request is still to come before it begins.
+func (s *Slot) Unready() { s.enter(receiving, false) }
+
 func (s *Slot) enter(phase phase, ended bool) {
 	p := s.group.process
 	p.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -35,6 +35,8 @@
 )
 
 const (
+	// callerHeldBody is the size of bodies in bytes that the gateway always reads whole before it routes a request.
+	callerHeldBody = 64 << 10
 	// hopHeaderFactor leaves room for the headers that a node adds to those of the caller.
 	hopHeaderFactor = 2
 	// maxRPCMessage bounds the messages of other nodes, which ask for the outcome of single requests.
@@ -274,7 +276,7 @@
 	defer fates.stop()
 	back := startGroup(parts, "node", n.backServices()...)
 	defer back.stop()
-	n.callerService = daemon.NewHTTPService("caller", n.caller, n.gateway.CallerHandler(), n.limits("caller", 0)...)
+	n.callerService = daemon.NewHTTPService("caller", n.caller, n.gateway.CallerHandler(), append(n.limits("caller", 0), daemon.WithHeldBodies(callerHeldBody))...)
 	front := startGroup(parts, "callers", n.callerService)
 	defer front.stop()
 	telemetry.Logger("node").WithField("caller", n.CallerAddr()).Info("Node is up.")
