connlimit: fewer connections once the process's descriptors have run out

The limit is derived from the settings; where the process has fewer descriptors, accept fails although connections are below it. An eighth of the connections is closed, and the limit is lowered to what is left.

--- a/internal/connlimit/accept.go
+++ b/internal/connlimit/accept.go
@@ -19,8 +19,10 @@
 // when the process has run out of descriptors or memory.
 func (a *AcceptPause) After(err error, g *Group) (time.Duration, bool) {
 	switch {
-	case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS), errors.Is(err, syscall.ENOMEM):
-		g.Relieve()
+	case errors.Is(err, syscall.EMFILE):
+		g.Relieve(true)
+	case errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS), errors.Is(err, syscall.ENOMEM):
+		g.Relieve(false)
 	case errors.Is(err, syscall.ECONNABORTED), errors.Is(err, syscall.ECONNRESET):
 	default:
 		return 0, false
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -27,6 +27,9 @@
 	// hugeRequest is the memory above which a request may be cut off while it is at work. A head of 16,384 bytes with
 	// 100 lines counts 46 KB.
 	hugeRequest = 256 << 10
+	// reliefShare of the connections are given up when the process has run out of descriptors; minRelieved stay allowed.
+	reliefShare = 8
+	minRelieved = 16
 	// roomShare of the connections of a listener are closed together when one more is needed.
 	roomShare = 64
 )
@@ -64,7 +67,8 @@
 type Group struct {
 	process *Process
 	name    string
-	reserve int
+	share   float64
+	least   int
 	open    int
 }
 
@@ -72,19 +76,24 @@
 func (p *Process) Group(name string, share float64) *Group {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	g := &Group{process: p, name: name, reserve: max(int(share*float64(p.limits.Connections)), minReserve)}
+	g := &Group{process: p, name: name, share: share, least: minReserve}
 	p.groups = append(p.groups, g)
 	return g
 }
 
+// reserve is the number of connections that are kept free for the group. The caller holds mu.
+func (g *Group) reserve() int {
+	return max(int(g.share*float64(g.process.limits.Connections)), g.least)
+}
+
 // mayGrow reports whether the group may have another connection. The caller holds mu.
 func (g *Group) mayGrow() bool {
-	if g.open < g.reserve {
+	if g.open < g.reserve() {
 		return true
 	}
 	used := 1
 	for _, other := range g.process.groups {
-		used += max(other.open, other.reserve)
+		used += max(other.open, other.reserve())
 	}
 	return used <= g.process.limits.Connections
 }
@@ -125,7 +134,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !g.mayGrow() {
-		p.makeRoom(g)
+		p.makeRoom(g, 1+g.open/roomShare)
 	}
 	if g.mayGrow() {
 		g.open++
@@ -137,17 +146,27 @@
 	return nil
 }
 
-// Relieve closes a connection that is not at work, for a process that has run out of descriptors.
-func (g *Group) Relieve() {
+// Relieve is for a process that lacks descriptors or memory for another connection. It closes connections that are not at work. If
+// the process's own descriptors have run out, it lowers the limit to what is left, until the process ends: the limit assumes more
+// descriptors than there are, and some are needed for targets and other nodes.
+func (g *Group) Relieve(own bool) {
 	p := g.process
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.makeRoom(g)
+	p.makeRoom(g, 1+g.open/reliefShare)
+	if !own {
+		return
+	}
+	allowed := max(len(p.slots), minRelieved)
+	if allowed < p.limits.Connections {
+		p.limits.Connections = allowed
+		telemetry.Logger("connections").WithField("limit", allowed).Warning("Out of descriptors; fewer connections are allowed.")
+	}
 }
 
-// makeRoom closes the idle connections of the group that have been idle for longest, or else the receiving ones, until there is
-// room for a few more: looking through all connections for each new one would take a flooded process too long. The caller holds mu.
-func (p *Process) makeRoom(g *Group) {
+// makeRoom closes the idle connections of the group that have been idle for longest, or else the receiving ones, several at a
+// time: looking through all connections for each new one would take a flooded process too long. The caller holds mu.
+func (p *Process) makeRoom(g *Group, number int) {
 	var list []*Slot
 	for s := range p.slots {
 		if s.group == g && !s.closing && s.phase != working {
@@ -155,13 +174,12 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b *Slot) int { return cmp.Or(cmp.Compare(a.phase, b.phase), a.since.Compare(b.since)) })
-	left := 1 + g.open/roomShare
 	for _, s := range list {
-		if left == 0 {
+		if number == 0 {
 			return
 		}
 		if !s.closing && p.close(s, eventEvicted) {
-			left--
+			number--
 		}
 	}
 }
@@ -248,14 +266,6 @@
 	}
 }
 
-// Closed reports whether the connection has been closed.
-func (s *Slot) Closed() bool {
-	p := s.group.process
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return s.released
-}
-
 // Unready records that the body of the request is still to come before it begins.
 func (s *Slot) Unready() { s.enter(receiving, false) }
 
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -44,7 +44,7 @@
 func TestIdleThenSlowConnectionsMakeRoom(t *testing.T) {
 	is := is.New(t)
 	g := New(Limits{Connections: 3, RequestBytes: 1 << 20}).Group("callers", 0)
-	g.reserve = 0
+	g.least = 0
 	slow, working, unused := open(g), open(g).work(500), open(g)
 	is.True(slow.slot.Receive(10))
 	is.True(open(g).work(500) != nil) // in place of unused
@@ -146,8 +146,17 @@
 	var a AcceptPause
 	first, ok := a.After(fmt.Errorf("accept: %w", syscall.EMFILE), g)
 	is.True(ok && first > 0 && idle.closed)
+	is.Equal(g.process.limits.Connections, 10) // no more than before
 	second, ok := a.After(syscall.EMFILE, g)
 	is.True(ok && second > first)
 	_, ok = a.After(syscall.EBADF, g)
 	is.True(!ok)
+
+	g = New(Limits{Connections: 1000, RequestBytes: 1 << 20}).Group("callers", 0)
+	for range 100 {
+		open(g)
+	}
+	g.Relieve(true)
+	is.Equal(g.process.limits.Connections, 87)
+	is.Equal(g.open, 87)
 }
