--- a/member/profile.go
+++ b/member/profile.go
@@ -28,6 +28,9 @@
 	RateTolerance tokens.Tolerance
 	// RolloutLimits are those of control.Options.
 	RolloutLimits rollout.Limits
+	// MemoryBytes and Descriptors are those of connlimit.Derive.
+	MemoryBytes int64
+	Descriptors int
 }
 
 // Spans of a control member on a fraction of a core, for targets that pull their grants.
