--- a/control/plan.go
+++ b/control/plan.go
@@ -161,7 +161,7 @@
 		p.applyMove(m, moveLimits)
 	}
 	if p.balance {
-		p.planOverrides(service, eligible)
+		p.planOverrides(service, p.withoutCanaries(eligible))
 	}
 	p.planSplits(service, eligible)
 }
--- a/control/rollout_test.go
+++ b/control/rollout_test.go
@@ -385,3 +385,24 @@
 	w.nodes = w.nodes[:len(w.nodes)-1]
 	is.True(w.runUntil(api.RolloutCompleted, 1500*time.Millisecond)) // out of contact, it is not waited for
 }
+
+// Guards against partitions of their own for keys that no target could serve better: canary targets have little load, but
+// may get only their share.
+func TestCanariesMakeNoKeyHot(t *testing.T) {
+	is := is.New(t)
+	w := newRolloutCluster(t, true)
+	w.order(30 * time.Second)
+	w.start("v2", rolloutTargets)
+	is.True(w.runUntil(api.RolloutCanary, 6*time.Second))
+	w.run(3500 * time.Millisecond)
+	key := ""
+	for i := 0; key == ""; i++ {
+		k := fmt.Sprint("k", i)
+		if a := w.machine.View().Assignments["quotes"][api.PartitionOf(k, rolloutPartitions)]; a.Target == "v1-00" && a.State == api.Granted {
+			key = k
+		}
+	}
+	w.sessions["s-v1-00"].last.Targets[0].HotKeys = []api.HotKey{{Key: key, Load: 12}}
+	w.nextBalance = w.now
+	is.Equal(len(w.plan(w.machine.View(), w.now).Overrides), 0)
+}
--- a/control/rolloutplan.go
+++ b/control/rolloutplan.go
@@ -46,6 +46,15 @@
 	return list
 }
 
+// withoutCanaries returns the targets that may get more than the canary share, and so take a hot key.
+func (p *servicePlan) withoutCanaries(list []placement.Target) []placement.Target {
+	r := p.canaryRollout()
+	if r == nil {
+		return list
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(t placement.Target) bool { return r.IsCanary(t.ID) })
+}
+
 // canariesNeedPartitions reports whether to plan by load now, so that canary targets soon have their share.
 func (p *servicePlan) canariesNeedPartitions() bool {
 	r := p.canaryRollout()
