gateway: callers of deployments without organisations keep the priority and the objective of their route

Requests without an organisation counted as calls by targets: priority -1 and no objective. Where no organisation is configured that was every request, so that callers waited until their deadlines under overload, and less urgent ones took slots of others. Now only requests that come from the host itself count as calls by its target there; nothing changes where organisations are configured.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -125,7 +125,7 @@
 	if err := checkServing(v, c.service); err != nil {
 		return err
 	}
-	c.setObjective(matched.objective, info, elapsed)
+	c.setObjective(matched.objective, info, elapsed, len(v.Configuration.Organisations) > 0)
 	c.setLimits(info, matched.deadline(), matched.attemptsOr(g.maxAttempts))
 	return c.readKey(v)
 }
@@ -162,15 +162,24 @@
 	return nil
 }
 
-// internalPriority is the priority of requests without an organisation. They come from targets that
-// hold a slot while they wait for the response, so they go before callers.
+// internalPriority is the priority of calls by targets. These hold a slot while they wait for the response, so their calls go
+// before callers.
 const internalPriority = -1
 
+// fromTarget reports whether the call is made by the target of this host. It has no organisation; where none is
+// configured, callers have none either, and only calls by the target come from the host itself.
+//
+// Load pattern: an overloaded service without organisations. If all of its requests count as calls by targets, they have no
+// objective and wait until their deadlines, and less urgent ones take the slots of others.
+func (c *call) fromTarget(organisationsConfigured bool) bool {
+	return c.org == "" && (organisationsConfigured || !c.offHost)
+}
+
 // setObjective sets the priority and the latency objective. A caller that retries after a refusal
 // states a shorter deadline than first requests on the route; its objective counts from its first
 // request.
-func (c *call) setObjective(objective time.Duration, e RequestInfo, elapsed func(int64) time.Duration) {
-	if c.org == "" {
+func (c *call) setObjective(objective time.Duration, e RequestInfo, elapsed func(int64) time.Duration, organisationsConfigured bool) {
+	if c.fromTarget(organisationsConfigured) {
 		c.priority = internalPriority
 		return
 	}
