--- a/gateway/call.go
+++ b/gateway/call.go
@@ -166,13 +166,13 @@
 // before callers.
 const internalPriority = -1
 
-// fromTarget reports whether the call is made by the target of this host. It has no organisation; where none is
-// configured, callers have none either, and only calls by the target come from the host itself.
+// fromTarget reports whether the call is made by a target. It has no organisation; where none is configured, callers have
+// none either and cannot be told from targets, so that the priorities of the routes decide.
 //
 // Load pattern: an overloaded service without organisations. If all of its requests count as calls by targets, they have no
 // objective and wait until their deadlines, and less urgent ones take the slots of others.
 func (c *call) fromTarget(organisationsConfigured bool) bool {
-	return c.org == "" && (organisationsConfigured || !c.offHost)
+	return c.org == "" && organisationsConfigured
 }
 
 // setObjective sets the priority and the latency objective. A caller that retries after a refusal
