--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -53,66 +53,86 @@
 	return a.print(x, func(w io.Writer) { writeExplanation(w, x) })
 }
 
+// explanationWriter writes lines that begin with the name of a step.
+type explanationWriter struct{ io.Writer }
+
+func (w explanationWriter) line(name, format string, args ...any) {
+	fmt.Fprintf(w, "%-14s"+format+"\n", append([]any{name}, args...)...)
+}
+
 // writeExplanation writes the steps in the order in which a node takes them.
-func writeExplanation(w io.Writer, x *api.Explanation) {
-	line := func(name, format string, args ...any) {
-		fmt.Fprintf(w, "%-14s"+format+"\n", append([]any{name}, args...)...)
-	}
-	line("node", "%s, zone %s, configuration %d, map %d", x.Node, x.Zone, x.ConfigurationVersion, x.MapVersion)
+func writeExplanation(out io.Writer, x *api.Explanation) {
+	w := explanationWriter{out}
+	w.request(x)
+	w.destination(x)
+	w.result(x)
+}
+
+// request writes what the node finds out about the request.
+func (w explanationWriter) request(x *api.Explanation) {
+	w.line("node", "%s, zone %s, configuration %d, map %d", x.Node, x.Zone, x.ConfigurationVersion, x.MapVersion)
 	if r := x.Route; r != nil {
-		line("route", "%s", routeText(r))
+		w.line("route", "%s", routeText(r))
 		for _, s := range r.Split {
-			line("split", "%s, share %s", s.Service, short(s.Share))
+			w.line("split", "%s, share %s", s.Service, short(s.Share))
 		}
-		line("service", "%s", x.Service)
+		w.line("service", "%s", x.Service)
 	}
 	if x.Organisation != "" {
-		line("organisation", "%s", x.Organisation)
+		w.line("organisation", "%s", x.Organisation)
 	}
 	if l := x.Limits; l != nil {
-		line("limits", "priority %d, deadline %s%s, %d attempts", l.Priority, ms(l.DeadlineMs), unlessZero(l.ObjectiveMs, ", objective "), l.Attempts)
+		w.line("limits", "priority %d, deadline %s%s, %d attempts", l.Priority, ms(l.DeadlineMs), unlessZero(l.ObjectiveMs, ", objective "), l.Attempts)
 	}
 	if t := x.Token; t != nil && t.Needed {
-		line("token", "needed: %s", t.State)
+		w.line("token", "needed: %s", t.State)
 	}
 	if r := x.Rollout; r != nil {
-		line("roll-out", "to %s, phase %s, %d canary targets", r.Version, r.Phase, len(r.Canary))
+		w.line("roll-out", "to %s, phase %s, %d canary targets", r.Version, r.Phase, len(r.Canary))
 	}
 	if p := x.Partition; p != nil {
-		line("partition", "%d of key %q, owner %s, epoch %d", p.Partition, p.Key, orNone(string(p.Owner)), p.Epoch)
+		w.line("partition", "%d of key %q, owner %s, epoch %d", p.Partition, p.Key, orNone(string(p.Owner)), p.Epoch)
 	}
+}
+
+// destination writes the selection of the target and its state.
+func (w explanationWriter) destination(x *api.Explanation) {
 	for _, c := range x.Choices {
-		line("choice", "%s", choiceText(c))
+		w.line("choice", "%s", choiceText(c))
 		if len(c.Compared) > 0 {
 			table(w, candidateRows(c.Compared)...)
 		}
 	}
 	if t := x.Target; t != nil {
-		line("target", "%s at %s, zone %s%s%s", t.ID, t.Node, t.Zone, prefixed(", version ", t.Version), map[bool]string{true: ", local"}[t.Local])
+		w.line("target", "%s at %s, zone %s%s%s", t.ID, t.Node, t.Zone, prefixed(", version ", t.Version), map[bool]string{true: ", local"}[t.Local])
 	}
 	if l := x.Link; l != nil {
-		line("link", "large response %t, mean %d bytes, tail %d bytes, wait %s%s%s", l.Large, l.MeanBytes, l.TailBytes, ms(l.WaitMs),
+		w.line("link", "large response %t, mean %d bytes, tail %d bytes, wait %s%s%s", l.Large, l.MeanBytes, l.TailBytes, ms(l.WaitMs),
 			unlessZero(l.SentAfterMs, ", sent after "), unlessZero(l.LimitMs, " of "))
 	}
 	if g := x.Gate; g != nil {
-		line("gate", "%s: %d of %d running, %d queued, %d ahead, wait %s, service time %s%s", g.Decision, g.Running, g.Limit, g.Queued,
+		w.line("gate", "%s: %d of %d running, %d queued, %d ahead, wait %s, service time %s%s", g.Decision, g.Running, g.Limit, g.Queued,
 			g.Ahead, ms(g.WaitMs), ms(g.ServiceMs), map[bool]string{true: ", cold"}[g.Cold])
 	}
+}
+
+// result writes the refusal and the remarks.
+func (w explanationWriter) result(x *api.Explanation) {
 	if e := x.Refusal; e != nil {
 		run := "may have run"
 		if e.NotRun {
 			run = "not run"
 		}
-		line("refusal", "%s (%s): %s", e.Kind, run, e.Message)
+		w.line("refusal", "%s (%s): %s", e.Kind, run, e.Message)
 	}
 	if x.Then != "" {
-		line("then", "%s", x.Then)
+		w.line("then", "%s", x.Then)
 	}
 	for _, text := range x.Chance {
-		line("chance", "%s", text)
+		w.line("chance", "%s", text)
 	}
 	for _, text := range x.Notes {
-		line("note", "%s", text)
+		w.line("note", "%s", text)
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -25,24 +24,6 @@
 	"github.com/zinniapier/zinniapier/tokens"
 )
 
-// Shares of the connections that are kept free for a listener. Callers may have what others leave.
-const (
-	hopShare       = 1.0 / 8
-	rpcShare       = 1.0 / 16
-	announceShare  = 1.0 / 32
-	readinessShare = 1.0 / 64
-	statusShare    = 1.0 / 64
-)
-
-const (
-	// callerHeldBody is the size of bodies in bytes that the gateway always reads whole before it routes a request.
-	callerHeldBody = 64 << 10
-	// hopHeaderFactor leaves room for the headers that a node adds to those of the caller.
-	hopHeaderFactor = 2
-	// maxRPCMessage bounds the messages of other nodes, which ask for the outcome of single requests.
-	maxRPCMessage = 1 << 20
-)
-
 // Node is one node process. Create it with New and run it with Serve.
 type Node struct {
 	settings config.NodeSettings
@@ -101,48 +82,35 @@
 	return n, nil
 }
 
-func (n *Node) listen() (err error) {
-	s := &n.settings
-	if n.caller, err = daemon.Listen("caller", s.CallerListen); err != nil {
-		return err
-	}
-	if n.internal, err = daemon.ListenTLS("internal", s.InternalListen, n.tls.Server); err != nil {
-		return err
-	}
-	if n.fate, err = daemon.Listen("rpc", s.RPCListen); err != nil {
-		return err
-	}
-	if n.announce, err = daemon.Listen("announce", s.AnnounceListen); err != nil {
+func (n *Node) assemble() error {
+	timing := n.settings.Timing
+	view := func() *api.View { return n.session.View() }
+	wake := func() { n.session.Wake() }
+	n.registry = n.newRegistry(view, wake)
+	n.account = tokens.NewAccount(tokens.AccountOptions{
+		Organisation: func(id api.OrganisationID) *api.Organisation { return view().Index.Organisations[id] },
+		LeaseValid:   func() bool { return view().LeaseValid(time.Now()) },
+		Wake:         wake,
+		Heartbeat:    milliseconds(timing.HeartbeatMs),
+		NodeCount:    n.fleetSize(),
+	})
+	n.limiter = n.newLimiter()
+	n.gateway = n.newGateway(view)
+	if err := n.newSession(); err != nil {
 		return err
 	}
-	if n.profile.ReadyAddress != "" {
-		if n.ready, err = daemon.Listen("readiness", n.profile.ReadyAddress); err != nil {
-			return err
-		}
-	}
-	if s.StatusListen == "" {
-		return nil
-	}
-	n.status, err = daemon.Listen("status", s.StatusListen)
-	return err
-}
-
-func (n *Node) closeListeners() {
-	for _, l := range []net.Listener{n.caller, n.internal, n.fate, n.announce, n.status, n.ready} {
-		if l != nil {
-			_ = l.Close()
-		}
-	}
+	n.session.Subscribe(n.registry.Update)
+	n.session.Subscribe(n.gateway.ViewChanged)
+	telemetry.GaugesBy("target_capacity", "target", n.capacities)
+	return n.rpc.Register("Node", n.gateway)
 }
 
-func (n *Node) assemble() error {
+func (n *Node) newRegistry(view func() *api.View, wake func()) *host.Registry {
 	timing := n.settings.Timing
-	view := func() *api.View { return n.session.View() }
-	kick := func() { n.session.Wake() }
-	n.registry = host.NewRegistry(host.Options{
+	return host.NewRegistry(host.Options{
 		Zone:          n.settings.Zone,
 		View:          view,
-		Wake:          kick,
+		Wake:          wake,
 		NewGate:       n.newGate,
 		OrderInterval: milliseconds(timing.HeartbeatMs),
 		DrainLimit:    milliseconds(timing.DrainLimitMs),
@@ -161,15 +129,10 @@
 		HeartbeatInterval: n.profile.PullInterval,
 		Lease:             milliseconds(timing.LeaseMs),
 	})
-	n.account = tokens.NewAccount(tokens.AccountOptions{
-		Organisation: func(id api.OrganisationID) *api.Organisation { return view().Index.Organisations[id] },
-		LeaseValid:   func() bool { return view().LeaseValid(time.Now()) },
-		Wake:         kick,
-		Heartbeat:    milliseconds(timing.HeartbeatMs),
-		NodeCount:    n.fleetSize(),
-	})
-	n.limiter = n.newLimiter()
-	n.gateway = gateway.New(gateway.Options{
+}
+
+func (n *Node) newGateway(view func() *api.View) *gateway.Gateway {
+	return gateway.New(gateway.Options{
 		View:    view,
 		Targets: localTargets{n.registry},
 		Tokens:  n.limiter,
@@ -184,13 +147,6 @@
 
 		TargetChoice: n.profile.TargetChoice,
 	})
-	if err := n.newSession(); err != nil {
-		return err
-	}
-	n.session.Subscribe(n.registry.Update)
-	n.session.Subscribe(n.gateway.ViewChanged)
-	telemetry.GaugesBy("target_capacity", "target", n.capacities)
-	return n.rpc.Register("Node", n.gateway)
 }
 
 func (n *Node) newSession() (err error) {
@@ -244,13 +200,6 @@
 	})
 }
 
-func advertised(address string, l net.Listener) string {
-	if address != "" {
-		return address
-	}
-	return l.Addr().String()
-}
-
 func milliseconds(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 // Gates describes the gates of the local targets.
@@ -264,12 +213,6 @@
 	return stats
 }
 
-// CallerAddr returns the address of the caller listener, host:port.
-func (n *Node) CallerAddr() string { return n.caller.Addr().String() }
-
-// AnnounceAddr returns the address of the announce listener, host:port.
-func (n *Node) AnnounceAddr() string { return n.announce.Addr().String() }
-
 // View returns the latest view of the node's session.
 func (n *Node) View() *api.View { return n.session.View() }
 
@@ -304,52 +247,5 @@
 	return ctx.Err()
 }
 
-// backServices returns the services that outlast those for callers.
-func (n *Node) backServices() []daemon.NamedService {
-	hopLimits := append(n.limits("internal", hopShare), daemon.WithMaxHeaderBytes(hopHeaderFactor*n.settings.Limits.MaxHeaderBytes))
-	n.hopService = daemon.NewInternalHTTPService("internal", n.internal, n.gateway.InternalHandler(), hopLimits...)
-	services := []daemon.NamedService{
-		daemon.Service{Name: "session", Run: n.session.Serve},
-		daemon.Service{Name: "registry", Run: n.registry.Serve},
-		n.hopService,
-		daemon.NewInternalHTTPService("announce", n.announce, n.announceHandler(), n.wholeLimits("announce", announceShare)...),
-	}
-	if n.ready != nil {
-		services = append(services, daemon.NewHTTPService("readiness", n.ready, n.profile.ReadyHandler(n.isReady), n.wholeLimits("readiness", readinessShare)...))
-	}
-	if n.status != nil {
-		services = append(services, daemon.NewHTTPService("status", n.status, n.statusHandler(), n.wholeLimits("status", statusShare)...))
-	}
-	return services
-}
-
-// statusHandler serves operators: counters, gauges and explanations.
-func (n *Node) statusHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("/", telemetry.Handler())
-	mux.Handle("POST "+api.PathExplain, n.gateway.ExplainHandler())
-	return mux
-}
-
-// limits returns the bounds of a listener for which a share of the connections is kept free.
-func (n *Node) limits(name string, share float64) []daemon.HTTPOption {
-	return []daemon.HTTPOption{
-		daemon.WithConnections(n.connections.Group(name, share)),
-		daemon.WithMaxHeaderBytes(n.settings.Limits.MaxHeaderBytes),
-	}
-}
-
-// wholeLimits is limits for a listener whose handlers read whole bodies.
-func (n *Node) wholeLimits(name string, share float64) []daemon.HTTPOption {
-	return append(n.limits(name, share), daemon.WithWholeBodies())
-}
-
-func (n *Node) announceHandler() http.Handler {
-	if n.profile.AnnounceHandler != nil {
-		return n.profile.AnnounceHandler(n.registry)
-	}
-	return n.registry.AnnounceHandler()
-}
-
 // isReady reports whether callers should send requests to this node.
 func (n *Node) isReady() bool { return !n.leaving.Load() && n.session.View().Usable(time.Now()) }
--- a/state/rollout.go
+++ b/state/rollout.go
@@ -71,10 +71,7 @@
 		Phase:      api.RolloutStarting,
 		Retired:    retiredBefore(last, o.Version),
 	}
-	next.RolloutElapsed = maps.Clone(next.RolloutElapsed)
-	if next.RolloutElapsed == nil {
-		next.RolloutElapsed = make(map[string]int64)
-	}
+	next.RolloutElapsed = copyElapsed(next.RolloutElapsed)
 	if last != nil {
 		delete(next.RolloutElapsed, last.ID)
 	}
@@ -127,10 +124,7 @@
 	if cfg.Rollouts[i].Phase != s.Expected {
 		return errkind.New(errkind.Conflict, "roll-out of %q is %q, expected %q", s.Service, cfg.Rollouts[i].Phase, s.Expected)
 	}
-	e.state.RolloutElapsed = maps.Clone(e.state.RolloutElapsed)
-	if e.state.RolloutElapsed == nil {
-		e.state.RolloutElapsed = make(map[string]int64)
-	}
+	e.state.RolloutElapsed = copyElapsed(e.state.RolloutElapsed)
 	if s.Forget && s.Expected.Ended() {
 		delete(e.state.RolloutElapsed, s.ID)
 		return nil
@@ -149,6 +143,14 @@
 	return nil
 }
 
+// copyElapsed returns a copy that is never nil.
+func copyElapsed(elapsed map[string]int64) map[string]int64 {
+	if elapsed == nil {
+		return make(map[string]int64)
+	}
+	return maps.Clone(elapsed)
+}
+
 // dropOrphanedRollouts drops the roll-outs of removed services.
 func (e *editor) dropOrphanedRollouts() {
 	c := &e.state.Configuration
