--- a/control/rollout.go
+++ b/control/rollout.go
@@ -66,7 +66,7 @@
 	return a
 }
 
-// recordOutcomes takes in the counts that a node sends of its targets during a roll-out.
+// recordOutcomes adds the counts that a node sends of its targets during a roll-out.
 func (l *leader) recordOutcomes(view *api.ControlState, req *api.HeartbeatRequest, now time.Time) {
 	rollouts := view.Configuration.Rollouts
 	for i := range req.Outcomes {
@@ -108,7 +108,7 @@
 	}
 }
 
-// forgetRollout lets the order of an ended roll-out start it again after resendTime.
+// forgetRollout removes the elapsed time of an ended roll-out after resendTime; from then on, the same order starts another one.
 func (l *leader) forgetRollout(view *api.ControlState, r *api.Rollout, now time.Time, batch *state.Batch) {
 	if _, kept := view.RolloutElapsed[r.ID]; !kept {
 		delete(l.rollouts, r.ID)
--- a/control/rollout_test.go
+++ b/control/rollout_test.go
@@ -90,7 +90,7 @@
 	return w.machine.View().Configuration.FindRollout("quotes")
 }
 
-// run lets all nodes send heartbeats every 100 ms.
+// run makes all nodes send heartbeats every 100 ms.
 func (w *rolloutCluster) run(d time.Duration) {
 	for range int(d / (100 * time.Millisecond)) {
 		w.now = w.now.Add(100 * time.Millisecond)
--- a/control/rolloutclock.go
+++ b/control/rolloutclock.go
@@ -6,7 +6,7 @@
 	"github.com/zinniapier/zinniapier/api"
 )
 
-// rolloutClock tells the time since the order of each roll-out without the wall clock. Every member keeps one, so that
+// rolloutClock measures the time since the order of each roll-out without the wall clock. Every member keeps one, so that
 // a new leader counts on from when it applied the last committed time, the time without a leader included.
 type rolloutClock struct {
 	observed map[string]observedElapsed // by roll-out id
@@ -23,7 +23,7 @@
 	return &rolloutClock{observed: make(map[string]observedElapsed)}
 }
 
-// observe takes in the committed times. A committed time below the one that has been counted is a later measurement of
+// observe applies the committed times. A committed time below the one that has been counted is a later measurement of
 // a member that has applied entries late.
 func (c *rolloutClock) observe(view *api.ControlState, now time.Time) {
 	for id, ms := range view.RolloutElapsed {
--- a/egress/link.go
+++ b/egress/link.go
@@ -134,7 +134,7 @@
 	l.grant()
 }
 
-// grant lets chunks go whose time has come, and sets the timer for the next one. The caller holds the lock.
+// grant grants the chunks that are due, and sets the timer for the next one. The caller holds the lock.
 func (l *Link) grant() {
 	for {
 		t, wait := l.scheduler.Next(time.Now())
--- a/gate/capacity.go
+++ b/gate/capacity.go
@@ -50,19 +50,19 @@
 	light     latencyRing
 	heavy     latencyRing
 	lightAt   time.Time     // of the last latency at light load
-	suspected bool          // at the last look
+	suspected bool          // at the last check
 	cleared   time.Duration // latency at high load that a trial has found to be no reason for a lower limit
 	tried     time.Duration // latency at high load after the last trial with a lower limit
 	reference time.Duration // recent latency at the end of the last trial
 	lastShift time.Time
-	lookedAt  time.Time // when the last trial could have started; medians cost time
+	checkedAt time.Time // when the last trial could have started; medians cost time
 	suspended bool
 	upTrials  int
 	lowered   int // limits lowered and raised since the gate was made
 	raised    int
 }
 
-// startMark is what a request that started notes for its end.
+// startMark is the state at the start of a request, which its end needs.
 type startMark struct {
 	at       time.Time
 	integral float64
@@ -119,7 +119,7 @@
 	return l.steady
 }
 
-// advance notes that running requests ran until now. suspended says that something else limits the target.
+// advance records that running requests ran until now. suspended is true if something else limits the target.
 func (l *capacityLearner) advance(now time.Time, running int, suspended bool) {
 	if l == nil {
 		return
@@ -145,7 +145,7 @@
 	l.startTrial(now)
 }
 
-// measureLoad tells at the end of each window whether the target was busy in it.
+// measureLoad determines at the end of each window whether the target was busy in it.
 func (l *capacityLearner) measureLoad(now time.Time) {
 	span := now.Sub(l.windowStart)
 	if span < busyWindow {
@@ -168,7 +168,7 @@
 	return m
 }
 
-// end notes the end of a request, after advance. A latency of 0 does not count.
+// end records the end of a request, after advance. A latency of 0 does not count.
 func (l *capacityLearner) end(now time.Time, m startMark, latency time.Duration) {
 	if l == nil || latency <= 0 {
 		return
@@ -197,7 +197,7 @@
 	b.concurrency += concurrency
 }
 
-// advanceLearner lets the learner know the time and the running requests. The caller holds the lock.
+// advanceLearner passes the time and the running requests to the learner. The caller holds the lock.
 func (g *Gate) advanceLearner(now time.Time) {
 	former := g.learner.settled()
 	g.learner.advance(now, g.running, g.limiter.limit() < g.limiter.slots || g.limiter.paused)
--- a/gate/capacity_test.go
+++ b/gate/capacity_test.go
@@ -87,7 +87,7 @@
 	r.running = append(r.running, q)
 }
 
-// progress lets the running requests go on for one step.
+// progress advances the running requests by one step.
 func (r *replay) progress() {
 	slow := 1.0
 	if r.slowdown != nil {
--- a/gate/capacitytrial.go
+++ b/gate/capacitytrial.go
@@ -33,7 +33,7 @@
 	lowerGrowth = 0.8
 	// provenGrowth is the growth that must be exceeded by lowerErrors standard errors as well, since trials are many.
 	provenGrowth, lowerErrors = 0.35, 3
-	// lastLowerErrors takes the place of lowerErrors after the last pair, the only one at which chance gets no second look.
+	// lastLowerErrors takes the place of lowerErrors after the last pair: no later pair can decide by chance.
 	lastLowerErrors = 2
 	// raiseGrowth is the growth below which a limit is raised, if that of a constant throughput is raiseErrors standard errors away.
 	raiseGrowth, raiseErrors = 0.4, 2
@@ -87,7 +87,7 @@
 	return b.variance()
 }
 
-// judge tells by the first pairs of blocks whether the limit is to change, and whether the trial has decided.
+// judge decides by the first pairs of blocks whether the limit changes. decided is false while the result is not clear.
 func (t *capacityTrial) judge(pairs int) (change, decided bool) {
 	growth, deviation, ok := t.growth(pairs)
 	switch {
--- a/gate/trialschedule.go
+++ b/gate/trialschedule.go
@@ -53,12 +53,12 @@
 }
 
 func (l *capacityLearner) startTrial(now time.Time) {
-	if !l.busy || l.suspended || l.recent.count < minLearnerSamples || now.Sub(l.lookedAt) < sampleInterval {
+	if !l.busy || l.suspended || l.recent.count < minLearnerSamples || now.Sub(l.checkedAt) < sampleInterval {
 		return
 	}
-	l.lookedAt = now
-	l.noteShift(now)
-	worthTrial := l.noteSuspicion(now)
+	l.checkedAt = now
+	l.restartAfterShift(now)
+	worthTrial := l.suspectsOverload(now)
 	switch {
 	case l.limit < l.slots && !now.Before(l.up.next):
 		l.begin(now, l.limit, l.higher(), true)
@@ -99,8 +99,8 @@
 	return time.Duration(float64(d) * (1 + blockJitter*(2*l.rng.Float64()-1)))
 }
 
-// noteShift lets trials begin again after the latency has changed.
-func (l *capacityLearner) noteShift(now time.Time) {
+// restartAfterShift restarts the intervals of trials after the latency has changed.
+func (l *capacityLearner) restartAfterShift(now time.Time) {
 	recent := l.recent.median(recentSamples)
 	if l.reference == 0 || now.Sub(l.lastShift) < minShiftInterval {
 		return
@@ -113,9 +113,9 @@
 	}
 }
 
-// noteSuspicion reports whether the target may run more than it does well: its latency is higher than with light load, which a
-// trial with a lower limit also tells, or that is not known. Slow periods look the same, so this decides nothing but a trial.
-func (l *capacityLearner) noteSuspicion(now time.Time) bool {
+// suspectsOverload reports whether the target may run more requests than it runs well: its latency at high load is above that at
+// light load, or the latter is not known. Slow periods look the same, so this only allows a trial with a lower limit.
+func (l *capacityLearner) suspectsOverload(now time.Time) bool {
 	if l.light.count < minLightSamples || l.heavy.count < minLearnerSamples || now.Sub(l.lightAt) > lightLifetime {
 		return true
 	}
--- a/internal/connlimit/accept.go
+++ b/internal/connlimit/accept.go
@@ -31,5 +31,5 @@
 	return a.next, true
 }
 
-// Reset begins anew after a connection was accepted.
+// Reset ends a succession of failures, after a connection was accepted.
 func (a *AcceptPause) Reset() { a.next = 0 }
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -11,7 +11,7 @@
 
 // Names of events that are counted.
 const (
-	// eventEvicted counts connections that were closed for the sake of others, eventRefused those that were closed when they
+	// eventEvicted counts connections that were closed to make room for others, eventRefused those that were closed when they
 	// were opened, since all others had requests at work.
 	eventEvicted = "connections_evicted"
 	eventRefused = "connections_refused"
@@ -27,7 +27,7 @@
 	RequestBytes int64
 }
 
-// Process keeps account of the connections to all listeners of a process.
+// Process limits the connections to all listeners of a process.
 type Process struct {
 	limits Limits
 
@@ -38,17 +38,17 @@
 	lines  telemetry.Limiter
 }
 
-// New returns the account of a process.
+// New returns a Process without listeners.
 func New(limits Limits) *Process {
 	return &Process{limits: limits, slots: make(map[*Slot]struct{}), lines: telemetry.Limiter{PerSecond: 1}}
 }
 
-// Unlimited returns an account that refuses nothing.
+// Unlimited returns a Process that refuses no connection.
 func Unlimited() *Process {
 	return New(Limits{Connections: 1 << 30, RequestBytes: 1 << 60})
 }
 
-// Group is the account of one listener.
+// Group holds the connections of one listener.
 type Group struct {
 	process *Process
 	name    string
--- a/internal/connlimit/derive.go
+++ b/internal/connlimit/derive.go
@@ -25,9 +25,9 @@
 	minReserve     = 4
 )
 
-// Derive returns the limits for a process with so much memory and so many descriptors; 0 stands for GOMEMLIMIT, or 1 GiB without it, and
-// for the descriptors that the system allows. A host
-// with 184 MB and 4,100 descriptors has 3,075 connections, one with 280 MB and 4,096 descriptors 3,072.
+// Derive returns the limits for a process by its memory in bytes and its descriptors. A memory of 0 stands for GOMEMLIMIT, or 1 GiB
+// without it; 0 descriptors stand for those that the system allows. A host with 184 MB and 4,100 descriptors has 3,075
+// connections, one with 280 MB and 4,096 descriptors 3,072.
 func Derive(memory int64, descriptors int) Limits {
 	if memory <= 0 {
 		memory = debug.SetMemoryLimit(-1) // reads GOMEMLIMIT
--- a/internal/connlimit/evict.go
+++ b/internal/connlimit/evict.go
@@ -14,7 +14,7 @@
 	// hugeRequest is the memory above which a request may be cut off while it is at work. A head of 16,384 bytes with
 	// 100 lines counts 46 KB.
 	hugeRequest = 256 << 10
-	// reliefShare of the connections are given up when the process has run out of descriptors; minRelieved stay allowed.
+	// reliefShare of the connections are closed when the process has run out of descriptors; minRelieved stay allowed.
 	reliefShare = 8
 	minRelieved = 16
 	// roomShare of the connections of a listener are closed together when one more is needed.
@@ -97,7 +97,7 @@
 			return
 		case s == current:
 			telemetry.CountEvent(eventMemory, 1)
-			p.report(s.group, "A connection is closed for the memory of its request.")
+			p.report(s.group, "A connection is closed because its request takes too much memory.")
 			p.release(s)
 		case !s.closing:
 			p.close(s, eventMemory)
--- a/member/member.go
+++ b/member/member.go
@@ -40,7 +40,7 @@
 	control  *control.Control
 	server   *rpc.Server
 
-	// connections is the account of the connections to all listeners.
+	// connections limits the connections to all listeners.
 	connections *connlimit.Process
 
 	rpc, operator, status net.Listener
--- a/node/node.go
+++ b/node/node.go
@@ -37,7 +37,7 @@
 	gateway  *gateway.Gateway
 	rpc      *rpc.Server
 
-	// connections is the account of the connections to all listeners.
+	// connections limits the connections to all listeners.
 	connections *connlimit.Process
 
 	caller, internal, fate, announce, status, ready net.Listener
--- a/rollout/counts.go
+++ b/rollout/counts.go
@@ -60,7 +60,7 @@
 	return &Counts{version: version, short: short, cells: make(map[cellKey]*cell), routes: make(map[api.TargetID]int)}
 }
 
-// Record takes in the counts of a target. A count below the last one comes from another process of the node, which
+// Record adds the counts of a target. A count below the last one comes from another process of the node, which
 // started from zero.
 func (c *Counts) Record(o *api.TargetOutcomes) {
 	for _, r := range o.Routes {
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -25,7 +25,7 @@
 	switchingFactor = 2
 	// slowBuckets above the bucket of the median, a response has taken about three times the median: 1.5^2.7 is 3.
 	slowBuckets = 3
-	// maxDispersion bounds the dispersion, so that a few sick old targets cannot hide a bad version.
+	// maxDispersion bounds the dispersion, so that a few faulty old targets cannot hide a bad version.
 	maxDispersion = 9.0
 )
 
@@ -249,7 +249,7 @@
 
 // dispersion returns the responses of the old targets, and by how much the variance between them exceeds that of
 // independent responses. A target that is slow for a while is so for all its requests. The most extreme tenth of the
-// targets is left out, since a sick old target says nothing about the others.
+// targets is left out, since a faulty old target says nothing about the others.
 func (m *measure) dispersion(routes []string, oldCounts byTarget) (n, dispersion float64) {
 	var squares []float64
 	for _, counts := range oldCounts {
--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -132,7 +132,7 @@
 }
 
 // Guards against the rollback of a good version: in ordinary operation, with slow spells of single targets, on a day on
-// which a dependency fails for everyone in bursts, and with a single sick new target.
+// which a dependency fails for everyone in bursts, and with a single faulty new target.
 func TestGoodVersionIsKept(t *testing.T) {
 	for name, prepare := range map[string]func(*service){
 		"usual": func(*service) {},
--- a/rollout/phase.go
+++ b/rollout/phase.go
@@ -171,7 +171,7 @@
 }
 
 // decideSwitching completes the roll-out once the old targets have finished, and shortly before the deadline although
-// they have not: old targets that still run then are given up in favour of the deadline.
+// they have not: the deadline takes precedence over the requests that still run.
 func (in *Input) decideSwitching() *Decision {
 	newSlots, oldSlots := in.servingSlots(true), in.servingSlots(false)
 	if newSlots == 0 && oldSlots == 0 {
--- a/state/rollout.go
+++ b/state/rollout.go
@@ -43,7 +43,7 @@
 	Reason  string           `json:"reason,omitempty"`
 }
 
-// startRollout applies an operator's order. Its result is not stored by change id: the state itself tells a resend,
+// startRollout applies an operator's order. Its result is not stored by change id: the state itself shows a resend,
 // and a refused order may be acceptable later.
 func (m *Machine) startRollout(next *api.ControlState, o *api.RolloutOrder) *api.ChangeResult {
 	cfg := &next.Configuration
