--- a/control/rollout.go
+++ b/control/rollout.go
@@ -130,14 +130,7 @@
 	}
 	in.OldVersions = a.oldVersions
 	behind := l.nodesBehind(a.version, now)
-	switch {
-	case r.Phase != api.RolloutSwitching || len(behind) > 0 || !in.Finished():
-		a.quietSince = time.Time{}
-	case a.quietSince.IsZero():
-		a.quietSince = now
-	case l.oldTargetsReportedAfter(r, targets, a.quietSince, now):
-		in.Quiet = now.Sub(a.quietSince)
-	}
+	in.Quiet = l.quietTime(a, &in, len(behind), targets, now)
 	a.counts.Observe(now, r.Phase)
 	in.Verdict = a.counts.Judge(now, r.Phase, comparedTargets(&in))
 	d := rollout.Decide(&in)
@@ -158,6 +151,19 @@
 	batch.Rollouts = append(batch.Rollouts, step)
 }
 
+// quietTime returns the time for which the old targets have been finished and no node in contact has lacked the phase.
+func (l *leader) quietTime(a *activeRollout, in *rollout.Input, behind int, targets map[api.TargetID]*targetInfo, now time.Time) time.Duration {
+	switch {
+	case in.Rollout.Phase != api.RolloutSwitching || behind > 0 || !in.Finished():
+		a.quietSince = time.Time{}
+	case a.quietSince.IsZero():
+		a.quietSince = now
+	case l.oldTargetsReportedAfter(in.Rollout, targets, a.quietSince, now):
+		return now.Sub(a.quietSince)
+	}
+	return 0
+}
+
 // oldTargetsReportedAfter reports whether the nodes in contact have reported all old targets after a time. An earlier
 // report may be from before the last requests arrived.
 func (l *leader) oldTargetsReportedAfter(r *api.Rollout, targets map[api.TargetID]*targetInfo, since, now time.Time) bool {
--- a/control/rolloutplan.go
+++ b/control/rolloutplan.go
@@ -36,7 +36,7 @@
 	// Without old targets it is 0: canary targets keep their partitions and get no others.
 	capacity := r.Share / (1 - r.Share) * old / float64(canaries)
 	if capacity <= 0 {
-		return slices.DeleteFunc(list, func(t placement.Target) bool { return r.IsCanary(t.ID) })
+		return p.withoutCanaries(list)
 	}
 	for i := range list {
 		if t := &list[i]; r.IsCanary(t.ID) {
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -181,14 +182,7 @@
 	}
 }
 
-func (m *measure) routes() []string {
-	var list []string
-	for route := range m.proportions {
-		list = append(list, route)
-	}
-	slices.Sort(list)
-	return list
-}
+func (m *measure) routes() []string { return slices.Sorted(maps.Keys(m.proportions)) }
 
 // tally is what one target has on some routes.
 type tally struct {
--- a/rollout/phase.go
+++ b/rollout/phase.go
@@ -242,22 +242,28 @@
 }
 
 // slots returns the slots of the new targets that are warm, or of the old ones.
-func (in *Input) slots(isNew bool) (sum int) {
-	for _, t := range in.Targets {
-		if t.Serving && in.isNew(t) == isNew && (!isNew || !t.Cold) {
-			sum += t.Slots
-		}
+func (in *Input) slots(isNew bool) int {
+	if isNew {
+		return sumSlots(in.ready())
 	}
-	return sum
+	return in.servingSlots(false)
 }
 
 // servingSlots returns the slots of the new or old targets, cold ones included.
-func (in *Input) servingSlots(isNew bool) (sum int) {
+func (in *Input) servingSlots(isNew bool) int {
+	var list []Target
 	for _, t := range in.Targets {
 		if t.Serving && in.isNew(t) == isNew {
-			sum += t.Slots
+			list = append(list, t)
 		}
 	}
+	return sumSlots(list)
+}
+
+func sumSlots(list []Target) (sum int) {
+	for _, t := range list {
+		sum += t.Slots
+	}
 	return sum
 }
 
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -62,7 +62,8 @@
 	return errors.Trace(s.rpc.RegisterName(name, receiver))
 }
 
-// Serve accepts connections until ctx ends, then closes the listener and all connections. When descriptors are short, it retries after a pause.
+// Serve accepts connections until ctx ends, then closes the listener and all connections. When descriptors are short, it retries
+// after a pause.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() {
 		_ = l.Close()
