--- a/daemon/http.go
+++ b/daemon/http.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -13,7 +11,6 @@
 	"github.com/juju/errors"
 
 	"github.com/zinniapier/zinniapier/internal/connlimit"
-	"github.com/zinniapier/zinniapier/internal/hangup"
 	"github.com/zinniapier/zinniapier/telemetry"
 )
 
@@ -53,7 +50,7 @@
 
 	unusedGrace time.Duration
 
-	// connections is the account of the listener's connections.
+	// connections limits the connections of the listener.
 	connections *connlimit.Group
 	// wholeBodies is true if handlers read bodies whole, so that what has been received of a body stays in memory.
 	wholeBodies bool
@@ -76,36 +73,6 @@
 	closed chan struct{}
 }
 
-// HTTPOption is an option of NewHTTPService.
-type HTTPOption func(*HTTPService)
-
-// WithConnections bounds the connections and the memory of requests that arrive.
-func WithConnections(g *connlimit.Group) HTTPOption {
-	return func(s *HTTPService) { s.connections = g }
-}
-
-// WithMaxHeaderBytes bounds the head of a request. The default is DefaultMaxHeaderBytes.
-func WithMaxHeaderBytes(n int) HTTPOption {
-	return func(s *HTTPService) { s.server.MaxHeaderBytes = n }
-}
-
-// WithWholeBodies is for handlers that read bodies whole and answer at once: what arrives of a body counts as memory, and
-// requests and responses that take longer than wholeBodyTimeout are cut off.
-func WithWholeBodies() HTTPOption {
-	return func(s *HTTPService) {
-		s.wholeBodies = true
-		s.server.ReadTimeout = wholeBodyTimeout
-		s.server.WriteTimeout = wholeBodyTimeout
-		s.server.IdleTimeout = wholeBodyIdleTimeout
-	}
-}
-
-// WithHeldBodies is for handlers that hold bodies of at most so many bytes whole before they pass them on, and reserve memory for
-// them in advance. What they hold counts; until it has arrived, the connection may be closed for the sake of others.
-func WithHeldBodies(bytes int64) HTTPOption {
-	return func(s *HTTPService) { s.heldBody = bytes }
-}
-
 // NewHTTPService returns a service that owns the listener.
 func NewHTTPService(name string, listener net.Listener, handler http.Handler, options ...HTTPOption) *HTTPService {
 	s := &HTTPService{
@@ -134,59 +101,6 @@
 	return s
 }
 
-type connectionKey struct{}
-
-func connContext(ctx context.Context, conn net.Conn) context.Context {
-	ctx = hangup.ConnContext(ctx, conn)
-	if c := unwrap(conn); c != nil {
-		ctx = context.WithValue(ctx, connectionKey{}, c)
-	}
-	return ctx
-}
-
-// endingBody tells the connection when the whole body has been read, or as much of it as is held.
-type endingBody struct {
-	io.ReadCloser
-	conn *idleConn
-	// left is the number of bytes that are held.
-	left int64
-}
-
-// Read implements io.Reader.
-func (b *endingBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	b.left -= int64(n)
-	if err == io.EOF || b.left <= 0 {
-		b.conn.requestRead()
-	}
-	return n, err
-}
-
-// begin accounts for a request that is about to be handled; false if its connection has been closed for the sake of others, so
-// that it must not run.
-func (s *HTTPService) begin(r *http.Request) bool {
-	c, ok := r.Context().Value(connectionKey{}).(*idleConn)
-	if !ok {
-		return true
-	}
-	switch {
-	case s.wholeBodies && r.Body == http.NoBody:
-		c.requestRead()
-	case s.wholeBodies:
-		r.Body = &endingBody{r.Body, c, math.MaxInt64}
-	case s.heldBody > 0 && r.Body != http.NoBody && r.ContentLength <= s.heldBody:
-		held := r.ContentLength
-		if held < 0 {
-			held = s.heldBody
-		}
-		r.Body = &endingBody{r.Body, c, held}
-		if !c.hold(held) {
-			return false
-		}
-	}
-	return c.begin()
-}
-
 // NewInternalHTTPService is NewHTTPService for a listener that only processes of the system use; its
 // shutdown does not wait long for connections that they leave unused.
 func NewInternalHTTPService(name string, listener net.Listener, handler http.Handler, options ...HTTPOption) *HTTPService {
@@ -221,68 +135,6 @@
 	time.Sleep(time.Until(s.drainSince.Load().Add(drainTime)))
 }
 
-func (s *HTTPService) trackConnection(conn net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		s.open++
-		s.unused[conn] = struct{}{}
-		return
-	case http.StateClosed, http.StateHijacked:
-		s.open--
-		if c := unwrap(conn); c != nil {
-			c.release()
-		}
-		select {
-		case s.closed <- struct{}{}:
-		default:
-		}
-	}
-	delete(s.unused, conn)
-	s.trackIdle(conn, state)
-}
-
-// trackIdle keeps the connections that are idle, or closes them once closing has begun. The caller holds s.mu.
-func (s *HTTPService) trackIdle(conn net.Conn, state http.ConnState) {
-	c := unwrap(conn)
-	if c == nil {
-		return
-	}
-	if state == http.StateActive {
-		c.headEnds()
-	}
-	if state != http.StateIdle {
-		delete(s.idle, c)
-		return
-	}
-	c.setIdle()
-	s.idle[c] = struct{}{}
-	if s.closing {
-		s.closeOnceIdle(c)
-	}
-}
-
-// closeIdle closes the connections that are idle, now and later.
-func (s *HTTPService) closeIdle() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.closing = true
-	for c := range s.idle {
-		s.closeOnceIdle(c)
-	}
-}
-
-// closeOnceIdle closes a connection that has been idle for drainTime: the response to a request that began before the
-// drain did not announce the end of its connection, so that its caller may send the next one.
-func (s *HTTPService) closeOnceIdle(c *idleConn) {
-	if s.requests.Err() != nil {
-		c.closeIfIdle()
-		return
-	}
-	time.AfterFunc(drainTime-c.idleTime(), c.closeIfIdle)
-}
-
 // GiveUp ends the contexts of all requests, now and later, with a cause, so that their handlers respond to them
 // before the process ends. Connections without a request are closed.
 func (s *HTTPService) GiveUp(cause error) {
@@ -294,35 +146,6 @@
 
 func (s *HTTPService) closeListener() { _ = s.listener.Close() }
 
-func (s *HTTPService) closeUnused() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for conn := range s.unused {
-		if c, ok := conn.(*idleConn); ok {
-			c.closeIfIdle() // a request may be arriving
-		} else {
-			_ = conn.Close()
-		}
-	}
-}
-
-// awaitClosed waits until no connection is open, or returns the error of ctx.
-func (s *HTTPService) awaitClosed(ctx context.Context) error {
-	for {
-		s.mu.Lock()
-		open := s.open
-		s.mu.Unlock()
-		if open == 0 {
-			return nil
-		}
-		select {
-		case <-s.closed:
-		case <-ctx.Done():
-			return errors.Annotatef(ctx.Err(), "%d connections open", open)
-		}
-	}
-}
-
 // String names the service in the supervisor's log.
 func (s *HTTPService) String() string { return s.name }
 
--- a/daemon/idleconn.go
+++ b/daemon/idleconn.go
@@ -23,13 +23,14 @@
 	return &idleConn{Conn: conn, idle: true}, nil
 }
 
-// limitedListener keeps account of the connections that it accepts.
+// limitedListener counts the connections that it accepts against the limits of the process.
 type limitedListener struct {
 	idleListener
 	service *HTTPService
 }
 
-// Accept implements net.Listener. Connections for which there is no room are closed; shortage of descriptors is waited out.
+// Accept implements net.Listener. Connections for which there is no room are closed; when descriptors are short, it retries
+// after a pause.
 func (l limitedListener) Accept() (net.Conn, error) {
 	var pause connlimit.AcceptPause
 	for {
@@ -97,7 +98,7 @@
 	eventHeadUnfinished = "head_unfinished"
 )
 
-// open opens the account of the connection; false if there is no room for it.
+// open counts the connection against the limits; false if there is no room for it.
 func (c *idleConn) open(s *HTTPService) bool {
 	c.service = s
 	c.slot = s.connections.Open(c.evict)
@@ -173,7 +174,7 @@
 	}
 }
 
-// release closes the account of the connection.
+// release frees what the connection counts against the limits.
 func (c *idleConn) release() {
 	c.mu.Lock()
 	head, begun := c.head, c.begun
