--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -26,7 +27,7 @@
 // canary targets for their share of the first attempts, else those of the versions that the roll-out admits in full.
 // draw is a random number in [0, 1).
 //
-// The canary targets never stand in for the others, since a version that is not yet judged may get only its share;
+// The canary targets never replace the others, since a version that is not yet judged may get only its share;
 // without another target the request is refused. Neither do targets of a version that the roll-out does not admit:
 // those are stopped without draining once no request is left at them.
 //
@@ -51,15 +52,7 @@
 // isCanary reports whether the target gets a share of the requests of the service only.
 func isCanary(x *api.ViewIndex, service string, id api.TargetID) bool {
 	c := x.Canaries[service]
-	if c == nil {
-		return false
-	}
-	for i := range c.Targets {
-		if c.Targets[i].Target.ID == id {
-			return true
-		}
-	}
-	return false
+	return c != nil && slices.ContainsFunc(c.Targets, func(at api.TargetAt) bool { return at.Target.ID == id })
 }
 
 // noTarget returns the error of a request without a target to choose from, and counts it during a roll-out.
