--- a/control/rollout.go
+++ b/control/rollout.go
@@ -66,7 +66,7 @@
 	return a
 }
 
-// recordOutcomes takes in the counts that a node sends of its targets during a roll-out.
+// recordOutcomes adds the counts that a node sends of its targets during a roll-out.
 func (l *leader) recordOutcomes(view *api.ControlState, req *api.HeartbeatRequest, now time.Time) {
 	rollouts := view.Configuration.Rollouts
 	for i := range req.Outcomes {
@@ -108,7 +108,7 @@
 	}
 }
 
-// forgetRollout lets the order of an ended roll-out start it again after resendTime.
+// forgetRollout removes the elapsed time of an ended roll-out after resendTime; from then on, the same order starts another one.
 func (l *leader) forgetRollout(view *api.ControlState, r *api.Rollout, now time.Time, batch *state.Batch) {
 	if _, kept := view.RolloutElapsed[r.ID]; !kept {
 		delete(l.rollouts, r.ID)
@@ -130,14 +130,7 @@
 	}
 	in.OldVersions = a.oldVersions
 	behind := l.nodesBehind(a.version, now)
-	switch {
-	case r.Phase != api.RolloutSwitching || len(behind) > 0 || !in.Finished():
-		a.quietSince = time.Time{}
-	case a.quietSince.IsZero():
-		a.quietSince = now
-	case l.oldTargetsReportedAfter(r, targets, a.quietSince, now):
-		in.Quiet = now.Sub(a.quietSince)
-	}
+	in.Quiet = l.quietTime(a, &in, len(behind), targets, now)
 	a.counts.Observe(now, r.Phase)
 	in.Verdict = a.counts.Judge(now, r.Phase, comparedTargets(&in))
 	d := rollout.Decide(&in)
@@ -158,6 +151,19 @@
 	batch.Rollouts = append(batch.Rollouts, step)
 }
 
+// quietTime returns the time for which the old targets have been finished and no node in contact has lacked the phase.
+func (l *leader) quietTime(a *activeRollout, in *rollout.Input, behind int, targets map[api.TargetID]*targetInfo, now time.Time) time.Duration {
+	switch {
+	case in.Rollout.Phase != api.RolloutSwitching || behind > 0 || !in.Finished():
+		a.quietSince = time.Time{}
+	case a.quietSince.IsZero():
+		a.quietSince = now
+	case l.oldTargetsReportedAfter(in.Rollout, targets, a.quietSince, now):
+		return now.Sub(a.quietSince)
+	}
+	return 0
+}
+
 // oldTargetsReportedAfter reports whether the nodes in contact have reported all old targets after a time. An earlier
 // report may be from before the last requests arrived.
 func (l *leader) oldTargetsReportedAfter(r *api.Rollout, targets map[api.TargetID]*targetInfo, since, now time.Time) bool {
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -25,7 +26,7 @@
 	switchingFactor = 2
 	// slowBuckets above the bucket of the median, a response has taken about three times the median: 1.5^2.7 is 3.
 	slowBuckets = 3
-	// maxDispersion bounds the dispersion, so that a few sick old targets cannot hide a bad version.
+	// maxDispersion bounds the dispersion, so that a few faulty old targets cannot hide a bad version.
 	maxDispersion = 9.0
 )
 
@@ -181,14 +182,7 @@
 	}
 }
 
-func (m *measure) routes() []string {
-	var list []string
-	for route := range m.proportions {
-		list = append(list, route)
-	}
-	slices.Sort(list)
-	return list
-}
+func (m *measure) routes() []string { return slices.Sorted(maps.Keys(m.proportions)) }
 
 // tally is what one target has on some routes.
 type tally struct {
@@ -249,7 +243,7 @@
 
 // dispersion returns the responses of the old targets, and by how much the variance between them exceeds that of
 // independent responses. A target that is slow for a while is so for all its requests. The most extreme tenth of the
-// targets is left out, since a sick old target says nothing about the others.
+// targets is left out, since a faulty old target says nothing about the others.
 func (m *measure) dispersion(routes []string, oldCounts byTarget) (n, dispersion float64) {
 	var squares []float64
 	for _, counts := range oldCounts {
