--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -90,10 +90,10 @@
 	return a, nil
 }
 
-// start returns the context of the hop. It ends with the outer one, but if that reaches its deadline while a response is
-// being transferred, up to lateTransfer later. The owner's node keeps the deadline for its target.
+// start returns the context of the hop. It ends at once when the caller leaves, and with the outer one, but if that reaches its
+// deadline while a response is being transferred, up to lateTransfer later. The owner's node keeps the deadline for its target.
 func (h *hop) start(outer context.Context) context.Context {
-	ctx, cancel := context.WithCancel(context.WithoutCancel(outer))
+	ctx, cancel := context.WithCancel(h.call.incoming.Context())
 	stop := context.AfterFunc(outer, func() {
 		if !h.answered.Load() || !errors.Is(outer.Err(), context.DeadlineExceeded) {
 			cancel()
@@ -101,7 +101,6 @@
 		}
 		late := time.AfterFunc(lateTransfer, cancel)
 		context.AfterFunc(ctx, func() { late.Stop() })
-		context.AfterFunc(h.call.incoming.Context(), cancel)
 	})
 	h.cancel = func() {
 		stop()
