api, gateway: one look-up of running roll-outs, library functions in place of own ones

api had its own form of slices.Contains, explain one of cmp.Compare, and three places asked in their own words whether a roll-out of a service runs. No behaviour changes.

--- a/api/rollout.go
+++ b/api/rollout.go
@@ -1,6 +1,9 @@
 package api
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // RolloutPhase says how far a roll-out is.
 type RolloutPhase string
@@ -52,7 +55,7 @@
 	isNew := version == r.Version
 	switch {
 	case !isNew:
-		return r.Phase != RolloutSwitching && !contains(r.Retired, version)
+		return r.Phase != RolloutSwitching && !slices.Contains(r.Retired, version)
 	case r.Phase == RolloutCanary:
 		return r.IsCanary(id)
 	}
@@ -61,16 +64,7 @@
 
 // IsCanary reports whether the target gets the canary share.
 func (r *Rollout) IsCanary(id TargetID) bool {
-	return r.Phase == RolloutCanary && contains(r.Canary, id)
-}
-
-func contains[T comparable](list []T, v T) bool {
-	for _, have := range list {
-		if have == v {
-			return true
-		}
-	}
-	return false
+	return r.Phase == RolloutCanary && slices.Contains(r.Canary, id)
 }
 
 // FindRollout returns the last roll-out of the service, or nil. A nil configuration has none.
@@ -86,6 +80,14 @@
 	return nil
 }
 
+// RunningRollout returns the last roll-out of the service unless it has ended, or nil.
+func (c *Configuration) RunningRollout(service string) *Rollout {
+	if r := c.FindRollout(service); r != nil && !r.Phase.Ended() {
+		return r
+	}
+	return nil
+}
+
 // Latency histogram of a RouteOutcome.
 const (
 	// LatencyBuckets is the number of buckets; the last one has no upper bound. With 12, up to 577 ms, three times the
--- a/gateway/explainchoice.go
+++ b/gateway/explainchoice.go
@@ -1,9 +1,9 @@
 package gateway
 
 import (
+	"cmp"
 	"math"
 	"slices"
-	"strings"
 
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
@@ -102,10 +102,7 @@
 		})
 	}
 	slices.SortFunc(list, func(a, b api.ExplainedCandidate) int {
-		if a.Cost != b.Cost {
-			return int(math.Copysign(1, a.Cost-b.Cost))
-		}
-		return strings.Compare(string(a.Target), string(b.Target))
+		return cmp.Or(cmp.Compare(a.Cost, b.Cost), cmp.Compare(a.Target, b.Target))
 	})
 	return list
 }
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -157,7 +157,7 @@
 		DeadlineMs:   remainingMs(hopDeadline(c.deadline)),
 		ObjectiveMs:  -1,
 	}
-	if r := h.gateway.view().Configuration.FindRollout(c.ref.Service); r != nil && !r.Phase.Ended() {
+	if h.gateway.view().Configuration.RunningRollout(c.ref.Service) != nil {
 		d.Route = c.routeName
 	}
 	if h.gateway.largeResponse(c) {
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -109,8 +109,8 @@
 	defer c.mu.Unlock()
 	var list []api.TargetOutcomes
 	for id, t := range c.targets {
-		r := configuration.FindRollout(t.service)
-		if r == nil || r.ID != t.rollout || r.Phase.Ended() {
+		r := configuration.RunningRollout(t.service)
+		if r == nil || r.ID != t.rollout {
 			delete(c.targets, id)
 			continue
 		}
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -79,11 +79,7 @@
 
 // runningRollout returns the roll-out of the service of the attempt, or nil if none is running.
 func (r *localAttempt) runningRollout() *api.Rollout {
-	rollout := r.gateway.view().Configuration.FindRollout(r.call.ref.Service)
-	if rollout == nil || rollout.Phase.Ended() {
-		return nil
-	}
-	return rollout
+	return r.gateway.view().Configuration.RunningRollout(r.call.ref.Service)
 }
 
 // countOutcome counts the end of the attempt at the target if a roll-out of its service is running.
