--- a/review/standin2/caller.go
+++ b/review/standin2/caller.go
@@ -21,21 +21,25 @@
 	apiKey      = "3fexd9dnn2ctnfzs989a"
 )
 
-// configuration returns the configuration of a version.
-func configuration(version int) string {
-	rule := func(name, kind, prefix, service, timeout string) string {
-		return fmt.Sprintf(`{"Name":"%s","Kind":"%s","TargetLatency":"400ms","Priority":1,"AllowAnonymous":false,"Match":{"PathPrefix":"%s"},`+
-			`"Action":{"Service":"%s","Timeout":"%s","MaxAttempts":2}}`, name, kind, prefix, service, timeout)
-	}
+// rule returns a route of the configuration.
+func rule(name, kind, prefix, service, timeout string) string {
+	return fmt.Sprintf(`{"Name":"%s","Kind":"%s","TargetLatency":"400ms","Priority":1,"AllowAnonymous":false,"Match":{"PathPrefix":"%s"},`+
+		`"Action":{"Service":"%s","Timeout":"%s","MaxAttempts":2}}`, name, kind, prefix, service, timeout)
+}
+
+// configuration returns the configuration of a version, with further routes.
+func configuration(version int, routes ...string) string {
+	routes = append([]string{
+		rule("r-lookup", "idempotent", pathLookup, keyed, "1200ms"),
+		rule("r-payment", "non_idempotent", pathPayment, keyed, "3000ms"),
+		rule("r-assign", "non_idempotent", pathAssign, unkeyed, "1500ms"),
+	}, routes...)
 	cluster := func(name, more string) string {
 		return fmt.Sprintf(`{"Name":"%s","HealthPath":"/health","MaxConnections":110,"Protocol":"h1","Tls":false,"Warmup":"3s","ColdPerS":29.0%s}`, name, more)
 	}
 	return fmt.Sprintf(`{"Version":"%08x","Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeout":"3000ms","IdleTimeout":"15000ms"},`+
 		`"Tenants":[{"Name":"hule930","ApiKeys":["%s"],"Priority":1,"RatePerS":2000,"Burst":2000}],`+
-		`"Listeners":[{"Host":"%s","Rules":[%s,%s,%s]}],"Clusters":[%s,%s]}`, version, apiKey, host,
-		rule("r-lookup", "idempotent", pathLookup, keyed, "1200ms"),
-		rule("r-payment", "non_idempotent", pathPayment, keyed, "3000ms"),
-		rule("r-assign", "non_idempotent", pathAssign, unkeyed, "1500ms"),
+		`"Listeners":[{"Host":"%s","Rules":[%s]}],"Clusters":[%s,%s]}`, version, apiKey, host, strings.Join(routes, ","),
 		cluster(keyed, `,"EnableSharding":true,"Warm":"5s","Grants":"heartbeat"`), cluster(unkeyed, ""))
 }
 
--- a/review/standin2/endpoint.go
+++ b/review/standin2/endpoint.go
@@ -18,8 +18,8 @@
 
 // run is one request that an endpoint has begun to work on.
 type run struct {
-	id, endpoint, zone, path string
-	at                       time.Time
+	id, endpoint, service, zone, path string
+	at                                time.Time
 }
 
 // runLog collects what all endpoints have run.
@@ -447,7 +447,7 @@
 	}
 	ran := func() {
 		at := time.Now()
-		e.w.runs.add(run{id: id, endpoint: e.id, zone: e.m.zone, path: r.URL.Path, at: at})
+		e.w.runs.add(run{id: id, endpoint: e.id, service: e.m.service, zone: e.m.zone, path: r.URL.Path, at: at})
 		e.w.rec.note("run begins", "request", id, "endpoint", e.id, "zone", e.m.zone, "path", r.URL.Path)
 	}
 	e.mu.Lock()
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -20,7 +20,6 @@
 const (
 	stabilityWindow = 3 * time.Second
 	beatInterval    = 1500 * time.Millisecond
-	evacuateBound   = 5 * time.Second
 )
 
 // startPause lies between the starts of two endpoints.
