--- a/review/standin2/staleowner.go
+++ b/review/standin2/staleowner.go
@@ -22,10 +22,11 @@
 	sideDown = 900 * time.Millisecond
 	// beforeOthers is the time from a heartbeat of the endpoint that starts again to those of others.
 	beforeOthers = 200 * time.Millisecond
-	// sinceBeat is the time from a heartbeat of the living endpoint to the kill: its next one finds its node down.
-	sinceBeat = 650 * time.Millisecond
+	// sinceBeat is the time from a heartbeat of the living endpoint to the kill: its next one finds its node down. A node holds
+	// an answer without news for 0.7 s.
+	sinceBeat = 800 * time.Millisecond
 	// payBefore is how long before the kill the payments are sent; each is payWork of work, with payDeadline to go.
-	payBefore   = 100 * time.Millisecond
+	payBefore   = 80 * time.Millisecond
 	payWork     = 2200 * time.Millisecond
 	payDeadline = 3 * time.Second
 	// sharedLimit is the time for which two endpoints may hold the same keys.
