Routes: one rule for what a path is and which route it takes (ROUTE)

Requests for /public ran without an organisation key where only /public/ is open, and zinniactl explain named the wrong route.

Cause: each reader of a path had a rule of its own. The gateway and the client library dropped the slash at the end of a prefix and compared segments of the decoded path; keys were read from the encoded path; the checks of configurations compared the text of prefixes; net/http encoded the decoded path anew on the way to a target if it held a byte that must be encoded.

Ruled out: a change of the configuration that is applied in part (explain is wrong with a configuration that never changes), and the hop (the service is chosen at the first node, and is wrong without a hop).

Package internal/routematch now defines paths, prefixes and the preferred route, and all readers use it. The checks follow: routes of two hosts may share a prefix in a services file; /a/ and /%61/ of one host are two routes for one path.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -155,3 +155,32 @@
 		is.Equal(status, 200)
 	}
 }
+
+// Guards against requests that are sent to the owner of another route's key, or repeated by another route's rule, because the client
+// reads a path in another way than the nodes.
+func TestClientAndNodeSelectTheSameRoute(t *testing.T) {
+	is := is.New(t)
+	segment, once := 1, false
+	key := &api.KeySource{PathSegment: &segment}
+	r := newRouting(&api.PublicMap{Nodes: []string{"site:1", "archive:1", "x:1"}, Services: []api.PublicService{
+		{Name: "site", Key: key, Partitions: 1, Owners: []int{0}, Routes: []api.Route{{Prefix: "/", Idempotent: &once}}},
+		{Name: "archive", Key: key, Partitions: 1, Owners: []int{1}, Routes: []api.Route{{Prefix: "/archive/"}}},
+		{Name: "x", Key: key, Partitions: 1, Owners: []int{2}, Routes: []api.Route{{Prefix: "/archive/", Host: "x.example"}}},
+	}}, nil)
+	for _, c := range []struct {
+		url, owner string
+		idempotent bool
+	}{
+		{"http://h/archive/k", "archive:1", true},
+		{"http://h/%61rchive/k", "archive:1", true},
+		{"http://X.example/archive/k", "x:1", true},
+		{"http://h/archive", "", false}, // no key
+		{"http://h/archive%2Fx/k", "site:1", false},
+		{"http://h//archive/k", "site:1", false},
+	} {
+		req, err := http.NewRequest("GET", c.url, nil)
+		is.NoErr(err)
+		is.Equal(r.owner(req), c.owner)
+		is.Equal(r.idempotent(req), c.idempotent)
+	}
+}
--- a/client/do.go
+++ b/client/do.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/internal/routematch"
 )
 
 // bufferedBody is the largest request body in bytes that can be sent to a second node.
@@ -74,6 +75,7 @@
 	out := req.Clone(httptrace.WithClientTrace(req.Context(), trace))
 	out.URL.Scheme = c.options.Scheme
 	out.URL.Host = node
+	routematch.Forward(out.URL, req.URL)
 	out.GetBody = nil
 	out.Body = p.open(c.current.Load().idempotent(req))
 	c.authorise(out)
--- a/client/routing.go
+++ b/client/routing.go
@@ -2,58 +2,44 @@
 
 import (
 	"net/http"
-	"net/url"
 	"slices"
-	"strings"
 
 	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/internal/routematch"
 )
 
 // routing is the map in a form that finds the owner's node of a request.
 type routing struct {
 	public *api.PublicMap
-	routes []clientRoute // longest prefix first
-	nodes  []string      // those of the map, then those that the client was given
+	routes []*clientRoute // longest prefix first
+	nodes  []string       // those of the map, then those that the client was given
 }
 
 type clientRoute struct {
 	api.Route
-	service  *api.PublicService
-	segments []string
+	service *api.PublicService
+	pattern routematch.Pattern
 }
 
+// Pattern implements routematch.Patterned.
+func (r *clientRoute) Pattern() *routematch.Pattern { return &r.pattern }
+
 func newRouting(m *api.PublicMap, given []string) *routing {
 	r := &routing{public: m, nodes: slices.Concat(m.Nodes, given)}
 	for i := range m.Services {
 		s := &m.Services[i]
 		for _, route := range s.Routes {
-			r.routes = append(r.routes, clientRoute{Route: route, service: s, segments: split(route.Prefix)})
+			r.routes = append(r.routes, &clientRoute{Route: route, service: s, pattern: routematch.PatternOf(&route)})
 		}
 	}
-	slices.SortStableFunc(r.routes, func(a, b clientRoute) int { return len(b.segments) - len(a.segments) })
+	routematch.Sort(r.routes)
 	return r
 }
 
-func split(path string) []string {
-	path = strings.Trim(path, "/")
-	if path == "" {
-		return nil
-	}
-	return strings.Split(path, "/")
-}
-
+// match returns the route of a request, or nil.
 func (r *routing) match(req *http.Request) *clientRoute {
-	path := strings.Split(strings.TrimPrefix(req.URL.Path, "/"), "/")
-	for i := range r.routes {
-		route := &r.routes[i]
-		if len(route.Methods) > 0 && !slices.Contains(route.Methods, req.Method) {
-			continue
-		}
-		if len(path) >= len(route.segments) && slices.Equal(path[:len(route.segments)], route.segments) {
-			return route
-		}
-	}
-	return nil
+	route, _ := routematch.Find(r.routes, req.Method, req.Host, routematch.PathOf(req.URL))
+	return route
 }
 
 // idempotent reports whether a request may be repeated. Without a known route it may not:
@@ -95,14 +81,7 @@
 func keyOf(source *api.KeySource, req *http.Request) string {
 	switch {
 	case source.PathSegment != nil:
-		parts := strings.Split(strings.TrimPrefix(req.URL.EscapedPath(), "/"), "/")
-		if *source.PathSegment >= len(parts) {
-			return ""
-		}
-		key, err := url.PathUnescape(parts[*source.PathSegment])
-		if err != nil {
-			return ""
-		}
+		key, _ := routematch.PathOf(req.URL).Segment(*source.PathSegment)
 		return key
 	case source.Header != "":
 		return req.Header.Get(source.Header)
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
 )
 
@@ -131,6 +132,7 @@
 		{"dependency on itself", "services.json", `["stock"]`, `["quotes"]`, "services[1].depends_on: dependency cycle: quotes -> quotes"},
 		{"dependency cycle", "services.json", `"name": "stock",`, `"name": "stock", "depends_on": ["quotes"],`, "dependency cycle: stock -> quotes -> stock"},
 		{"same route", "services.json", `"/open"`, `"/stock"`, "services[2].routes[1].prefix: "},
+		{"same route of a host", "services.json", `{"prefix": "/open"`, `{"prefix": "/orders", "host": "X.example"}, {"prefix": "/orders", "host": "x.example"`, "services[2].routes[2].prefix: "},
 		{"overlapping methods", "services.json", `{"prefix": "/stock"}`, `{"prefix": "/orders", "methods": ["GET", "POST"]}`, "services[2].routes[0].prefix: "},
 		{"no routes", "services.json", `[{"prefix": "/stock"}]`, `[]`, "services[0].routes: missing"},
 		{"relative prefix", "services.json", `"/open"`, `"open"`, "services[2].routes[1].prefix: "},
@@ -181,3 +183,18 @@
 func TestSeparateMethodsShareAPrefix(t *testing.T) {
 	is.New(t).NoErr(parseFile("services.json", edit(t, "services.json", `"/open"`, `"/orders"`)))
 }
+
+// Guards against a refusal of routes of two hosts that share a prefix: no request matches both.
+func TestSeparateHostsShareAPrefix(t *testing.T) {
+	is := is.New(t)
+	services := func(hosts ...string) *api.Services {
+		s := &api.Services{Services: []api.Service{{Name: "quotes"}}}
+		for _, host := range hosts {
+			s.Services[0].Routes = append(s.Services[0].Routes, api.Route{Prefix: "/quotes", Host: host})
+		}
+		return s
+	}
+	is.NoErr(CheckServices(services("a.example", "b.example", "")))
+	is.True(CheckServices(services("a.example", "b.example", "A.example")) != nil)
+	is.True(CheckServices(services("", "")) != nil)
+}
--- a/config/services.go
+++ b/config/services.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/zinniapier/zinniapier/api"
+	"github.com/zinniapier/zinniapier/internal/routematch"
 )
 
 // Bounds of a services file.
@@ -153,32 +154,25 @@
 	}
 }
 
-// routeConflicts refuses two routes with the same prefix and a common method.
+// routeConflicts refuses two routes of which neither is preferred for some request.
 func (p *problems) routeConflicts(s *api.Services) {
-	type place struct {
-		path  string
-		route *api.Route
+	type entry struct {
+		path    string
+		pattern routematch.Pattern
 	}
-	byPrefix := make(map[string][]place)
+	byPlace := make(map[string][]entry)
 	for i := range s.Services {
 		for j := range s.Services[i].Routes {
 			route := &s.Services[i].Routes[j]
 			path := indexed(indexed("services", i)+".routes", j)
-			for _, other := range byPrefix[route.Prefix] {
-				if overlap(route.Methods, other.route.Methods) {
+			pattern := routematch.PatternOf(route)
+			for _, other := range byPlace[pattern.Place()] {
+				if pattern.Conflicts(&other.pattern) {
 					p.add(path+".prefix", "%q overlaps with %s", route.Prefix, other.path)
 					break
 				}
 			}
-			byPrefix[route.Prefix] = append(byPrefix[route.Prefix], place{path, route})
+			byPlace[pattern.Place()] = append(byPlace[pattern.Place()], entry{path, pattern})
 		}
 	}
 }
-
-// overlap reports whether two lists of methods share one; an empty list means all.
-func overlap(a, b []string) bool {
-	if len(a) == 0 || len(b) == 0 {
-		return true
-	}
-	return slices.ContainsFunc(a, func(m string) bool { return slices.Contains(b, m) })
-}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -8,6 +8,7 @@
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
 	"github.com/zinniapier/zinniapier/gate"
+	"github.com/zinniapier/zinniapier/internal/routematch"
 )
 
 // call is one request being routed: from a caller, or from another node over a hop.
@@ -91,14 +92,14 @@
 
 // matchRoute returns the route of a caller's request and what its headers state. Errors: BadRequest, NoRoute.
 func (g *Gateway) matchRoute(r *http.Request, routes *routeTable) (*route, RequestInfo, error) {
-	if err := checkPath(r.URL); err != nil {
+	if err := routematch.CheckPath(r.URL); err != nil {
 		return nil, RequestInfo{}, err
 	}
 	info, err := g.dialect.ParseRequest(r)
 	if err != nil {
 		return nil, RequestInfo{}, err
 	}
-	matched := routes.match(r.Method, r.Host, r.URL.Path)
+	matched := routes.match(r.Method, r.Host, routematch.PathOf(r.URL))
 	if matched == nil {
 		return nil, RequestInfo{}, errkind.New(errkind.NoRoute, "no route matches the request")
 	}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
 	"github.com/zinniapier/zinniapier/gate"
+	"github.com/zinniapier/zinniapier/internal/routematch"
 	"github.com/zinniapier/zinniapier/telemetry"
 )
 
@@ -205,11 +206,10 @@
 	u := &url.URL{
 		Scheme:     scheme,
 		Host:       address,
-		Path:       in.URL.Path,
-		RawPath:    in.URL.RawPath,
 		RawQuery:   in.URL.RawQuery,
 		ForceQuery: in.URL.ForceQuery,
 	}
+	routematch.Forward(u, in.URL)
 	req := &http.Request{
 		Method: in.Method,
 		// net/http waits for "100 Continue" only in requests with a protocol version.
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -184,7 +184,7 @@
 
 func (x *explainer) describeRoute(matched *route) {
 	out := &api.ExplainedRoute{
-		Name: matched.name, Host: matched.host, Prefix: "/" + strings.Join(matched.segments, "/"), Methods: matched.methods,
+		Name: matched.name, Host: matched.host, Prefix: matched.prefix, Methods: matched.methods,
 		Open: matched.open, Idempotent: x.c.idempotent,
 	}
 	from := 0.0
--- a/gateway/failover_test.go
+++ b/gateway/failover_test.go
@@ -10,6 +10,7 @@
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/config"
 	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/internal/routematch"
 	"github.com/zinniapier/zinniapier/telemetry"
 )
 
@@ -139,7 +140,7 @@
 			{Name: "quotes", Routes: []api.Route{{Prefix: "/a/"}, {Prefix: prefix}}},
 		}}}
 	}
-	match := func(c *api.Configuration, path string) *route { return cache.get(c).match("GET", "h", path) }
+	match := func(c *api.Configuration, path routematch.Path) *route { return cache.get(c).match("GET", "h", path) }
 	first, second := configuration("/b/"), configuration("/c/")
 	is.Equal(match(first, "/a/x").elapsed(1200), time.Duration(0))
 	is.Equal(match(first, "/b/x").elapsed(1200), time.Duration(0))
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -10,6 +10,7 @@
 
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/internal/routematch"
 	"github.com/zinniapier/zinniapier/telemetry"
 )
 
@@ -115,7 +116,7 @@
 	if c != nil {
 		line = line.WithFields(c.fields())
 	} else {
-		line = line.WithField("host", r.Host).WithField("path", r.URL.Path)
+		line = line.WithField("host", r.Host).WithField("path", routematch.PathOf(r.URL))
 	}
 	line.WithFields(logrus.Fields{"kind": e.Kind, "not_run": e.NotRun, "reason": e.Message}).Warn("Request refused.")
 }
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -4,21 +4,21 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
-	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/internal/routematch"
 )
 
 // route is one route of a service, prepared for matching.
 type route struct {
 	service  *api.Service
 	name     string
+	pattern  routematch.Pattern
 	host     string
-	segments []string
+	prefix   string // as configured
 	methods  []string
 	open     bool
 	priority int
@@ -35,6 +35,9 @@
 	idempotentOverride *bool
 }
 
+// Pattern implements routematch.Patterned.
+func (r *route) Pattern() *routematch.Pattern { return &r.pattern }
+
 // share is the fraction of a route's requests that goes to a service.
 type share struct {
 	service *api.Service
@@ -135,19 +138,14 @@
 	longest := make(map[string]int64)
 	for _, r := range previous.routes {
 		if ms := r.longestDeadlineMs.Load(); ms > 0 {
-			longest[r.pattern()] = ms
+			longest[r.pattern.String()] = ms
 		}
 	}
 	for _, r := range t.routes {
-		r.longestDeadlineMs.Store(longest[r.pattern()])
+		r.longestDeadlineMs.Store(longest[r.pattern.String()])
 	}
 }
 
-// pattern identifies the requests that the route matches.
-func (r *route) pattern() string {
-	return r.host + " " + strings.Join(r.methods, ",") + " " + strings.Join(r.segments, "/")
-}
-
 func newRouteTable(configuration *api.Configuration) *routeTable {
 	t := &routeTable{configuration: configuration}
 	for i := range configuration.Services.Services {
@@ -156,8 +154,9 @@
 			t.routes = append(t.routes, &route{
 				service:            s,
 				name:               r.Name,
+				pattern:            routematch.PatternOf(&r),
 				host:               r.Host,
-				segments:           segments(r.Prefix),
+				prefix:             r.Prefix,
 				methods:            r.Methods,
 				open:               r.Open,
 				idempotentOverride: r.Idempotent,
@@ -169,9 +168,7 @@
 			})
 		}
 	}
-	slices.SortStableFunc(t.routes, func(a, b *route) int {
-		return len(b.segments) - len(a.segments)
-	})
+	routematch.Sort(t.routes)
 	return t
 }
 
@@ -189,32 +186,10 @@
 	return split
 }
 
-// match returns the route with the longest prefix that matches the host and the method, or nil.
-func (t *routeTable) match(method, host, path string) *route {
-	for i := range t.routes {
-		if t.routes[i].matches(method, host, path) {
-			return t.routes[i]
-		}
-	}
-	return nil
-}
-
-func (r *route) matches(method, host, path string) bool {
-	if r.host != "" && !strings.EqualFold(r.host, host) {
-		return false
-	}
-	if len(r.methods) > 0 && !slices.Contains(r.methods, method) {
-		return false
-	}
-	rest := strings.TrimPrefix(path, "/")
-	for _, want := range r.segments {
-		var have string
-		have, rest, _ = strings.Cut(rest, "/")
-		if have != want {
-			return false
-		}
-	}
-	return true
+// match returns the route of a request, or nil.
+func (t *routeTable) match(method, host string, path routematch.Path) *route {
+	matched, _ := routematch.Find(t.routes, method, host, path)
+	return matched
 }
 
 // idempotent reports whether a request with the method may be repeated.
@@ -239,29 +214,6 @@
 	return min(time.Duration(r.service.DeadlineMs)*time.Millisecond, maxDeadline)
 }
 
-// segments splits a path; the empty path and "/" have no segments.
-func segments(path string) []string {
-	path = strings.Trim(path, "/")
-	if path == "" {
-		return nil
-	}
-	return strings.Split(path, "/")
-}
-
-// checkPath refuses dot segments, also encoded ones: a target that resolves them would serve a
-// different route from the one that was matched, possibly one that is not open.
-func checkPath(u *url.URL) error {
-	if !strings.HasPrefix(u.Path, "/") {
-		return errkind.New(errkind.BadRequest, "path must start with a slash")
-	}
-	for segment := range strings.SplitSeq(u.Path, "/") {
-		if segment == "." || segment == ".." {
-			return errkind.New(errkind.BadRequest, "path must not contain dot segments")
-		}
-	}
-	return nil
-}
-
 // keyOf returns the partition key of a request. A missing or repeated key is refused: the target
 // might read a different one than the gateway. Errors: BadRequest.
 func keyOf(source *api.KeySource, r *http.Request) (string, error) {
@@ -276,13 +228,8 @@
 }
 
 func pathKey(u *url.URL, index int) (string, error) {
-	rest := strings.TrimPrefix(u.EscapedPath(), "/")
-	segment := ""
-	for i := 0; i <= index; i++ {
-		segment, rest, _ = strings.Cut(rest, "/")
-	}
-	key, err := url.PathUnescape(segment)
-	if err != nil || key == "" {
+	key, ok := routematch.PathOf(u).Segment(index)
+	if !ok || key == "" {
 		return "", errkind.New(errkind.BadRequest, "no key in path segment %d", index)
 	}
 	return key, nil
