config: splits of a services file are checked

Callers saw: a services file whose split names a service that does not exist was accepted, and each request of the route ended with a closed connection (a nil pointer in the handler, seen in a trial with the nodes of the path tests). Negative weights, and weights that sum to 0, were accepted too.

Cause: only the platform's configuration was checked for splits (platform.decodeSplit); the services file and operators' changes go through config.CheckServices, which did not look at them. Found while the checks of a configuration were read for the rule of paths.

--- a/config/services.go
+++ b/config/services.go
@@ -41,6 +41,7 @@
 		names[service.Name] = i
 	}
 	p.dependencies(s, names)
+	p.splits(s, names)
 	p.routeConflicts(s)
 	return p.err()
 }
@@ -154,6 +155,29 @@
 	}
 }
 
+// splits refuses splits that name an unknown service or have no weight. names maps a service to its index.
+func (p *problems) splits(s *api.Services, names map[string]int) {
+	for i := range s.Services {
+		for j, route := range s.Services[i].Routes {
+			path := indexed(indexed("services", i)+".routes", j) + ".split"
+			sum := 0.0
+			for k, share := range route.Split {
+				at := indexed(path, k)
+				if _, known := names[share.Service]; !known {
+					p.add(at+".service", "there is no service %q", share.Service)
+				}
+				if share.Weight < 0 {
+					p.add(at+".weight", "%g is negative", share.Weight)
+				}
+				sum += share.Weight
+			}
+			if len(route.Split) > 0 && sum <= 0 {
+				p.add(path, "the weights sum to nothing")
+			}
+		}
+	}
+}
+
 // routeConflicts refuses two routes of which neither is preferred for some request.
 func (p *problems) routeConflicts(s *api.Services) {
 	type entry struct {
