gateway: the path of the map is the map's in its own form and dialect only

Callers saw: on the platform, requests for /v1/map were answered by the node (401 without a bearer token) whatever the configuration routes there; and /v1%2Fmap, another path, got the map too.

Before: TestPathOfTheMapIsTheMapsOnly fails at /v1%2Fmap, and with the comparison of paths mended but not the dialect at /v1/map in a dialect without the map. After: package gateway passes.

--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -23,7 +23,7 @@
 	defer g.end()
 	v := g.view()
 	w.Header().Set(api.HeaderMapVersion, strconv.FormatUint(v.MapVersion, 10))
-	if r.URL.Path == api.PathMap {
+	if g.isMapRequest(r) {
 		g.serveMap(w, r, v)
 		return
 	}
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -122,7 +122,7 @@
 	if x.closing.Load() {
 		return errkind.New(errkind.ShuttingDown, "node is shutting down")
 	}
-	if x.r.URL.Path == api.PathMap {
+	if x.isMapRequest(x.r) {
 		x.note("the node answers this path itself")
 		return nil
 	}
--- a/gateway/paths_test.go
+++ b/gateway/paths_test.go
@@ -162,3 +162,24 @@
 		is.True(strings.HasPrefix(explain(t, n.Gateway, "/public", "unknown").Refusal.Message, "organisation key"))
 	}
 }
+
+// Guards against a path that a node answers itself although it belongs to a route: in a dialect that does not know the map, or in
+// another form than the map's.
+func TestPathOfTheMapIsTheMapsOnly(t *testing.T) {
+	is := is.New(t)
+	p := newPathNodes(t)
+	ranBySite := func(target string) bool {
+		x := explain(t, p.entry.Gateway, target, orgKey)
+		status := p.entry.sendTarget(t, "GET", target, orgKey)
+		service, _ := p.ran()
+		is.Equal(status, http.StatusOK)
+		is.Equal(x.Service, service) // explain and the request
+		return service == "site"
+	}
+	is.True(!ranBySite(api.PathMap))
+	is.True(!ranBySite("/v1/%6dap"))
+	is.True(ranBySite("/v1%2Fmap"))
+	is.True(ranBySite(api.PathMap + "/"))
+	p.entry.dialect = requestIDDialect{}
+	is.True(ranBySite(api.PathMap))
+}
--- a/gateway/publicmap.go
+++ b/gateway/publicmap.go
@@ -8,8 +8,16 @@
 
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/internal/routematch"
 )
 
+// isMapRequest reports whether the node answers the request itself. The map belongs to the product's own protocol; callers that
+// speak another dialect reach the route of its path.
+func (g *Gateway) isMapRequest(r *http.Request) bool {
+	_, own := g.dialect.(defaultDialect)
+	return own && routematch.PathOf(r.URL) == api.PathMap
+}
+
 // serveMap sends the public map to a caller that addresses the owners' nodes directly. It needs no
 // rate-limit token, since it reaches no target.
 func (g *Gateway) serveMap(w http.ResponseWriter, r *http.Request, v *api.View) {
