--- a/gateway/departures.go
+++ b/gateway/departures.go
@@ -12,9 +12,9 @@
 const departureRetention = 10 * time.Minute
 
 // departures records when this node first passed on a response that says that its target leaves. The node of the
-// target ends the work there, too, but may restart and forget.
+// target ends the work there, too, but may forget: after a restart, or when the target is removed and announced again.
 type departures struct {
-	// admitFor is how long requests go to such a target; 0 means as long as others send them there.
+	// admitFor is how long requests that begin at this node go to such a target; 0 means as long as its node admits them.
 	admitFor time.Duration
 
 	mu    sync.RWMutex
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -282,6 +282,9 @@
 	}
 	statement := r.gateway.dialect.ParseStatement(resp.Header)
 	r.target.ReportStatement(statement.RateLimit, statement.Leaving)
+	if statement.Leaving {
+		r.gateway.departures.record(r.dest.target, time.Now())
+	}
 	if parsed.ColdRemaining >= 0 {
 		r.target.ReportColdRemaining(parsed.ColdRemaining)
 	}
--- a/gateway/explainchoice.go
+++ b/gateway/explainchoice.go
@@ -62,7 +62,7 @@
 	}
 	candidates := x.candidates(x.v, x.c, targets, nil)
 	candidates.preview = &choicePreview{random: x.random, costs: make(map[int]float64)}
-	i := policy.Choose(candidates)
+	candidates, i := x.selectTarget(policy, candidates)
 	selected = &candidates.targets[i]
 	out.Targets, out.SameZone, out.Selected = candidates.Len(), candidates.SameZone(), selected.Target.ID
 	out.Compared = candidates.compared()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,8 +63,8 @@
 	// RetryBurst is the number of retries that the retry budget may accumulate. Default
 	// defaultBudgetBurst.
 	RetryBurst int
-	// AdmitLeaving is how long requests go to a target of another node after a response has said that it leaves; 0
-	// means as long as that node admits them.
+	// AdmitLeaving is how long requests that begin at this node go to a target after a response has said that it leaves; 0
+	// means as long as the node of the target admits them.
 	AdmitLeaving time.Duration
 	// TargetChoice is the policy of services that name none. Default DefaultTargetChoice.
 	TargetChoice string
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -197,8 +197,8 @@
 	if err != nil {
 		return destination{}, errkind.New(errkind.Internal, "%v", err)
 	}
-	candidates := g.candidates(v, c, targets, tried)
-	return destinationOf(v, candidates.targets[policy.Choose(candidates)]), nil
+	candidates, i := g.selectTarget(policy, g.candidates(v, c, targets, tried))
+	return destinationOf(v, candidates.targets[i]), nil
 }
 
 // targetChoiceOf returns the name of the policy that selects the targets of a service.
@@ -217,6 +217,24 @@
 	}
 }
 
+// selectTarget returns the index of the target that the policy selects, and the candidates that it refers to: those that leave are
+// dropped if one is selected and another is left. Most requests select none, so that the candidates need not be searched.
+func (g *Gateway) selectTarget(policy TargetChoice, c Candidates) (Candidates, int) {
+	i := policy.Choose(c)
+	if !g.departures.over(c.targets[i].Target.ID, c.now) {
+		return c, i
+	}
+	stay := slices.DeleteFunc(slices.Clone(c.targets), func(at api.TargetAt) bool { return g.departures.over(at.Target.ID, c.now) })
+	if len(stay) == 0 {
+		return c, i
+	}
+	c.targets = stay
+	if c.preview != nil {
+		clear(c.preview.costs)
+	}
+	return c, policy.Choose(c)
+}
+
 func targetChoice(name string) (TargetChoice, error) { return TargetChoices.Get(name) }
 
 // untried returns the targets that have not been tried.
@@ -244,10 +262,10 @@
 // checkDestination returns the target if it is on this node, and nil for a target of another node. Errors: WrongOwner if
 // no request goes there.
 func (g *Gateway) checkDestination(p destination) (LocalTarget, *errkind.Error) {
+	if g.departures.over(p.target, time.Now()) {
+		return nil, errkind.New(errkind.WrongOwner, "target %s has said that it leaves", p.target)
+	}
 	if p.peer != nil {
-		if g.departures.over(p.target, time.Now()) {
-			return nil, errkind.New(errkind.WrongOwner, "target %s has said that it leaves", p.target)
-		}
 		return nil, nil
 	}
 	t := g.targets.Lookup(p.target)
