--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -61,7 +61,7 @@
 	Refusal *errkind.Error
 	// Shed and Cold are the reasons of a refusal: load shedding, cold start.
 	Shed, Cold bool
-	// WrongAttempt is true if the response belongs to another attempt.
+	// WrongAttempt is true if the response belongs to another attempt, or nothing shows that it belongs to this one.
 	WrongAttempt bool
 	// ColdRemaining is the remaining time of the target's cold start; negative if not stated.
 	ColdRemaining time.Duration
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -278,7 +278,7 @@
 	if parsed.WrongAttempt {
 		r.countOutcome(true)
 		r.once.closeConn()
-		return errkind.New(errkind.CrossedAnswer, "target %s sent the response to another attempt", info.ID)
+		return errkind.New(errkind.CrossedAnswer, "target %s sent a response that is not the one to this attempt", info.ID)
 	}
 	statement := r.gateway.dialect.ParseStatement(resp.Header)
 	r.target.ReportStatement(statement.RateLimit, statement.Leaving)
