--- a/api/control.go
+++ b/api/control.go
@@ -91,6 +91,17 @@
 	// about once a second and does not raise the version of the configuration. The entry of an ended roll-out stays for
 	// the time in which the order may be sent again.
 	RolloutElapsed map[string]int64 `json:"rollout_elapsed,omitempty"`
+	// Places holds what is known of the targets at each place; an entry goes some time after its targets have.
+	Places map[string]PlaceRecord `json:"places,omitempty"`
+}
+
+// PlaceRecord is what outlives the node and the leader of the targets at a place, where one runs at a time. Both times are
+// starts of targets in Unix milliseconds.
+type PlaceRecord struct {
+	// StartedMs is that of the latest target there that was granted a partition. Targets that were started before it have ended.
+	StartedMs int64 `json:"started_ms,omitempty"`
+	// LeftBeforeMs bounds the starts of the targets there that have said that they leave for ever.
+	LeftBeforeMs int64 `json:"left_before_ms,omitempty"`
 }
 
 // Division is how the keys of a ranged service are divided.
--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -60,8 +60,8 @@
 
 // Departure says that each target at a place that was started before a time leaves for ever, whether it is known or not.
 type Departure struct {
-	Place    string
-	BeforeMs int64 // Unix milliseconds
+	Place    string `json:"place"`
+	BeforeMs int64  `json:"before_ms"` // Unix milliseconds
 }
 
 // HotKey is a single key with its recent load in requests per second.
@@ -205,6 +205,9 @@
 	TokensAgain bool
 	// Issues says that the leader issues tokens; a new one may have to wait.
 	Issues bool
+	// Departures are those of the request that are committed, so that no restart forgets them, and committed ones of targets that
+	// the request reports as present.
+	Departures []Departure
 	// Members are the addresses of the control members' rpc listeners.
 	Members []string
 }
--- a/capacity/spread.go
+++ b/capacity/spread.go
@@ -27,6 +27,8 @@
 func (idleSource) Released() []api.Released    { return nil }
 func (idleSource) Departures() []api.Departure { return nil }
 
+func (idleSource) ApplyDepartures([]api.Departure) {}
+
 // idleTokens is an account without traffic.
 type idleTokens struct{}
 
--- a/control/drained.go
+++ b/control/drained.go
@@ -19,7 +19,7 @@
 // keepDrained changes the reports of targets that drain to draining if they rest on an older announcement: a
 // node that has restarted does not know the order of announcements, and takes a delayed one for the state of
 // the target.
-func (l *leader) keepDrained(reports []api.TargetReport, now time.Time) {
+func (l *leader) keepDrained(view *api.ControlState, reports []api.TargetReport, now time.Time) {
 	for i := range reports {
 		r := &reports[i]
 		if r.Place == "" {
@@ -27,7 +27,7 @@
 		}
 		drained, known := l.drained[r.ID]
 		switch {
-		case r.State == api.TargetServing && r.StartedMs < l.departed[r.Place].beforeMs:
+		case r.State == api.TargetServing && r.StartedMs < max(l.departed[r.Place].beforeMs, view.Places[r.Place].LeftBeforeMs):
 			r.State = api.TargetDraining
 			l.drained[r.ID] = drainedTarget{api.FinalAnnouncement, now}
 		case r.State == api.TargetDraining:
@@ -52,6 +52,7 @@
 func (l *leader) recordDepartures(list []api.Departure, now time.Time) {
 	for _, d := range list {
 		l.departed[d.Place] = departedPlace{max(d.BeforeMs, l.departed[d.Place].beforeMs), now}
+		l.placeSeen[d.Place] = now
 	}
 }
 
--- a/control/leader.go
+++ b/control/leader.go
@@ -7,6 +7,7 @@
 
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/state"
+	"github.com/zinniapier/zinniapier/telemetry"
 	"github.com/zinniapier/zinniapier/tokens"
 )
 
@@ -63,6 +64,10 @@
 	nextBalance time.Time
 	drained     map[api.TargetID]drainedTarget
 	departed    map[string]departedPlace // by place
+	// placeSeen holds when a present target of a place, or a departure, was last reported.
+	placeSeen      map[string]time.Time
+	nextPlacePrune time.Time
+	formerLines    telemetry.Limiter
 	// firstTargetAt holds, by service without any assignment, when its first target was eligible.
 	firstTargetAt map[string]time.Time
 	rolloutClock  *rolloutClock
@@ -91,6 +96,8 @@
 		speedsInUse:        make(map[api.TargetID]float64),
 		drained:            make(map[api.TargetID]drainedTarget),
 		departed:           make(map[string]departedPlace),
+		placeSeen:          make(map[string]time.Time),
+		formerLines:        telemetry.Limiter{PerSecond: formerLinesPerSecond},
 		firstTargetAt:      make(map[string]time.Time),
 		peers:              newPeerList(term),
 		rolloutClock:       newRolloutClock(),
@@ -119,6 +126,7 @@
 	}
 	l.planSessions(view, now, batch)
 	l.planRollouts(view, now, batch)
+	l.planPlaces(view, now, batch)
 	return batch
 }
 
--- a/control/plan.go
+++ b/control/plan.go
@@ -266,7 +266,7 @@
 		Step:    state.Step{PartitionRef: p.ref(i), Expected: expected},
 		Target:  t.ID,
 		Session: t.session,
-		Place:   t.Place,
+		Place:   t.Place, StartedMs: t.StartedMs,
 	})
 }
 
--- a/control/session.go
+++ b/control/session.go
@@ -39,7 +39,8 @@
 		return nil, false, err
 	}
 	l.recordDepartures(req.Departures, now)
-	l.keepDrained(req.Targets, now)
+	req.Targets = l.withoutFormerTargets(view, req.Name, req.Targets, now)
+	l.keepDrained(view, req.Targets, now)
 	l.recordOutcomes(view, req, now)
 	s.last = *req
 	s.deadline = received.Add(l.o.Lease + l.o.DriftMargin)
@@ -57,7 +58,9 @@
 	if l.updatePeer(s) {
 		plan = true
 	}
-	return l.buildReply(view, s, replies, now), plan, nil
+	reply := l.buildReply(view, s, replies, now)
+	reply.Departures = committedDepartures(view, req)
+	return reply, plan || departuresPending(view, req.Departures), nil
 }
 
 // admitSession finds or creates the session. A session whose lease has ended is refused while it
--- a/host/pull.go
+++ b/host/pull.go
@@ -29,6 +29,13 @@
 	maxStartAhead = time.Hour
 )
 
+const (
+	// lateAnnouncement is how late an announcement may arrive.
+	lateAnnouncement = 10 * time.Second
+	// unconfirmedIntervals is the number of intervals between announcements in which the second one arrives, also a slow one.
+	unconfirmedIntervals = 2
+)
+
 // checkPull returns Invalid for numbers that no target sends. Once accepted, all later announcements of the target
 // would count as old.
 func checkPull(a api.Announcement, p api.Pull, now time.Time) error {
@@ -152,12 +159,13 @@
 	if p.Sequence <= t.pulled.sequence {
 		return api.PullReply{}, nil, errkind.New(errkind.Conflict, "announcement %d is not newer than %d", p.Sequence, t.pulled.sequence)
 	}
+	first := t.pulled.sequence == 0
 	t.pulled.sequence = p.Sequence
 	t.announced = now
 	t.notListening = false
 	t.markReturned()
 	t.setDraining(p.Draining || t.pulled.leaving)
-	t.pulled.coldUntil = now.Add(p.ColdFor)
+	t.pulled.coldUntil = now.Add(max(p.ColdFor, t.unconfirmedCold(first, now)))
 	t.updateColdRate(v, now)
 	t.recordTakenOut(v.Configuration, now)
 	service := configured(v, t.info.Service)
@@ -177,6 +185,18 @@
 	return reply, t.nextChange(p, reply), nil
 }
 
+// unconfirmedCold returns how long the target counts as cold because of an announcement that may be late. A process that has just
+// started cannot tell whether the first announcement is from the target that runs now or from one before it, which was warm; the next
+// one follows within HeartbeatInterval.
+//
+// Load pattern: a host loses power; its target is back and cold, its node is back, and an announcement from before the loss arrives.
+func (t *Target) unconfirmedCold(first bool, now time.Time) time.Duration {
+	if !first || now.Sub(t.r.started) > lateAnnouncement {
+		return 0
+	}
+	return unconfirmedIntervals * t.r.o.HeartbeatInterval
+}
+
 func (t *Target) setDraining(draining bool) {
 	if draining == t.draining {
 		return
--- a/session/heartbeat.go
+++ b/session/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/zinniapier/zinniapier/api"
@@ -204,5 +205,13 @@
 	}
 	s.members.update(reply.Members)
 	s.publish(next)
+	if len(reply.Departures) > 0 {
+		s.o.TargetSource.ApplyDepartures(reply.Departures)
+	}
+	committed := func(d api.Departure) bool { return slices.Contains(reply.Departures, d) }
+	if slices.IndexFunc(req.Departures, func(d api.Departure) bool { return !committed(d) }) >= 0 {
+		// Targets wait for the commit, which takes a few milliseconds; the next heartbeat may be a second away.
+		s.Wake()
+	}
 	return nil
 }
--- a/session/session.go
+++ b/session/session.go
@@ -39,6 +39,8 @@
 	Targets() []api.TargetReport
 	Released() []api.Released
 	Departures() []api.Departure
+	// ApplyDepartures is called with departures that the control group has committed.
+	ApplyDepartures(list []api.Departure)
 }
 
 // TokenAccount is the node side of the fleet-wide token buckets; tokens.Account implements it.
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -90,6 +90,8 @@
 func (fakeSource) Released() []api.Released    { return nil }
 func (fakeSource) Departures() []api.Departure { return nil }
 
+func (fakeSource) ApplyDepartures([]api.Departure) {}
+
 type fakeTokens struct{ expired, reset atomic.Int64 }
 
 func (f *fakeTokens) Report() map[api.OrganisationID]api.TokenReport      { return nil }
--- a/state/batch.go
+++ b/state/batch.go
@@ -13,6 +13,7 @@
 	state             *api.ControlState
 	assignmentsCopied bool // the map Assignments is a copy
 	copiedLists       map[string]bool
+	placesCopied      bool // the map Places is a copy
 	changed           []api.PartitionRef
 }
 
@@ -103,6 +104,7 @@
 		State: api.Granted, Target: g.Target, Session: g.Session, Place: g.Place,
 		Epoch: api.Epoch(e.state.Index), Handover: a.Handover,
 	}
+	e.recordStart(g)
 	return nil
 }
 
@@ -161,6 +163,7 @@
 		}
 		result.Applied++
 	}
+	result.Applied += e.updatePlaces(b.Departures, b.Forgets)
 	result.Applied += e.updateSessions(b.Opens, b.Closes)
 	pruned := e.pruneRemovedServices()
 	m.recordMapChanges(e, pruned)
--- a/state/command.go
+++ b/state/command.go
@@ -29,7 +29,7 @@
 }
 
 // Batch holds steps of a leader on many partitions. They are applied in the order releases, revokes,
-// rebinds, grants, overrides, splits, roll-outs; sessions come last. Each step is applied or rejected
+// rebinds, grants, overrides, splits, roll-outs, places; sessions come last. Each step is applied or rejected
 // independently. An empty batch marks the start of a leader's term.
 type Batch struct {
 	// Term is the Raft term of the leader that made the batch. A batch of a lower term than one
@@ -45,6 +45,9 @@
 	Splits []SplitRange `json:"splits,omitempty"`
 	// Rollouts are steps of roll-outs.
 	Rollouts []RolloutStep `json:"rollouts,omitempty"`
+	// Departures are kept in the records of their places; Forgets lists the places whose records go.
+	Departures []api.Departure `json:"departures,omitempty"`
+	Forgets    []string        `json:"forgets,omitempty"`
 	// Opens and Closes list the sessions of nodes to open and to close.
 	Opens  []api.SessionID `json:"opens,omitempty"`
 	Closes []api.SessionID `json:"closes,omitempty"`
@@ -56,7 +59,7 @@
 // Len returns the number of steps, including sessions to open and close.
 func (b *Batch) Len() int {
 	return len(b.Releases) + len(b.Revokes) + len(b.Grants) + len(b.Overrides) + len(b.Rebinds) +
-		len(b.Splits) + len(b.Rollouts) + len(b.Opens) + len(b.Closes)
+		len(b.Splits) + len(b.Rollouts) + len(b.Departures) + len(b.Forgets) + len(b.Opens) + len(b.Closes)
 }
 
 // Step names a partition to change and the epoch that its assignment must still have.
@@ -73,6 +76,8 @@
 	Target  api.TargetID  `json:"target"`
 	Session api.SessionID `json:"session"`
 	Place   string        `json:"place,omitempty"`
+	// StartedMs is the start of the target in Unix milliseconds; it counts with a place only.
+	StartedMs int64 `json:"started_ms,omitempty"`
 }
 
 // OverrideKey is a single hot key that gets its own partition.
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -228,3 +228,26 @@
 	is.True(ok)
 	is.Equal(len(refs), len(h.changes))
 }
+
+// Guards against a record of a place that a restart or a later, smaller figure changes.
+func TestPlacesOutliveRestarts(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	apply := func(b *Batch) {
+		data, err := EncodeBatch(b)
+		is.NoErr(err)
+		before := m.View()
+		m.Apply(before.Index+1, data)
+		is.True(len(before.Places) == 0 || before.Index < m.View().Index) // the former view is not changed
+	}
+	apply(&Batch{Departures: []api.Departure{{Place: "p", BeforeMs: 7}, {Place: "q", BeforeMs: 1}}})
+	published := m.View().Places
+	apply(&Batch{Departures: []api.Departure{{Place: "p", BeforeMs: 5}, {Place: "q", BeforeMs: 3}}})
+	apply(&Batch{Forgets: []string{"q", "unknown"}})
+	is.Equal(published, map[string]api.PlaceRecord{"p": {LeftBeforeMs: 7}, "q": {LeftBeforeMs: 1}})
+	data, err := m.Snapshot()
+	is.NoErr(err)
+	restored := New()
+	is.NoErr(restored.Restore(data))
+	is.Equal(restored.View().Places, map[string]api.PlaceRecord{"p": {LeftBeforeMs: 7}})
+}
