--- a/control/operator.go
+++ b/control/operator.go
@@ -63,6 +63,10 @@
 			errkind.WriteHTTP(w, err)
 			return
 		}
+		if err := checkOperator(r.Context()); err != nil {
+			errkind.WriteHTTP(w, err)
+			return
+		}
 		if c.forward(w, r, body) {
 			return
 		}
--- a/control/submit.go
+++ b/control/submit.go
@@ -7,14 +7,19 @@
 
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/internal/hangup"
 	"github.com/zinniapier/zinniapier/rpc"
 	"github.com/zinniapier/zinniapier/state"
+	"github.com/zinniapier/zinniapier/telemetry"
 )
 
 // Submit commits an operator's change, here or by forwarding it to the leader. The result holds
 // the error of a refused change. Errors: NotLeader, NoQuorum and Unknown when the outcome is not
-// known, after which the same change may be submitted again; Invalid and TooLarge.
+// known, after which the same change may be submitted again; DeadlineExceeded when the operator has left; Invalid and TooLarge.
 func (c *Control) Submit(ctx context.Context, change *api.Change) (*api.ChangeResult, *errkind.Error) {
+	if err := checkOperator(ctx); err != nil {
+		return nil, err
+	}
 	if _, _, self := c.o.Log.Leader(); self {
 		return c.submitAsLeader(ctx, change)
 	}
@@ -25,6 +30,20 @@
 	return result, nil
 }
 
+// eventOperatorLeft counts the orders that were dropped because their connection had been closed.
+const eventOperatorLeft = "operator_left_before_order"
+
+// checkOperator refuses an order whose operator has closed the connection of its request. A member that was frozen reads such orders
+// when it wakes, after another member has acknowledged them, and perhaps a later order that reverses them. Errors: DeadlineExceeded.
+func checkOperator(ctx context.Context) *errkind.Error {
+	if !hangup.Closed(ctx) {
+		return nil
+	}
+	telemetry.CountEvent(eventOperatorLeft, 1)
+	telemetry.Logger("control").Info("Dropping an order whose operator has left.")
+	return errkind.New(errkind.DeadlineExceeded, "the operator has closed the connection of the order")
+}
+
 // CurrentConfiguration returns the latest committed configuration, from the leader if another
 // member leads. Errors: NotLeader, NoQuorum or Unknown when the leader cannot be reached or
 // cannot confirm that it leads.
