--- a/config/services.go
+++ b/config/services.go
@@ -184,19 +184,19 @@
 		path    string
 		pattern routematch.Pattern
 	}
-	byPlace := make(map[string][]entry)
+	byHostPrefix := make(map[string][]entry)
 	for i := range s.Services {
 		for j := range s.Services[i].Routes {
 			route := &s.Services[i].Routes[j]
 			path := indexed(indexed("services", i)+".routes", j)
 			pattern := routematch.PatternOf(route)
-			for _, other := range byPlace[pattern.Place()] {
+			for _, other := range byHostPrefix[pattern.HostPrefix()] {
 				if pattern.Conflicts(&other.pattern) {
 					p.add(path+".prefix", "%q overlaps with %s", route.Prefix, other.path)
 					break
 				}
 			}
-			byPlace[pattern.Place()] = append(byPlace[pattern.Place()], entry{path, pattern})
+			byHostPrefix[pattern.HostPrefix()] = append(byHostPrefix[pattern.HostPrefix()], entry{path, pattern})
 		}
 	}
 }
--- a/internal/routematch/pattern.go
+++ b/internal/routematch/pattern.go
@@ -38,13 +38,13 @@
 	return found && (rest == "" || rest[0] == '/' || strings.HasSuffix(string(prefix), "/"))
 }
 
-// Place identifies the host and the prefix. Patterns of different places never conflict.
-func (p *Pattern) Place() string { return p.host + string(p.prefix) }
+// HostPrefix identifies the host and the prefix. Patterns in which it differs never conflict.
+func (p *Pattern) HostPrefix() string { return p.host + string(p.prefix) }
 
 // Conflicts reports whether neither of two routes is preferred for some request that both match: they have the same host and
 // prefix, and a method in common.
 func (p *Pattern) Conflicts(q *Pattern) bool {
-	if p.Place() != q.Place() {
+	if p.HostPrefix() != q.HostPrefix() {
 		return false
 	}
 	return len(p.methods) == 0 || len(q.methods) == 0 ||
@@ -61,7 +61,7 @@
 
 // String identifies the requests that the pattern matches.
 func (p *Pattern) String() string {
-	return strings.Join(p.methods, ",") + " " + p.Place()
+	return strings.Join(p.methods, ",") + " " + p.HostPrefix()
 }
 
 // Patterned is implemented by values that stand for a route.
