gateway: TestRequestReadAfterItsCallerHasLeftIsNotSent awaits the end at the entry node

Cause: the test lets the owner's node read on 5 ms after the caller has left, and counts on the entry node to have closed its connection by then. Nothing promises that: half a second is the stated bound. A request that the entry node has not given up yet is no request of a caller that has left, as far as the owner's node can know.

The test now waits until the entry node has ended the request, and fails after that bound (awaitEnd), before the owner's node reads on.

--- a/gateway/callerleft_test.go
+++ b/gateway/callerleft_test.go
@@ -145,12 +145,15 @@
 				owner, entry, nodes := newLeftNodes(t, target.addr(), late != "only node", config.Traffic{})
 				is.Equal(entry.call(t, "POST", "/quotes/k", "x").status, 200) // opens the connections
 				before := target.runs.Load()
-				late := map[string]*testNode{"only node": owner, "first node": entry, "owner's node": owner}[late]
+				paused := map[string]*testNode{"only node": owner, "first node": entry, "owner's node": owner}[late]
 				for range 40 {
-					resume := late.pauseReading()
+					resume := paused.pauseReading()
 					l := sendAndStay(t, entry, "/quotes/k", size, "length")
 					l.leave(false)
 					time.Sleep(5 * time.Millisecond)
+					if entry != paused {
+						awaitEnd(t, entry) // the owner's node cannot know earlier than the entry node
+					}
 					resume()
 				}
 				time.Sleep(50 * time.Millisecond)
