--- a/session/heartbeat.go
+++ b/session/heartbeat.go
@@ -208,8 +208,7 @@
 	if len(reply.Departures) > 0 {
 		s.o.TargetSource.ApplyDepartures(reply.Departures)
 	}
-	committed := func(d api.Departure) bool { return slices.Contains(reply.Departures, d) }
-	if slices.IndexFunc(req.Departures, func(d api.Departure) bool { return !committed(d) }) >= 0 {
+	if slices.ContainsFunc(req.Departures, func(d api.Departure) bool { return !slices.Contains(reply.Departures, d) }) {
 		// Targets wait for the commit, which takes a few milliseconds; the next heartbeat may be a second away.
 		s.Wake()
 	}
