session: a reply that comes late is applied (CONFIG)

Cause: hosts of `estimating` receive uploads over a link of 4.2 Mbit/s. A session closed the connection to a member that was silent for 400 ms and asked the next of five on a new one; the time-out grew, to 800 ms at most, after five failures. A reply that waits in the queue of the link longer than that was given up, and the next heartbeat began anew behind the same queue. Class of fault: a time-out that discards the work it waits for.

Now a heartbeat without an answer goes on beside the next one, for as long as a call may take, and the first reply is applied. Other members are asked as early as before.

--- a/session/heartbeat.go
+++ b/session/heartbeat.go
@@ -11,8 +11,6 @@
 	"github.com/zinniapier/zinniapier/telemetry"
 )
 
-const heartbeatMethod = "Control.Heartbeat"
-
 // suspendThreshold is the difference between boot time and monotonic time above which the machine
 // counts as having been suspended.
 const suspendThreshold = 5 * time.Millisecond
@@ -61,14 +59,12 @@
 	telemetry.Logger("session").Warn("The session lease of this node has expired.")
 }
 
-// sendHeartbeat sends one heartbeat to the current member and applies the reply. After a failure the
+// sendHeartbeat sends one heartbeat to the current member and applies the first reply. After a failure the
 // next call uses another member or a new session.
 func (s *Session) sendHeartbeat(ctx context.Context, req *api.HeartbeatRequest) error {
-	// The lease starts here: the leader cannot have received the heartbeat earlier.
-	sent, sentBoot := time.Now(), boottime.Now()
-	reply, err := s.send(ctx, req)
+	call, err := s.send(ctx, req)
 	if err == nil {
-		err = s.acceptReply(req, reply, sent, sentBoot)
+		err = s.acceptReply(call)
 	}
 	if err == nil {
 		return nil
@@ -77,46 +73,6 @@
 	return err
 }
 
-// replyTimeoutFactor is the number of member timeouts within which a reply must be complete. A long
-// reply on a busy link takes longer than one timeout; restarted after each, it would never arrive.
-const replyTimeoutFactor = 5
-
-// idleTimeout is the time without received bytes after which a call is abandoned. It grows by
-// MemberTimeout after each round in which every member has failed, up to MaxTimeoutFactor times
-// MemberTimeout: if queueing on the link takes longer than the timeout, no shorter one can succeed.
-func (s *Session) idleTimeout() time.Duration {
-	rounds := s.failures / s.members.count()
-	return s.o.MemberTimeout * time.Duration(min(1+rounds, s.o.MaxTimeoutFactor))
-}
-
-// send calls the current member. It abandons the call if nothing arrives for idleTimeout, even if the
-// connection accepts no more bytes; the reply of an abandoned call is never read.
-func (s *Session) send(ctx context.Context, req *api.HeartbeatRequest) (*api.HeartbeatReply, error) {
-	limit := s.idleTimeout()
-	callCtx, cancel := context.WithTimeout(ctx, replyTimeoutFactor*s.o.MemberTimeout)
-	defer cancel()
-	client := s.members.client()
-	reply := new(api.HeartbeatReply)
-	result := make(chan error, 1)
-	go func() { result <- client.Call(callCtx, heartbeatMethod, req, reply) }()
-	idleTicker := time.NewTicker(limit)
-	defer idleTicker.Stop()
-	for received := client.Received(); ; {
-		select {
-		case err := <-result:
-			return reply, err
-		case <-callCtx.Done():
-			return nil, errkind.New(errkind.Unknown, "no reply from %s: %v", client.Address(), callCtx.Err())
-		case <-idleTicker.C:
-			now := client.Received()
-			if now == received {
-				return nil, errkind.New(errkind.Unknown, "no reply from %s for %v", client.Address(), limit)
-			}
-			received = now
-		}
-	}
-}
-
 // handleFailure selects the member for the next heartbeat. If the leader does not know the session, it
 // has granted the session's partitions to others, so a new session starts.
 func (s *Session) handleFailure(err error) {
@@ -130,6 +86,7 @@
 // startNewSession starts a session with a new id, no lease, no partitions and no tokens.
 func (s *Session) startNewSession() {
 	telemetry.CountEvent("session_renewed", 1)
+	s.abandonLate()
 	telemetry.Logger("session").Warn("The control leader has ended the session; starting a new one.")
 	v := *s.view.Load()
 	v.Session = api.SessionID(api.NewID())
@@ -175,8 +132,10 @@
 	}
 }
 
-// acceptReply validates the reply and publishes the resulting view. A rejected reply changes nothing.
-func (s *Session) acceptReply(req *api.HeartbeatRequest, reply *api.HeartbeatReply, sent time.Time, sentBoot time.Duration) error {
+// acceptReply validates the reply and publishes the resulting view. A rejected reply changes nothing. Replies to earlier
+// heartbeats are not awaited any longer.
+func (s *Session) acceptReply(call *heartbeatCall) error {
+	req, reply, sent, sentBoot := call.req, call.reply, call.sent, call.sentBoot
 	old := s.view.Load()
 	configuration, accessHash, err := replyConfiguration(old, reply)
 	if err == nil {
@@ -195,6 +154,7 @@
 		// lease by that clock would be too long.
 		next.LeaseUntil = next.LeaseUntil.Add(-suspended)
 	}
+	s.abandonLate()
 	logChanges(old, next)
 	s.recordLeaseExpiry(time.Now())
 	s.leaseExpired = !next.LeaseValid(time.Now())
--- a/session/leave.go
+++ b/session/leave.go
@@ -71,6 +71,7 @@
 // sendFinal sends the final heartbeat, trying the members in turn within finalHeartbeatTimeout. It does
 // not use the context of Leave, which may already have ended.
 func (s *Session) sendFinal() error {
+	s.abandonLate() // their replies would count as replies to the final heartbeat
 	ctx, cancel := context.WithTimeout(context.Background(), finalHeartbeatTimeout)
 	defer cancel()
 	for {
--- a/session/members.go
+++ b/session/members.go
@@ -48,6 +48,15 @@
 	}
 }
 
+// release gives the connection to the current member to the caller.
+func (m *members) release() { m.conn = nil }
+
+// adopt makes the address the current member, with a connection that release has given away.
+func (m *members) adopt(address string, conn *rpc.Client) {
+	m.close()
+	m.current, m.conn = address, conn
+}
+
 // switchTo makes the address the current member, on a new connection.
 func (m *members) switchTo(address string) {
 	m.close()
--- a/session/session.go
+++ b/session/session.go
@@ -99,6 +99,8 @@
 	}
 
 	leaving atomic.Bool
+	// ended delivers calls that have ended to the control thread.
+	ended chan *heartbeatCall
 	// finish asks the control thread to end the session.
 	finish chan finishRequest
 	done   chan struct{} // closed when the session has ended
@@ -108,8 +110,10 @@
 	failures     int  // consecutive failed heartbeats
 	leaseExpired bool // the lease has expired and Tokens.Expire was called, or no lease was obtained yet
 	members      *members
-	tokens       *tokens.NodeSync
-	outcomes     outcomeSync
+	// late holds the calls whose members were silent; a reply may still arrive.
+	late     []*heartbeatCall
+	tokens   *tokens.NodeSync
+	outcomes outcomeSync
 }
 
 // finishRequest asks for the end of the session, with a final heartbeat if final is set.
@@ -143,6 +147,7 @@
 	s := &Session{
 		o:            o,
 		wakeCh:       make(chan struct{}, 1),
+		ended:        make(chan *heartbeatCall),
 		finish:       make(chan finishRequest),
 		done:         make(chan struct{}),
 		leaseExpired: true,
@@ -187,6 +192,7 @@
 // suture.ErrDoNotRestart.
 func (s *Session) Serve(ctx context.Context) error {
 	defer s.members.close()
+	defer s.abandonLate()
 	for {
 		started := time.Now()
 		err := s.sendHeartbeat(ctx, s.newHeartbeat(time.Now()))
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -285,6 +285,56 @@
 	eventually(t, "lease", s.valid)
 }
 
+// Guards against a node whose configuration grows old because its link delays replies beyond the longest idle timeout, and each
+// heartbeat to the next member begins anew (CONFIG at 295 nodes).
+func TestDelayedRepliesAreUsed(t *testing.T) {
+	const delay = 300 * time.Millisecond // more than the longest idle timeout of 160 ms, less than the 400 ms of a call
+	is := is.New(t)
+	leader := startControl(t)
+	leader.set(longLease(1, 1))
+	delayed := func(address string) string {
+		return startRelay(t, address, func(from, to net.Conn) {
+			buffer := make([]byte, 64<<10)
+			for {
+				n, err := to.Read(buffer)
+				if err != nil {
+					return
+				}
+				time.Sleep(delay)
+				if _, err := from.Write(buffer[:n]); err != nil {
+					return
+				}
+			}
+		})
+	}
+	leaderAddress := delayed(leader.address)
+	members := []string{leaderAddress}
+	for range 4 {
+		follower := startControl(t)
+		follower.set(func(*api.HeartbeatRequest, *api.HeartbeatReply) error {
+			return errkind.New(errkind.NotLeader, "leader is %s", leaderAddress)
+		})
+		members = append(members, delayed(follower.address))
+	}
+	s, _, _ := startSession(t, Options{MemberTimeout: 80 * time.Millisecond, MaxTimeoutFactor: 2}, members...)
+	eventually(t, "lease", s.valid)
+	for version := uint64(2); version < 6; version++ {
+		leader.set(longLease(1, version))
+		took := eventually(t, "the next configuration", func() bool { return s.View().Configuration.Version == version })
+		is.True(took < 2*time.Second)
+	}
+	is.True(s.valid())
+}
+
+// longLease is leaderReply with a lease that outlasts delays.
+func longLease(term, version uint64) func(*api.HeartbeatRequest, *api.HeartbeatReply) error {
+	return func(req *api.HeartbeatRequest, reply *api.HeartbeatReply) error {
+		err := leaderReply(term, version)(req, reply)
+		reply.Lease = 5 * time.Second
+		return err
+	}
+}
+
 // startRelay forwards connections to the address and returns its own; back copies the data from there.
 func startRelay(t *testing.T, address string, back func(from, to net.Conn)) string {
 	t.Helper()
@@ -306,6 +356,7 @@
 			go func() { _, _ = io.Copy(to, from) }()
 			go func() {
 				defer from.Close()
+				defer to.Close()
 				back(from, to)
 			}()
 		}
--- a/tokens/leader_node_sync_test.go
+++ b/tokens/leader_node_sync_test.go
@@ -52,6 +52,30 @@
 	is.Equal(account.replies, replies)
 }
 
+// Guards against reports that count as received by the leader because an earlier heartbeat was answered late.
+func TestLateReplyAcknowledgesItsOwnReports(t *testing.T) {
+	is := is.New(t)
+	account := &scriptedReporter{reports: map[api.OrganisationID]api.TokenReport{"a": {Arrivals: 1}, "b": {Arrivals: 1}}}
+	out, in := NewNodeSync(account), new(LeaderSync)
+	first, reply := &api.HeartbeatRequest{Sequence: 1}, new(api.HeartbeatReply)
+	out.Report(first)
+	in.MergeReports(first)
+	in.FillReply(reply, first, map[api.OrganisationID]api.TokenReply{"a": {Issued: 3}})
+	account.reports["b"] = api.TokenReport{Arrivals: 2}
+	out.Report(&api.HeartbeatRequest{Sequence: 2}) // to another member, which does not lead
+	out.Apply(first, reply)
+	is.Equal(account.replies, map[api.OrganisationID]api.TokenReply{"a": {Issued: 3}})
+	third := &api.HeartbeatRequest{Sequence: 3}
+	out.Report(third)
+	reports, known := in.MergeReports(third)
+	is.True(known)
+	is.Equal(reports, account.reports)
+	delete(account.reports, "a")
+	fourth := &api.HeartbeatRequest{Sequence: 4}
+	out.Report(fourth)
+	is.True(fourth.TokensFull) // the leader still has the reports of "a"
+}
+
 // Guards against outdated reports at the leader and outdated replies at the node when messages are
 // lost, leaders change and sessions are renewed.
 func TestReportsAndRepliesStayComplete(t *testing.T) {
--- a/tokens/node_sync.go
+++ b/tokens/node_sync.go
@@ -19,9 +19,10 @@
 	account Reporter
 	// acknowledged holds the reports that the leader has replied to.
 	acknowledged map[api.OrganisationID]api.TokenReport
-	// unacknowledged holds the reports of the last heartbeat, which the leader may or may not have
-	// received. Each heartbeat repeats those of earlier ones without a reply.
-	unacknowledged map[api.OrganisationID]api.TokenReport
+	// unacknowledged holds the reports of the last heartbeat, with sequence number reportedSequence, which the leader
+	// may or may not have received. Each heartbeat repeats those of earlier ones without a reply.
+	unacknowledged   map[api.OrganisationID]api.TokenReport
+	reportedSequence uint64
 	// fullAcknowledged is true once the leader has replied to a full set of reports of this session.
 	fullAcknowledged bool
 	// replies are the complete replies to the heartbeat with sequence number answeredSequence.
@@ -53,20 +54,23 @@
 		req.Tokens, req.TokensFull = reports, true
 	}
 	req.Answered = s.answeredSequence
-	s.unacknowledged = req.Tokens
+	s.unacknowledged, s.reportedSequence = req.Tokens, req.Sequence
 }
 
-// Apply applies the reply to the last heartbeat.
+// Apply applies the reply to the last heartbeat, or to an earlier one if none has been applied since it was sent.
 func (s *NodeSync) Apply(req *api.HeartbeatRequest, r *api.HeartbeatReply) {
 	if r.TokensAgain {
 		s.Reset()
 		return
 	}
 	if s.acknowledged == nil {
-		s.acknowledged = make(map[api.OrganisationID]api.TokenReport, len(s.unacknowledged))
+		s.acknowledged = make(map[api.OrganisationID]api.TokenReport, len(req.Tokens))
+	}
+	maps.Copy(s.acknowledged, req.Tokens)
+	s.fullAcknowledged = s.fullAcknowledged || req.TokensFull
+	if req.Sequence == s.reportedSequence {
+		s.unacknowledged = nil
 	}
-	maps.Copy(s.acknowledged, s.unacknowledged)
-	s.fullAcknowledged, s.unacknowledged = true, nil
 	if r.TokensFull || s.replies == nil {
 		s.replies = make(map[api.OrganisationID]api.TokenReply, len(r.Tokens))
 	}
