daemon: listeners bound what their connections hold unread

What callers saw: clients that send heads without end, lines without end, or empty lines end a process, which runs out of memory.

Cause: what arrives at a socket and is not read is held by the system for the process. Nobody reads while a request is at work, nor in the half second for which net/http lets a refused connection linger, nor when a crowd sends faster than the process reads; the system keeps 64 KB and more for each connection, and connlimit does not know of it. 600 clients made a process with 48 MB hold up to 119 MB, 70 MB of them unread (TestAbusiveCallers, TestAbusiveClientsOfOtherListeners).

Ruled out: heads and lines that are kept as they arrive; resident memory stays at 24 to 49 MB.

Listeners now set the receive buffer of their connections: a quarter of the memory of the process over the number of its connections, 8 to 256 KB, 15 KB on a host with 184 MB; at least 64 KB between members. The bound holds whatever a client sends, and costs no work for a connection.

--- a/capacity/leader.go
+++ b/capacity/leader.go
@@ -15,6 +15,7 @@
 	"github.com/zinniapier/zinniapier/api"
 	"github.com/zinniapier/zinniapier/control"
 	"github.com/zinniapier/zinniapier/daemon"
+	"github.com/zinniapier/zinniapier/internal/connlimit"
 	"github.com/zinniapier/zinniapier/internal/ports"
 	"github.com/zinniapier/zinniapier/replica"
 	"github.com/zinniapier/zinniapier/rpc"
@@ -120,7 +121,7 @@
 func openMember(folder string, self replica.Peer, peers []replica.Peer, o groupOptions) (*groupMember, error) {
 	m := &groupMember{machine: state.New(), server: rpc.NewServer(nil)}
 	var err error
-	if m.listen, err = daemon.Listen("rpc", self.Address); err != nil {
+	if m.listen, err = daemon.Listen("rpc", self.Address, connlimit.MaxReceiveBuffer); err != nil {
 		return nil, err
 	}
 	m.Replica, err = replica.Open(replica.Options{
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -94,15 +94,27 @@
 // Serve runs the function.
 func (s Service) Serve(ctx context.Context) error { return s.Run(ctx) }
 
-// Listen opens a TCP listener; the error names what the listener is for.
-func Listen(purpose, address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
+// Listen opens a TCP listener; the error names what the listener is for. receiveBuffer bounds what arrives at each of its
+// connections and is not read, in bytes. The system holds it for the process, and would let it grow to some megabytes.
+func Listen(purpose, address string, receiveBuffer int) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		controlErr := raw.Control(func(fd uintptr) {
+			// The system doubles the value, and fills all of it with long segments. Accepted connections inherit it.
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer/2)
+		})
+		if controlErr != nil {
+			return controlErr
+		}
+		return err
+	}}
+	l, err := config.Listen(context.Background(), "tcp", address)
 	return l, errors.Annotatef(err, "%s listener", purpose)
 }
 
 // ListenTLS is Listen with TLS; a nil configuration means plain TCP.
-func ListenTLS(purpose, address string, config *tls.Config) (net.Listener, error) {
-	l, err := Listen(purpose, address)
+func ListenTLS(purpose, address string, receiveBuffer int, config *tls.Config) (net.Listener, error) {
+	l, err := Listen(purpose, address, receiveBuffer)
 	if err != nil || config == nil {
 		return l, err
 	}
--- a/daemon/http_test.go
+++ b/daemon/http_test.go
@@ -14,7 +14,7 @@
 // on a connection that another process of the system dialled and never used.
 func TestUnusedConnectionDoesNotDelayShutdown(t *testing.T) {
 	is := is.New(t)
-	l, err := Listen("test", "127.0.0.1:0")
+	l, err := Listen("test", "127.0.0.1:0", 64<<10)
 	is.NoErr(err)
 	s := NewInternalHTTPService("test", l, http.NotFoundHandler())
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -25,6 +25,8 @@
 	Connections int
 	// RequestBytes is the memory for what has been received of requests that have not ended.
 	RequestBytes int64
+	// UnreadBytes is the memory for what has arrived at connections and has not been read.
+	UnreadBytes int64
 }
 
 // Process limits the connections to all listeners of a process.
--- a/internal/connlimit/derive.go
+++ b/internal/connlimit/derive.go
@@ -16,6 +16,12 @@
 	// descriptorShare of the descriptors is for connections from peers. The rest is for connections to targets, nodes and
 	// members, for listeners and for files.
 	descriptorShare = 0.75
+	// unreadShare of the memory is for what has arrived at all connections and has not been read, which the system holds for the
+	// process. Each connection gets its part of it as a receive buffer, from minReceiveBuffer to MaxReceiveBuffer.
+	unreadShare      = 0.25
+	minReceiveBuffer = 8 << 10
+	// MaxReceiveBuffer lets a connection carry some 20 MB/s over a round trip of 10 ms.
+	MaxReceiveBuffer = 256 << 10
 	// minRequestBytes covers a message of a control member to another, 3 MB of entries.
 	minRequestBytes = 8 << 20
 	// defaultMemory is assumed where the memory of the process is not stated.
@@ -46,9 +52,15 @@
 	return Limits{
 		Connections:  int(max(min(byMemory, descriptorShare*float64(descriptors)), MinConnections)),
 		RequestBytes: max(int64(requestShare*float64(memory)), minRequestBytes),
+		UnreadBytes:  int64(unreadShare * float64(memory)),
 	}
 }
 
+// ReceiveBuffer returns the receive buffer of a connection in bytes: what all of them may hold unread, over their number.
+func (l Limits) ReceiveBuffer() int {
+	return int(min(max(l.UnreadBytes/int64(l.Connections), minReceiveBuffer), MaxReceiveBuffer))
+}
+
 // WithConnections returns the limits with another number of connections, unless that is 0.
 func (l Limits) WithConnections(n int) Limits {
 	if n > 0 {
--- a/member/member.go
+++ b/member/member.go
@@ -62,7 +62,7 @@
 		settings: settings, profile: profile, connections: connections,
 		server: rpc.NewServer(pair.Server, rpc.WithConnections(connections.Group("rpc", rpcShare)), rpc.WithMaxMessage(maxRPCMessage)),
 	}
-	if err := m.listen(pair.Server); err != nil {
+	if err := m.listen(pair.Server, limits.ReceiveBuffer()); err != nil {
 		m.closeListeners()
 		return nil, errors.Trace(err)
 	}
@@ -73,18 +73,21 @@
 	return m, nil
 }
 
-func (m *Member) listen(config *tls.Config) (err error) {
+// minRPCBuffer is the least receive buffer in bytes of connections between members, which carry entries of some megabytes.
+const minRPCBuffer = 64 << 10
+
+func (m *Member) listen(config *tls.Config, buffer int) (err error) {
 	s := &m.settings
-	if m.rpc, err = daemon.Listen("rpc", s.RPCListen); err != nil {
+	if m.rpc, err = daemon.Listen("rpc", s.RPCListen, max(buffer, minRPCBuffer)); err != nil {
 		return err
 	}
-	if m.operator, err = daemon.ListenTLS("operator", s.OperatorListen, config); err != nil {
+	if m.operator, err = daemon.ListenTLS("operator", s.OperatorListen, buffer, config); err != nil {
 		return err
 	}
 	if s.StatusListen == "" {
 		return nil
 	}
-	m.status, err = daemon.Listen("status", s.StatusListen)
+	m.status, err = daemon.Listen("status", s.StatusListen, buffer)
 	return err
 }
 
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -29,27 +29,28 @@
 
 func (n *Node) listen() (err error) {
 	s := &n.settings
-	if n.caller, err = daemon.Listen("caller", s.CallerListen); err != nil {
+	buffer := n.connectionLimits.ReceiveBuffer()
+	if n.caller, err = daemon.Listen("caller", s.CallerListen, buffer); err != nil {
 		return err
 	}
-	if n.internal, err = daemon.ListenTLS("internal", s.InternalListen, n.tls.Server); err != nil {
+	if n.internal, err = daemon.ListenTLS("internal", s.InternalListen, buffer, n.tls.Server); err != nil {
 		return err
 	}
-	if n.fate, err = daemon.Listen("rpc", s.RPCListen); err != nil {
+	if n.fate, err = daemon.Listen("rpc", s.RPCListen, buffer); err != nil {
 		return err
 	}
-	if n.announce, err = daemon.Listen("announce", s.AnnounceListen); err != nil {
+	if n.announce, err = daemon.Listen("announce", s.AnnounceListen, buffer); err != nil {
 		return err
 	}
 	if n.profile.ReadyAddress != "" {
-		if n.ready, err = daemon.Listen("readiness", n.profile.ReadyAddress); err != nil {
+		if n.ready, err = daemon.Listen("readiness", n.profile.ReadyAddress, buffer); err != nil {
 			return err
 		}
 	}
 	if s.StatusListen == "" {
 		return nil
 	}
-	n.status, err = daemon.Listen("status", s.StatusListen)
+	n.status, err = daemon.Listen("status", s.StatusListen, buffer)
 	return err
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -38,7 +38,8 @@
 	rpc      *rpc.Server
 
 	// connections limits the connections to all listeners.
-	connections *connlimit.Process
+	connections      *connlimit.Process
+	connectionLimits connlimit.Limits
 
 	caller, internal, fate, announce, status, ready net.Listener
 
@@ -68,7 +69,7 @@
 	limits := connlimit.Derive(profile.MemoryBytes, profile.Descriptors).WithConnections(settings.Limits.MaxConnections)
 	connections := connlimit.New(limits)
 	n := &Node{
-		settings: settings, profile: profile, tls: pair, connections: connections,
+		settings: settings, profile: profile, tls: pair, connections: connections, connectionLimits: limits,
 		rpc: rpc.NewServer(pair.Server, rpc.WithConnections(connections.Group("rpc", rpcShare)), rpc.WithMaxMessage(maxRPCMessage)),
 	}
 	if err := n.listen(); err != nil {
