gateway: connections to nodes and targets are bounded

What callers saw: clients that send request after request without waiting make a node open connections beyond its descriptors; then it can neither accept nor dial.

Cause: connlimit counts the connections of peers, three quarters of the descriptors. A request at work takes one more, to a node or a target, and nothing bounded those: 600 clients brought 1,521 descriptors of 1,040 (TestAbusiveCallers/requests).

They are now bounded by a fifth of the descriptors. When there is no room, idle ones are closed; else the attempt is refused at once as overloaded, and did not run.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -239,7 +239,7 @@
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		r.target.ReportConnectionRefused()
 	}
-	return errkind.New(errkind.TargetUnreachable, "target %s: %v", r.dest.target, err)
+	return unsentFailure(errkind.TargetUnreachable, "target "+string(r.dest.target), err)
 }
 
 func (r *localAttempt) failureAfterSend(ctx context.Context, err error) *errkind.Error {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/zinniapier/zinniapier/egress"
 	"github.com/zinniapier/zinniapier/errkind"
 	"github.com/zinniapier/zinniapier/gate"
+	"github.com/zinniapier/zinniapier/internal/connlimit"
 	"github.com/zinniapier/zinniapier/telemetry"
 )
 
@@ -68,6 +69,8 @@
 	AdmitLeaving time.Duration
 	// TargetChoice is the policy of services that name none. Default DefaultTargetChoice.
 	TargetChoice string
+	// Connections is the number of connections that the gateway may have open to targets and other nodes; 0 means no limit.
+	Connections int
 }
 
 // Gateway serves callers and other nodes. Its handlers are safe for concurrent use.
@@ -146,11 +149,20 @@
 		g.maxBody = defaultMaxBody
 	}
 	g.notifyViewChanged()
-	g.targetTransports = newTransportPool(nil, idleConnTimeout)
-	g.nodeTransports = newTransportPool(o.TLS, nodeIdleConnTimeout)
+	var outgoing *connlimit.Outgoing
+	if o.Connections > 0 {
+		outgoing = connlimit.NewOutgoing(o.Connections, g.closeIdleConnections)
+	}
+	g.targetTransports = newTransportPool(nil, idleConnTimeout, outgoing)
+	g.nodeTransports = newTransportPool(o.TLS, nodeIdleConnTimeout, outgoing)
 	return g
 }
 
+func (g *Gateway) closeIdleConnections() {
+	g.targetTransports.closeIdle()
+	g.nodeTransports.closeIdle()
+}
+
 func shareOr(share *float64, byDefault float64) float64 {
 	if share == nil {
 		return byDefault
@@ -200,8 +212,7 @@
 		case <-tick.C:
 		}
 	}
-	g.targetTransports.close()
-	g.nodeTransports.close()
+	g.closeIdleConnections()
 	g.fates.close()
 	return nil
 }
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -257,7 +257,7 @@
 	if ctx.Err() != nil {
 		return errkind.New(errkind.DeadlineExceeded, "request ended before it was sent: %v", ctx.Err())
 	}
-	return errkind.New(errkind.NodeUnreachable, "hop to node %s: %v", h.dest.peer.Name, err)
+	return unsentFailure(errkind.NodeUnreachable, "hop to node "+h.dest.peer.Name, err)
 }
 
 // checkResponse checks that the response belongs to this attempt and converts a refusal by the
--- a/gateway/sendonce.go
+++ b/gateway/sendonce.go
@@ -98,6 +98,8 @@
 type guardedConn struct {
 	net.Conn
 	guard atomic.Pointer[sendOnce]
+	// closed records the end of the connection; nil where connections are not counted.
+	closed func()
 
 	mu      sync.Mutex
 	refused []string // ids of the requests whose attempts the target has refused on this connection, oldest first
@@ -120,6 +122,9 @@
 
 // Close implements net.Conn. Bytes of an attempt that have not arrived are dropped, so that its receiver learns of the end.
 func (c *guardedConn) Close() error {
+	if c.closed != nil {
+		defer c.closed()
+	}
 	hangup.ResetIfUndelivered(c.Conn)
 	return c.Conn.Close()
 }
--- a/gateway/transports.go
+++ b/gateway/transports.go
@@ -8,6 +8,11 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/zinniapier/zinniapier/errkind"
+	"github.com/zinniapier/zinniapier/internal/connlimit"
 )
 
 const (
@@ -60,14 +65,15 @@
 type transportPool struct {
 	tls         *tls.Config
 	idleTimeout time.Duration
+	outgoing    *connlimit.Outgoing
 
 	mu    sync.RWMutex
 	byKey map[string]*peerTransport
 	swept time.Time
 }
 
-func newTransportPool(config *tls.Config, idleTimeout time.Duration) *transportPool {
-	return &transportPool{tls: config, idleTimeout: idleTimeout, byKey: make(map[string]*peerTransport)}
+func newTransportPool(config *tls.Config, idleTimeout time.Duration, outgoing *connlimit.Outgoing) *transportPool {
+	return &transportPool{tls: config, idleTimeout: idleTimeout, outgoing: outgoing, byKey: make(map[string]*peerTransport)}
 }
 
 // get returns the transport of a key, which identifies one process of the peer, so that a restarted
@@ -91,7 +97,7 @@
 		return found
 	}
 	l.sweep(now)
-	created := &peerTransport{transport: newTransport(l.tls, maxConns, l.idleTimeout)}
+	created := &peerTransport{transport: newTransport(l.tls, maxConns, l.idleTimeout, l.outgoing)}
 	l.byKey[key] = created
 	return created
 }
@@ -112,7 +118,7 @@
 	}
 }
 
-func (l *transportPool) close() {
+func (l *transportPool) closeIdle() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, peer := range l.byKey {
@@ -122,9 +128,9 @@
 
 // newTransport returns a transport whose connections consult the sendOnce of an attempt before each
 // request.
-func newTransport(config *tls.Config, maxConns int, idleTimeout time.Duration) *http.Transport {
+func newTransport(config *tls.Config, maxConns int, idleTimeout time.Duration, outgoing *connlimit.Outgoing) *http.Transport {
 	t := &http.Transport{
-		DialContext:         guardedDialer(nil),
+		DialContext:         guardedDialer(nil, outgoing),
 		MaxConnsPerHost:     maxConns,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
@@ -134,26 +140,41 @@
 		MaxResponseHeaderBytes: maxResponseHead,
 	}
 	if config != nil {
-		t.DialTLSContext = guardedDialer(config)
+		t.DialTLSContext = guardedDialer(config, outgoing)
 	}
 	return t
 }
 
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-func guardedDialer(config *tls.Config) dialFunc {
+// errNoConnection is the cause of a failed attempt for which no connection may be opened.
+var errNoConnection = errors.New("as many connections to targets and nodes are open as this node may have")
+
+// unsentFailure returns the error of an attempt of which nothing was sent, of the given kind unless this node is the cause.
+func unsentFailure(kind errkind.Kind, peer string, err error) *errkind.Error {
+	if errors.Is(err, errNoConnection) {
+		kind = errkind.Overloaded
+	}
+	return errkind.New(kind, "%s: %v", peer, err)
+}
+
+func guardedDialer(config *tls.Config, outgoing *connlimit.Outgoing) dialFunc {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	dial := dialer.DialContext
 	if config != nil {
 		dial = (&tls.Dialer{NetDialer: dialer, Config: config}).DialContext
 	}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		if !outgoing.Open() {
+			return nil, errNoConnection
+		}
 		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
 		conn, err := dial(ctx, network, address)
 		if err != nil {
+			outgoing.Close()
 			return nil, err
 		}
-		return &guardedConn{Conn: conn}, nil
+		return &guardedConn{Conn: conn, closed: sync.OnceFunc(outgoing.Close)}, nil
 	}
 }
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -27,6 +27,8 @@
 	RequestBytes int64
 	// UnreadBytes is the memory for what has arrived at connections and has not been read.
 	UnreadBytes int64
+	// Outgoing is the number of connections that the process may open to targets and other nodes.
+	Outgoing int
 }
 
 // Process limits the connections to all listeners of a process.
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -131,9 +131,9 @@
 // Guards against defaults that refuse an ordinary burst of callers on a host of the deployment.
 func TestDerivedLimits(t *testing.T) {
 	is := is.New(t)
-	is.Equal(derive(184<<20, 4100), Limits{Connections: 3075, RequestBytes: 23 << 20, UnreadBytes: 46 << 20})
-	is.Equal(derive(280<<20, 4096), Limits{Connections: 3072, RequestBytes: 35 << 20, UnreadBytes: 70 << 20})
-	is.Equal(derive(32<<20, 4100), Limits{Connections: 682, RequestBytes: 8 << 20, UnreadBytes: 8 << 20})
+	is.Equal(derive(184<<20, 4100), Limits{Connections: 3075, RequestBytes: 23 << 20, UnreadBytes: 46 << 20, Outgoing: 820})
+	is.Equal(derive(280<<20, 4096), Limits{Connections: 3072, RequestBytes: 35 << 20, UnreadBytes: 70 << 20, Outgoing: 819})
+	is.Equal(derive(32<<20, 4100), Limits{Connections: 682, RequestBytes: 8 << 20, UnreadBytes: 8 << 20, Outgoing: 820})
 	is.Equal(derive(184<<20, 4100).ReceiveBuffer(), (46<<20)/3075)
 	is.Equal(derive(16<<20, 4100).ReceiveBuffer(), (4<<20)/341)
 	is.Equal(derive(16<<20, 4100).WithConnections(4000).ReceiveBuffer(), minReceiveBuffer)
--- a/internal/connlimit/derive.go
+++ b/internal/connlimit/derive.go
@@ -13,9 +13,11 @@
 	// connectionShare of the memory of the process is for open connections, requestShare for what has been received of requests.
 	connectionShare = 0.5
 	requestShare    = 0.125
-	// descriptorShare of the descriptors is for connections from peers. The rest is for connections to targets, nodes and
-	// members, for listeners and for files.
+	// descriptorShare of the descriptors is for connections from peers. What this and outgoingShare leave is for connections
+	// to members, for listeners and for files.
 	descriptorShare = 0.75
+	// outgoingShare of the descriptors is for connections that the process opens to targets and other nodes.
+	outgoingShare = 0.2
 	// unreadShare of the memory is for what has arrived at all connections and has not been read, which the system holds for the
 	// process. Each connection gets its part of it as a receive buffer, from minReceiveBuffer to MaxReceiveBuffer.
 	unreadShare      = 0.25
@@ -53,6 +55,7 @@
 		Connections:  int(max(min(byMemory, descriptorShare*float64(descriptors)), MinConnections)),
 		RequestBytes: max(int64(requestShare*float64(memory)), minRequestBytes),
 		UnreadBytes:  int64(unreadShare * float64(memory)),
+		Outgoing:     max(int(outgoingShare*float64(descriptors)), MinConnections),
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -147,6 +147,7 @@
 		AdmitLeaving:  n.profile.AdmitDraining,
 
 		TargetChoice: n.profile.TargetChoice,
+		Connections:  n.connectionLimits.Outgoing,
 	})
 }
 
