--- a/session/call.go
+++ b/session/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/zinniapier/zinniapier/api"
@@ -94,30 +95,30 @@
 // keepLate lets the call go on beside the next heartbeats.
 func (s *Session) keepLate(call *heartbeatCall) {
 	s.members.release()
-	waiting := s.late[:0]
-	for _, c := range s.late {
-		if c.ctx.Err() == nil {
-			waiting = append(waiting, c)
-		} else {
-			c.abandon()
-		}
+	s.late = append(slices.DeleteFunc(s.late, (*heartbeatCall).endedByTime), call)
+}
+
+// endedByTime reports whether the time of the call is over, and then frees its connection.
+func (c *heartbeatCall) endedByTime() bool {
+	if c.ctx.Err() == nil {
+		return false
 	}
-	s.late = append(waiting, call)
+	c.abandon()
+	return true
 }
 
 // removeLate removes a call that has ended; false if it was not waited for.
 func (s *Session) removeLate(call *heartbeatCall) bool {
-	for i, c := range s.late {
-		if c == call {
-			s.late = append(s.late[:i], s.late[i+1:]...)
-			call.cancel()
-			if call.err != nil {
-				call.client.Close()
-			}
-			return true
-		}
+	i := slices.Index(s.late, call)
+	if i < 0 {
+		return false
+	}
+	s.late = slices.Delete(s.late, i, i+1)
+	call.cancel()
+	if call.err != nil {
+		call.client.Close()
 	}
-	return false
+	return true
 }
 
 // abandonLate ends the calls whose replies must not be used any more.
