daemon: TestCallersGetInBesideIdleConnections waits until its held request runs

The test opened idle connections while that request might still be on its way; its connection then was the one idle longest, and was closed for others, as it may be. The test now begins once the request is with its handler; all checks stay. The product is unchanged.

--- a/daemon/limits_test.go
+++ b/daemon/limits_test.go
@@ -86,9 +86,10 @@
 // requests at work.
 func TestCallersGetInBesideIdleConnections(t *testing.T) {
 	is := is.New(t)
-	hold := make(chan struct{})
+	hold, running := make(chan struct{}), make(chan struct{})
 	address := serveLimited(t, func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/hold" {
+			close(running)
 			<-hold
 		}
 	}, WithConnections(connlimit.New(connlimit.Limits{Connections: 20, RequestBytes: 1 << 20}).Group("test", 0)))
@@ -97,6 +98,7 @@
 		status, _ := send(t, address, "GET /hold HTTP/1.1\r\nHost: test\r\n\r\n")
 		held <- status
 	}()
+	<-running
 	for range 60 {
 		conn, err := net.Dial("tcp", address)
 		is.NoErr(err)
